--- /dev/null
+++ b/benchlink/src/main.rs
@@ -0,0 +1,12 @@
+//! Speaks the bench's wire (one JSON value a line) and hands each field to the decision module.
+
+mod wire;
+
+use std::io::{stdin, stdout, BufWriter};
+
+fn main() {
+    if let Err(trouble) = wire::serve(stdin().lock(), BufWriter::new(stdout().lock())) {
+        eprintln!("plankhill-benchlink: {trouble}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,694 @@
+//! Every decision of a forwarder. A host calls [`Forwarder::round`] once a round: what came in is handed
+//! over by the calls of the first block below (`taken`, `send_ended`, `listed`, ...), then the decisions go
+//! straight into the writer passed with the call. Ids, terms and the writer stand in `interface.rs`.
+//! docs/design.md tells the mechanism and when each exception from it acts.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
+
+use crate::interface::*;
+
+/// What shares one limit, one health and one wait: a destination, or one of its routes where they are apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LaneId {
+    Destination(DestinationId),
+    Route(TargetId),
+}
+
+/// A sum that fades with a given time constant, brought up to date when it is read.
+#[derive(Default)]
+struct Fading {
+    sum: f64,
+    at: Ms,
+}
+
+impl Fading {
+    fn read(&mut self, now: Ms, constant: Ms) -> f64 {
+        self.sum *= (-(now - self.at).max(0.0) / constant).exp();
+        self.at = now;
+        self.sum
+    }
+    fn add(&mut self, now: Ms, constant: Ms, amount: f64) {
+        self.sum = self.read(now, constant) + amount;
+    }
+}
+
+struct Event {
+    id: EventId,
+    destination: DestinationId,
+    traffic: TrafficId,
+    key: Option<OrderKey>,
+    patience_ends: Ms,
+    sends: u32,
+    call: Option<u64>,
+    not_before: Ms,
+    failures: i32,
+    may_have_run: Option<(Ms, ZoneId)>, // when and where the first send went that may have run
+    hopeless: bool,
+    over: bool, // answered, and kept only until its send has ended
+}
+
+#[derive(Default)]
+struct KeyLine {
+    queue: VecDeque<u64>,
+    rests_until: Ms,
+}
+
+struct Call {
+    lane: LaneId,
+    target: TargetId,
+    sent: Ms,
+    members: usize,
+    judged: bool,
+}
+
+struct Target {
+    destination: DestinationId,
+    lane: LaneId,
+    zone: ZoneId,
+    kind: KindId,
+    listing: Listing,
+    failures: i32,
+    shunned_until: Ms,
+}
+
+#[derive(Default)]
+struct Lane {
+    failures: i32,
+    offline: bool,
+    ping_at: Ms,
+    ping_out: bool,
+    closed_until: Ms, // the end of a wait that was told
+    held_until: Ms,   // the end of a pause of ours
+    refusals: i32,    // refused calls in a row, those sent before the last one aside
+    refused_at: Ms,
+    refused_since: Ms,
+    answered_at: Ms,
+    cold_since: Option<Ms>,
+    pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
+    next_slot: Ms,           // when the paced budget has room again
+    sent: Fading,
+    answers: Fading,
+    answer_time: Fading,
+}
+
+#[derive(Default)]
+struct Destination {
+    targets: Vec<TargetId>,
+    offered: Fading,
+    turn: u64,
+}
+
+pub struct Forwarder {
+    terms: Terms,
+    started: Ms,
+    now: Ms,
+    draws: u64,
+    taken: u64,
+    turns: u64,
+    calls_made: u64,
+    events: BTreeMap<u64, Event>, // in the order taken
+    places: HashMap<EventId, u64>,
+    keys: HashMap<OrderKey, KeyLine>,
+    destinations: BTreeMap<DestinationId, Destination>,
+    targets: BTreeMap<TargetId, Target>,
+    lanes: BTreeMap<LaneId, Lane>,
+    calls: BTreeMap<u64, Call>,
+    answers: Fading,
+    answer_time: Fading,
+    wake_at: Ms,
+    woken_at: Ms, // the ring that is already ordered
+}
+
+/// Long enough to know a destination's usual traffic, short against the length of a busy hour.
+const USUAL: Ms = 20_000.0;
+/// Answers are remembered over some tens of them at a call or two a second.
+const MEMORY: Ms = 15_000.0;
+/// What was sent in the last moments, for the pace that a refusal cuts.
+const RECENT: Ms = 2_000.0;
+
+impl Forwarder {
+    pub fn start(terms: Terms, now: Ms) -> Self {
+        Forwarder {
+            terms,
+            started: now,
+            now,
+            draws: 0,
+            taken: 0,
+            turns: 0,
+            calls_made: 0,
+            events: BTreeMap::new(),
+            places: HashMap::new(),
+            keys: HashMap::new(),
+            destinations: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            answers: Fading::default(),
+            answer_time: Fading::default(),
+            wake_at: f64::INFINITY,
+            woken_at: f64::INFINITY,
+        }
+    }
+
+    /// One round: `came_in` hands over all that arrived, then the decisions are written.
+    pub fn round<E>(
+        &mut self,
+        now: Ms,
+        came_in: impl FnOnce(&mut Self) -> Result<(), E>,
+        out: &mut impl Decisions,
+    ) -> Result<(), E> {
+        self.now = now;
+        self.wake_at = f64::INFINITY;
+        came_in(self)?;
+        self.end_events(out);
+        self.watch_health(out);
+        self.dispatch(out);
+        if self.wake_at < self.woken_at {
+            self.woken_at = self.wake_at;
+            out.wake_after(self.wake_at - now);
+        }
+        Ok(())
+    }
+
+    // ---- what came in ----
+
+    pub fn woken(&mut self) {
+        if self.now >= self.woken_at {
+            self.woken_at = f64::INFINITY;
+        }
+    }
+
+    pub fn list_replaced(&mut self) {
+        self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
+    }
+
+    pub fn left(&mut self, target: &TargetId) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.listing = Listing::Gone;
+        }
+    }
+
+    pub fn listed(&mut self, id: TargetId, of: DestinationId, kind: KindId, zone: ZoneId, listing: Listing) {
+        let apart = self.terms.kinds[kind.0].routes_apart;
+        let lane = if apart { LaneId::Route(id.clone()) } else { LaneId::Destination(of) };
+        self.lanes.entry(lane.clone()).or_default();
+        let fresh = Target { destination: of, lane, zone, kind, listing, failures: 0, shunned_until: 0.0 };
+        self.targets.entry(id.clone()).or_insert(fresh).listing = listing;
+        let known = &mut self.destinations.entry(of).or_default().targets;
+        if !known.contains(&id) {
+            known.push(id);
+        }
+    }
+
+    pub fn taken(
+        &mut self,
+        id: EventId,
+        destination: DestinationId,
+        traffic: TrafficId,
+        patience_ends: Ms,
+        key: Option<OrderKey>,
+    ) -> Result<(), Unknown> {
+        let key = key.filter(|_| self.terms.traffic[traffic.0].ordered);
+        self.taken += 1;
+        let place = self.taken;
+        self.places.insert(id.clone(), place);
+        if let Some(key) = key {
+            self.keys.entry(key).or_default().queue.push_back(place);
+        }
+        self.destinations.entry(destination).or_default().offered.add(self.now, USUAL, 1.0);
+        let event = Event {
+            id,
+            destination,
+            traffic,
+            key,
+            patience_ends,
+            sends: 0,
+            call: None,
+            not_before: 0.0,
+            failures: 0,
+            may_have_run: None,
+            hopeless: false,
+            over: false,
+        };
+        self.events.insert(place, event);
+        Ok(())
+    }
+
+    pub fn withdrawn(&mut self, id: &EventId) {
+        if let Some(&place) = self.places.get(id) {
+            self.events.get_mut(&place).expect("placed").over = true;
+            self.forget_if_over(place);
+        }
+    }
+
+    pub fn send_ended(
+        &mut self,
+        id: &EventId,
+        fate: Fate,
+        took: Ms,
+        complete: bool,
+        wait: Ms,
+    ) -> Result<(), Unknown> {
+        let &place = self.places.get(id).ok_or(Unknown("the event"))?;
+        let now = self.now;
+        let event = self.events.get_mut(&place).expect("placed");
+        let number = event.call.take().ok_or(Unknown("the send"))?;
+        event.over |= complete;
+        let (traffic, key) = (event.traffic, event.key);
+        let call = self.calls.get_mut(&number).expect("a call has members");
+        call.members -= 1;
+        let (sent, first, target) =
+            (call.sent, !std::mem::replace(&mut call.judged, true), call.target.clone());
+        if call.members == 0 {
+            self.calls.remove(&number);
+        }
+        let zone = self.targets[&target].zone;
+        if first {
+            self.judge(&target, fate, sent, took, wait);
+        }
+        let pause = self.pause(place);
+        let event = self.events.get_mut(&place).expect("placed");
+        match fate {
+            Fate::Delivered => event.over = true,
+            Fate::Full => event.not_before = now + pause * 0.5,
+            Fate::NotSent => event.not_before = now + pause * 0.1,
+            Fate::NoConnection => {
+                event.failures += 1;
+                event.not_before = now + pause;
+            }
+            Fate::Error | Fate::TimedOut | Fate::Reset | Fate::Cancelled => {
+                event.failures += 1;
+                event.not_before = now + pause;
+                event.may_have_run.get_or_insert((sent, zone));
+                event.hopeless |= self.terms.traffic[traffic.0].effect == Effect::Binding;
+            }
+        }
+        event.hopeless |= event.sends >= self.terms.sends_cap;
+        if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (key, fate) {
+            self.keys.entry(key).or_default().rests_until = now + self.terms.key_rest;
+        }
+        self.forget_if_over(place);
+        Ok(())
+    }
+
+    pub fn ping_ended(&mut self, target: &TargetId, fate: Fate) -> Result<(), Unknown> {
+        let id = self.targets.get(target).ok_or(Unknown("the target"))?.lane.clone();
+        let pause = PING * (0.75 + 0.5 * self.draw(0));
+        let now = self.now;
+        let lane = self.lanes.get_mut(&id).expect("listed");
+        lane.ping_out = false;
+        lane.ping_at = now + pause;
+        match fate {
+            Fate::Delivered | Fate::Full => lane.release(now),
+            _ => lane.cold_since = Some(now),
+        }
+        Ok(())
+    }
+
+    // ---- health and pace ----
+
+    /// Reads the outcome of a call (once, however many events it carried) for its target and lane.
+    fn judge(&mut self, id: &TargetId, fate: Fate, sent: Ms, took: Ms, wait: Ms) {
+        let (now, chance) = (self.now, self.draw(1));
+        let target = self.targets.get_mut(id).expect("called");
+        let lane = self.lanes.get_mut(&target.lane).expect("listed");
+        match fate {
+            Fate::Delivered => {
+                target.failures = 0;
+                // A stretch of nothing but refusals is a shut destination: it returns cold.
+                if lane.refusals >= 2 && now - lane.refused_since > 2.0 * PING {
+                    lane.cold_since = Some(now);
+                }
+                lane.refusals = 0;
+                lane.failures = 0;
+                lane.release(now);
+                lane.answers.add(now, MEMORY, 1.0);
+                lane.answer_time.add(now, MEMORY, took);
+                self.answers.add(now, MEMORY, 1.0);
+                self.answer_time.add(now, MEMORY, took);
+            }
+            Fate::Full => {
+                lane.release(now);
+                lane.failures = 0;
+                lane.closed_until = lane.closed_until.max(now + wait);
+                if lane.refusals == 0 {
+                    lane.refused_since = now;
+                }
+                if sent >= lane.refused_at {
+                    lane.refusals += 1;
+                    lane.refused_at = now;
+                    let recent = lane.sent.read(now, RECENT) * 1000.0 / RECENT;
+                    lane.pace = Some((recent.max(0.3) * 0.8, now));
+                    if wait == 0.0 {
+                        let pause = 250.0 * f64::powi(2.0, lane.refusals.min(5) - 1);
+                        lane.held_until = now + pause * (0.75 + 0.5 * chance);
+                    }
+                }
+                if lane.cold_since.is_some() {
+                    lane.cold_since = Some(now);
+                }
+            }
+            Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => {
+                target.failures += 1;
+                let pause = 500.0 * f64::powi(2.0, target.failures.min(5) - 1);
+                target.shunned_until = now + pause * (0.75 + 0.5 * chance);
+                lane.failures += 1;
+                if fate == Fate::TimedOut {
+                    // What was cut short took at least so long: a slow destination gets more time.
+                    lane.answers.add(now, MEMORY, 1.0);
+                    lane.answer_time.add(now, MEMORY, took);
+                }
+                if lane.cold_since.is_some() {
+                    lane.cold_since = Some(now);
+                }
+                if lane.failures >= 2 {
+                    lane.offline = true;
+                    lane.cold_since = Some(now);
+                }
+            }
+            Fate::Cancelled | Fate::NotSent => (),
+        }
+    }
+
+    fn usual_answer(&mut self, id: &LaneId) -> Ms {
+        let now = self.now;
+        // Until anything has answered, a second; a lane's own answers outweigh the others' after two.
+        let all = self.answer_time.read(now, MEMORY) + 1000.0;
+        let common = all / (self.answers.read(now, MEMORY) + 1.0);
+        let lane = self.lanes.get_mut(id).expect("listed");
+        (lane.answer_time.read(now, MEMORY) + 2.0 * common) / (lane.answers.read(now, MEMORY) + 2.0)
+    }
+
+    fn watch_health(&mut self, out: &mut impl Decisions) {
+        let now = self.now;
+        // A call without an answer for long, and none from its lane since it went: the lane is silent. It parks
+        // before more calls are pinned there. Guards against hung and stalled targets; harmful if set too low.
+        let calls: Vec<(LaneId, Ms)> = self.calls.values().map(|c| (c.lane.clone(), c.sent)).collect();
+        for (id, sent) in calls {
+            let limit = (4.0 * self.usual_answer(&id)).max(1500.0);
+            let lane = self.lanes.get_mut(&id).expect("listed");
+            if lane.answered_at < sent && !lane.offline {
+                if now >= sent + limit {
+                    lane.offline = true;
+                    lane.ping_at = now;
+                } else {
+                    self.wake(sent + limit);
+                }
+            }
+        }
+        let offline: Vec<LaneId> =
+            self.lanes.iter().filter(|(_, l)| l.offline && !l.ping_out).map(|(id, _)| id.clone()).collect();
+        if !self.terms.pings_allowed {
+            return;
+        }
+        for id in offline {
+            let lane = &self.lanes[&id];
+            let due = lane.ping_at.max(lane.closed_until);
+            if due > now {
+                self.wake(due);
+                continue;
+            }
+            let running: Vec<TargetId> = self
+                .targets
+                .iter()
+                .filter(|(_, t)| t.lane == id && t.listing == Listing::Running)
+                .map(|(id, _)| id.clone())
+                .collect();
+            if !running.is_empty() {
+                let drawn = (self.draw(2) * running.len() as f64) as usize;
+                out.ping(&running[drawn]);
+                self.lanes.get_mut(&id).expect("listed").ping_out = true;
+            }
+        }
+    }
+
+    /// When the lane takes its next call.
+    fn opens_at(&mut self, id: &LaneId) -> Ms {
+        let lane = &self.lanes[id];
+        if lane.offline {
+            if self.terms.pings_allowed || self.calls.values().any(|c| c.lane == *id) {
+                return f64::INFINITY;
+            }
+            return lane.ping_at.max(lane.closed_until);
+        }
+        let rested = lane.closed_until.max(lane.held_until);
+        match self.rate(id) {
+            Some(_) => rested.max(self.lanes[id].next_slot),
+            None => rested,
+        }
+    }
+
+    /// Calls a second that this forwarder allows itself; none where nothing speaks for a limit.
+    fn rate(&mut self, id: &LaneId) -> Option<f64> {
+        let (now, terms) = (self.now, &self.terms);
+        let lane = &self.lanes[id];
+        let mut rate = f64::INFINITY;
+        if let Some((pace, set)) = lane.pace {
+            rate = pace * (0.08 * (now - set) / 1000.0).exp();
+            if now - set > 20_000.0 {
+                rate = f64::INFINITY;
+            }
+        }
+        let since = lane.cold_since.map_or(f64::INFINITY, |since| now - since);
+        if since < terms.warm_after {
+            let warm = terms.cold_share + (1.0 - terms.cold_share) * since / terms.warm_after;
+            let least = 1000.0 / PING / terms.forwarders;
+            let (destination, routes) = match id {
+                LaneId::Destination(d) => (*d, 1.0),
+                LaneId::Route(t) => {
+                    let destination = self.targets[t].destination;
+                    (destination, self.running(destination).len().max(1) as f64)
+                }
+            };
+            let seen = 1.0 - (-(now - self.started) / USUAL).exp();
+            let offered = &mut self.destinations.get_mut(&destination).expect("listed").offered;
+            let usual = offered.read(now, USUAL) * 1000.0 / USUAL / seen.max(0.05) / routes;
+            rate = rate.min((0.6 * self.terms.tip_multiple * warm * usual).max(least));
+        }
+        rate.is_finite().then_some(rate)
+    }
+
+    fn running(&self, destination: DestinationId) -> Vec<TargetId> {
+        let known = self.destinations.get(&destination).map_or(&[][..], |d| &d.targets);
+        known.iter().filter(|t| self.targets[*t].listing == Listing::Running).cloned().collect()
+    }
+
+    // ---- ends ----
+
+    fn end_events(&mut self, out: &mut impl Decisions) {
+        let now = self.now;
+        let mut ended = Vec::new();
+        for (&place, event) in &mut self.events {
+            if event.over || event.call.is_some() {
+                continue;
+            }
+            let effect = self.terms.traffic[event.traffic.0].effect;
+            if let (Some((sent, _)), Effect::Fingerprinted { window, .. }) = (event.may_have_run, effect) {
+                event.hopeless |= now.max(event.not_before) >= sent + window;
+            }
+            if event.hopeless || now >= event.patience_ends - LAST_MOMENT {
+                ended.push(place);
+            }
+        }
+        for place in ended {
+            let event = self.events.get_mut(&place).expect("held");
+            event.over = true;
+            let harmless = match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
+                (None, _) | (_, Effect::Retriable) => true,
+                (_, Effect::Fingerprinted { one_zone, .. }) => !one_zone,
+                (_, Effect::Binding) => false,
+            };
+            if harmless {
+                out.dismiss(&event.id, self.terms.longest_advice.map(|most| most.min(500.0)));
+            } else {
+                out.write_off(&event.id);
+            }
+            self.forget_if_over(place);
+        }
+    }
+
+    fn forget_if_over(&mut self, place: u64) {
+        let event = &self.events[&place];
+        if !event.over || event.call.is_some() {
+            return;
+        }
+        let event = self.events.remove(&place).expect("held");
+        self.places.remove(&event.id);
+        if let Some(key) = event.key {
+            let line = self.keys.get_mut(&key).expect("queued");
+            line.queue.retain(|&p| p != place);
+            if line.queue.is_empty() && line.rests_until <= self.now {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    // ---- sends ----
+
+    fn dispatch(&mut self, out: &mut impl Decisions) {
+        let now = self.now;
+        let mut ready: BTreeMap<DestinationId, VecDeque<u64>> = BTreeMap::new();
+        let mut wake = f64::INFINITY;
+        for (&place, event) in &self.events {
+            if event.over || event.call.is_some() {
+                continue;
+            }
+            wake = wake.min(event.patience_ends - LAST_MOMENT);
+            if let (Some((sent, _)), Effect::Fingerprinted { window, .. }) =
+                (event.may_have_run, self.terms.traffic[event.traffic.0].effect)
+            {
+                wake = wake.min(sent + window);
+            }
+            let line = event.key.map(|key| &self.keys[&key]);
+            if line.is_some_and(|line| line.queue.front() != Some(&place)) {
+                continue;
+            }
+            // The rest holds back those behind the event that was cut short, not its own next send.
+            let rest = if event.sends > 0 { 0.0 } else { line.map_or(0.0, |line| line.rests_until) };
+            let from = event.not_before.max(rest);
+            if from > now {
+                wake = wake.min(from);
+            } else {
+                ready.entry(event.destination).or_default().push_back(place);
+            }
+        }
+        self.wake(wake);
+        while self.calls.len() < self.terms.slots && self.send_next(&mut ready, out) {}
+    }
+
+    /// One call, to the destination with the fewest out; false when none can take one.
+    fn send_next(
+        &mut self,
+        ready: &mut BTreeMap<DestinationId, VecDeque<u64>>,
+        out: &mut impl Decisions,
+    ) -> bool {
+        let mut turns: Vec<(usize, u64, DestinationId)> = Vec::new();
+        for (&id, heads) in ready.iter() {
+            if !heads.is_empty() {
+                let out = self.calls.values().filter(|c| self.targets[&c.target].destination == id).count();
+                turns.push((out, self.destinations[&id].turn, id));
+            }
+        }
+        turns.sort();
+        for (_, _, id) in turns {
+            let mut open = Vec::new();
+            for target in self.running(id) {
+                let lane = self.targets[&target].lane.clone();
+                let at = self.opens_at(&lane);
+                if at <= self.now {
+                    open.push(target);
+                } else {
+                    self.wake(at);
+                }
+            }
+            let heads = ready.get_mut(&id).expect("chosen");
+            for index in 0..heads.len() {
+                let Some(target) = self.pick(heads[index], &open) else { continue };
+                let most = self.terms.kinds[self.targets[&target].kind.0].events_per_call.max(1);
+                let mut aboard = Vec::new();
+                let mut at = index;
+                while at < heads.len() && aboard.len() < most {
+                    if self.may_go(heads[at], &target) {
+                        aboard.push(heads.remove(at).expect("in range"));
+                    } else {
+                        at += 1;
+                    }
+                }
+                self.call(id, target, aboard, out);
+                return true;
+            }
+            heads.clear();
+        }
+        false
+    }
+
+    fn may_go(&self, place: u64, target: &TargetId) -> bool {
+        let event = &self.events[&place];
+        match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
+            (Some((_, zone)), Effect::Fingerprinted { one_zone: true, .. }) => {
+                self.targets[target].zone == zone
+            }
+            _ => true,
+        }
+    }
+
+    /// Two targets drawn at random, and the one that our own counts favour: not just failed, fewer calls out.
+    fn pick(&mut self, place: u64, open: &[TargetId]) -> Option<TargetId> {
+        let fit: Vec<&TargetId> = open.iter().filter(|target| self.may_go(place, target)).collect();
+        let drawn = |chance: f64, of: usize| ((chance * of as f64) as usize).min(of.saturating_sub(1));
+        let well: Vec<&TargetId> =
+            fit.iter().copied().filter(|t| self.targets[*t].shunned_until <= self.now).collect();
+        let from = if well.is_empty() { fit } else { well };
+        if from.is_empty() {
+            return None;
+        }
+        let one = drawn(self.draw(place), from.len());
+        let other = (one + 1 + drawn(self.draw(place), from.len().max(2) - 1)) % from.len();
+        let count = |t: &TargetId| self.calls.values().filter(|c| c.target == *t).count();
+        let favoured = if count(from[other]) < count(from[one]) { other } else { one };
+        Some(from[favoured].clone())
+    }
+
+    fn call(&mut self, id: DestinationId, target: TargetId, aboard: Vec<u64>, out: &mut impl Decisions) {
+        let now = self.now;
+        let lane_id = self.targets[&target].lane.clone();
+        let usual = self.usual_answer(&lane_id);
+        self.calls_made += 1;
+        self.turns += 1;
+        self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
+        for &place in &aboard {
+            let event = self.events.get_mut(&place).expect("ready");
+            // A binding event cannot be sent again: it is given twice the time.
+            let given = match self.terms.traffic[event.traffic.0].effect {
+                Effect::Binding => 2.0,
+                _ => 1.0,
+            };
+            let time_out = (given * (8.0 * usual).clamp(2500.0, 8000.0)).min(event.patience_ends - now);
+            event.call = Some(self.calls_made);
+            event.sends += 1;
+            out.send(&event.id, &target, time_out);
+        }
+        if let Some(rate) = self.rate(&lane_id) {
+            let lane = self.lanes.get_mut(&lane_id).expect("listed");
+            lane.next_slot = lane.next_slot.max(now) + 1000.0 / rate;
+        }
+        self.lanes.get_mut(&lane_id).expect("listed").sent.add(now, RECENT, 1.0);
+        let call = Call { lane: lane_id, target, sent: now, members: aboard.len(), judged: false };
+        self.calls.insert(self.calls_made, call);
+    }
+
+    /// The pause of a head after its failures: half a second, doubling, jittered by a quarter either way.
+    fn pause(&mut self, place: u64) -> Ms {
+        let chance = self.draw(place);
+        let failures = self.events[&place].failures.min(5);
+        500.0 * f64::powi(2.0, failures) * (0.75 + 0.5 * chance)
+    }
+
+    fn wake(&mut self, at: Ms) {
+        if at > self.now {
+            self.wake_at = self.wake_at.min(at);
+        }
+    }
+
+    fn draw(&mut self, id: u64) -> f64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.terms.seed, self.terms.instance, id, self.draws).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// The design's second between pings.
+const PING: Ms = 1000.0;
+/// Held events end this long before patience does, so that the answer's round is in time.
+const LAST_MOMENT: Ms = 30.0;
+
+impl Lane {
+    fn release(&mut self, now: Ms) {
+        self.answered_at = now;
+        self.offline = false;
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,105 @@
+//! The names that a host and the decision module share: ids, what is known at the start, how a send
+//! can end, and the writer that takes the decisions. Nothing is decided here.
+
+use std::rc::Rc;
+
+/// Milliseconds with fractions, on the clock of the host.
+pub type Ms = f64;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EventId(pub Rc<str>);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetId(pub Rc<str>);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DestinationId(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderKey(pub u64);
+
+/// Position in [`Terms::traffic`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrafficId(pub usize);
+
+/// Position in [`Terms::kinds`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KindId(pub usize);
+
+/// Position in the host's list of zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneId(pub usize);
+
+/// What a repeat of an event does at its destination.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Retriable,
+    Fingerprinted { window: Ms, one_zone: bool },
+    Binding,
+}
+
+#[derive(Clone, Debug)]
+pub struct TrafficType {
+    pub effect: Effect,
+    pub soft_limit: Ms,
+    pub ordered: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct DestinationKind {
+    pub routes_apart: bool,
+    pub events_per_call: usize,
+}
+
+/// What a forwarder is told once, at its start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub seed: u64,
+    pub instance: u64,
+    pub forwarders: f64,
+    pub traffic: Vec<TrafficType>,
+    pub kinds: Vec<DestinationKind>,
+    pub slots: usize,
+    pub sends_cap: u32,
+    pub pings_allowed: bool,
+    pub longest_advice: Option<Ms>,
+    pub cold_share: f64,
+    pub warm_after: Ms,
+    pub tip_multiple: f64,
+    pub tip_window: Ms,
+    pub key_rest: Ms,
+}
+
+/// How the list speaks of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    Running,
+    Leaving,
+    Gone,
+}
+
+/// How a send or a ping ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Delivered,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+/// A host named something that it never introduced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unknown(pub &'static str);
+
+/// Takes the decisions of one round, in the order in which they are to run.
+pub trait Decisions {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms);
+    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>);
+    fn write_off(&mut self, event: &EventId);
+    fn ping(&mut self, target: &TargetId);
+    fn wake_after(&mut self, pause: Ms);
+}
