--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,6 +85,8 @@
     refused_at: Ms,
     refused_since: Ms,
     answered_at: Ms,
+    delivered_at: Ms,
+    suspected: bool, // thought cold for its refusals alone
     cold_since: Option<Ms>,
     pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
     next_slot: Ms,           // when the paced budget has room again
@@ -265,6 +267,9 @@
             self.calls.remove(&number);
         }
         let zone = self.targets[&target].zone;
+        // Every event of a call may be told a wait of its own.
+        let lane = self.lanes.get_mut(&self.targets[&target].lane).expect("listed");
+        lane.closed_until = lane.closed_until.max(now + wait);
         if first {
             self.judge(&target, fate, sent, took, wait);
         }
@@ -317,11 +322,14 @@
         match fate {
             Fate::Delivered => {
                 target.failures = 0;
-                // A stretch of nothing but refusals is a shut destination: it returns cold.
-                if lane.refusals >= 2 && now - lane.refused_since > 2.0 * PING {
-                    lane.cold_since = Some(now);
+                if lane.suspected {
+                    // Refused for a moment only: that was its limit, not an outage.
+                    let brief = now - lane.refused_since < 2.0 * PING;
+                    lane.cold_since = lane.cold_since.filter(|_| !brief);
+                    lane.suspected = false;
                 }
                 lane.refusals = 0;
+                lane.delivered_at = now;
                 lane.failures = 0;
                 lane.release(now);
                 lane.answers.add(now, MEMORY, 1.0);
@@ -332,7 +340,6 @@
             Fate::Full => {
                 lane.release(now);
                 lane.failures = 0;
-                lane.closed_until = lane.closed_until.max(now + wait);
                 if lane.refusals == 0 {
                     lane.refused_since = now;
                 }
@@ -346,8 +353,12 @@
                         lane.held_until = now + pause * (0.75 + 0.5 * chance);
                     }
                 }
-                if lane.cold_since.is_some() {
-                    lane.cold_since = Some(now);
+                // Refused again with nothing delivered between, or told to stay away for long: it may be shut, and
+                // returns cold. Guards whatever refuses all; harmful where a tight limit looks the same for long.
+                let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
+                if shut || wait > 2.0 * PING || lane.cold_since.is_some() {
+                    lane.suspected |= lane.cold_since.is_none() && wait <= 2.0 * PING;
+                    lane.cold_since = Some(now + wait);
                 }
             }
             Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => {
@@ -365,6 +376,7 @@
                 }
                 if lane.failures >= 2 {
                     lane.offline = true;
+                    lane.suspected = false;
                     lane.cold_since = Some(now);
                 }
             }
@@ -453,7 +465,7 @@
         }
         let since = lane.cold_since.map_or(f64::INFINITY, |since| now - since);
         if since < terms.warm_after {
-            let warm = terms.cold_share + (1.0 - terms.cold_share) * since / terms.warm_after;
+            let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
             let (destination, routes) = match id {
                 LaneId::Destination(d) => (*d, 1.0),
@@ -587,6 +599,8 @@
             for index in 0..heads.len() {
                 let Some(target) = self.pick(heads[index], &open) else { continue };
                 let most = self.terms.kinds[self.targets[&target].kind.0].events_per_call.max(1);
+                let cold = self.lanes[&self.targets[&target].lane].cold_since.is_some();
+                let most = if cold { most.min(1 + (1.0 / RIDER) as usize) } else { most };
                 let mut aboard = Vec::new();
                 let mut at = index;
                 while at < heads.len() && aboard.len() < most {
@@ -652,7 +666,8 @@
         }
         if let Some(rate) = self.rate(&lane_id) {
             let lane = self.lanes.get_mut(&lane_id).expect("listed");
-            lane.next_slot = lane.next_slot.max(now) + 1000.0 / rate;
+            let weight = 1.0 + RIDER * (aboard.len() - 1) as f64;
+            lane.next_slot = lane.next_slot.max(now) + weight * 1000.0 / rate;
         }
         self.lanes.get_mut(&lane_id).expect("listed").sent.add(now, RECENT, 1.0);
         let call = Call { lane: lane_id, target, sent: now, members: aboard.len(), judged: false };
@@ -682,6 +697,8 @@
 
 /// The design's second between pings.
 const PING: Ms = 1000.0;
+/// What each further event of a call is taken to weigh: the wire says only that it is a little.
+const RIDER: f64 = 0.25;
 /// Held events end this long before patience does, so that the answer's round is in time.
 const LAST_MOMENT: Ms = 30.0;
 
