--- a/src/decide.rs
+++ b/src/decide.rs
@@ -83,10 +83,12 @@
     held_until: Ms,   // the end of a pause of ours
     refusals: i32,    // refused calls in a row, those sent before the last one aside
     refused_at: Ms,
-    refused_since: Ms,
     answered_at: Ms,
     delivered_at: Ms,
-    suspected: bool, // thought cold for its refusals alone
+    bad_since: Option<Ms>, // the first refusal or failure since something was last delivered
+    doubtful: bool,        // thought cold on thin evidence
+    good: Fading,
+    failed: Fading,
     cold_since: Option<Ms>,
     pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
     next_slot: Ms,           // when the paced budget has room again
@@ -127,6 +129,8 @@
 const USUAL: Ms = 20_000.0;
 /// Answers are remembered over some tens of them at a call or two a second.
 const MEMORY: Ms = 15_000.0;
+/// Good and failed calls are weighed over a few seconds: long enough for several, short against an outage.
+const TREND: Ms = 5_000.0;
 /// What was sent in the last moments, for the pace that a refusal cuts.
 const RECENT: Ms = 2_000.0;
 
@@ -306,8 +310,16 @@
         lane.ping_out = false;
         lane.ping_at = now + pause;
         match fate {
-            Fate::Delivered | Fate::Full => lane.release(now),
-            _ => lane.cold_since = Some(now),
+            Fate::Delivered => {
+                lane.proven_well(now);
+                lane.release(now);
+            }
+            Fate::Full => lane.release(now),
+            _ => {
+                lane.failed.add(now, TREND, 1.0);
+                lane.doubtful |= lane.cold_since.is_none();
+                lane.cold_since = Some(now);
+            }
         }
         Ok(())
     }
@@ -322,15 +334,9 @@
         match fate {
             Fate::Delivered => {
                 target.failures = 0;
-                if lane.suspected {
-                    // Refused for a moment only: that was its limit, not an outage.
-                    let brief = now - lane.refused_since < 2.0 * PING;
-                    lane.cold_since = lane.cold_since.filter(|_| !brief);
-                    lane.suspected = false;
-                }
-                lane.refusals = 0;
                 lane.delivered_at = now;
-                lane.failures = 0;
+                lane.good.add(now, TREND, 1.0);
+                lane.proven_well(now);
                 lane.release(now);
                 lane.answers.add(now, MEMORY, 1.0);
                 lane.answer_time.add(now, MEMORY, took);
@@ -340,9 +346,7 @@
             Fate::Full => {
                 lane.release(now);
                 lane.failures = 0;
-                if lane.refusals == 0 {
-                    lane.refused_since = now;
-                }
+                lane.bad_since.get_or_insert(now);
                 if sent >= lane.refused_at {
                     lane.refusals += 1;
                     lane.refused_at = now;
@@ -357,7 +361,7 @@
                 // returns cold. Guards whatever refuses all; harmful where a tight limit looks the same for long.
                 let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
                 if shut || wait > 2.0 * PING || lane.cold_since.is_some() {
-                    lane.suspected |= lane.cold_since.is_none() && wait <= 2.0 * PING;
+                    lane.doubtful |= lane.cold_since.is_none() && wait <= 2.0 * PING;
                     lane.cold_since = Some(now + wait);
                 }
             }
@@ -366,19 +370,22 @@
                 let pause = 500.0 * f64::powi(2.0, target.failures.min(5) - 1);
                 target.shunned_until = now + pause * (0.75 + 0.5 * chance);
                 lane.failures += 1;
-                if fate == Fate::TimedOut {
-                    // What was cut short took at least so long: a slow destination gets more time.
+                lane.failed.add(now, TREND, 1.0);
+                lane.bad_since.get_or_insert(now);
+                if fate == Fate::TimedOut && lane.answered_at < sent {
+                    // What was cut short took at least so long: a slow destination gets more time. Where others
+                    // were answered meanwhile it was lost, not slow, and longer time-outs would only pin slots.
                     lane.answers.add(now, MEMORY, 1.0);
                     lane.answer_time.add(now, MEMORY, took);
                 }
-                if lane.cold_since.is_some() {
-                    lane.cold_since = Some(now);
-                }
-                if lane.failures >= 2 {
-                    lane.offline = true;
-                    lane.suspected = false;
+                // Most calls fail: an outage, with cold load counted now and after it. A smaller share of losses
+                // is none, and a cold pace there would starve a destination that works.
+                let (failed, good) = (lane.failed.read(now, TREND), lane.good.read(now, TREND));
+                if failed / (failed + good + 1.0) > 0.4 {
                     lane.cold_since = Some(now);
+                    lane.doubtful = false;
                 }
+                lane.offline |= lane.failures >= 2;
             }
             Fate::Cancelled | Fate::NotSent => (),
         }
@@ -659,7 +666,7 @@
                 Effect::Binding => 2.0,
                 _ => 1.0,
             };
-            let time_out = (given * (8.0 * usual).clamp(2500.0, 8000.0)).min(event.patience_ends - now);
+            let time_out = (given * (6.0 * usual).clamp(1500.0, 8000.0)).min(event.patience_ends - now);
             event.call = Some(self.calls_made);
             event.sends += 1;
             out.send(&event.id, &target, time_out);
@@ -703,6 +710,14 @@
 const LAST_MOMENT: Ms = 30.0;
 
 impl Lane {
+    /// Bad for a moment only, on thin evidence: that was chance or a limit, not an outage.
+    fn proven_well(&mut self, now: Ms) {
+        let brief = self.bad_since.take().is_some_and(|since| now - since < 2.5 * PING);
+        if std::mem::take(&mut self.doubtful) && brief {
+            self.cold_since = None;
+        }
+        self.refusals = 0;
+    }
     fn release(&mut self, now: Ms) {
         self.answered_at = now;
         self.offline = false;
