--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -219,6 +219,9 @@
         traffic.push(TrafficType {
             effect,
             soft_limit: time(profile, "aimUs")?,
+            patience: time(profile, "deadlineUs")?,
+            payoff: number(profile, "credit")?,
+            payoff_at_end: number(profile, "lateWorth")?,
             ordered: profile.get("serialByKey") == Some(&Value::Bool(true)),
         });
     }
@@ -238,6 +241,7 @@
         traffic,
         kinds,
         slots: whole(family, "slots").map_err(within("familyInfo"))? as usize,
+        room: whole(allowed, "maxOpen").map_err(within("allowed"))? as usize,
         sends_cap: whole(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
         pings_allowed: flag("probes"),
         longest_advice: flag("retryAfter").then(|| optional_time(allowed, "maxRetryAfterUs")).transpose()?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -511,6 +511,7 @@
                 ended.push(place);
             }
         }
+        ended.extend(self.crowding_out(ended.len()));
         for place in ended {
             let event = self.events.get_mut(&place).expect("held");
             event.over = true;
@@ -520,7 +521,7 @@
                 (_, Effect::Binding) => false,
             };
             if harmless {
-                out.dismiss(&event.id, self.terms.longest_advice.map(|most| most.min(500.0)));
+                out.dismiss(&event.id, self.terms.longest_advice);
             } else {
                 out.write_off(&event.id);
             }
@@ -528,6 +529,40 @@
         }
     }
 
+    /// The room is nearly full: what waits longest in line at one destination makes way, the least worth first,
+    /// before events for destinations that work are turned away. Guards against any destination that stands still
+    /// or floods; could harm a destination that is about to return with all of its backlog still in time.
+    fn crowding_out(&self, ended: usize) -> Vec<u64> {
+        let mut excess =
+            (self.events.len() - ended).saturating_sub((self.terms.room as f64 * FILLED) as usize);
+        let mut waiting: BTreeMap<DestinationId, Vec<u64>> = BTreeMap::new();
+        for (&place, event) in self.events.iter().filter(|(_, e)| excess > 0 && !e.over && e.call.is_none()) {
+            if event.patience_ends - LAST_MOMENT > self.now && !event.hopeless {
+                waiting.entry(event.destination).or_default().push(place);
+            }
+        }
+        let mut out = Vec::new();
+        while excess > 0 {
+            let Some(line) = waiting.values_mut().max_by_key(|line| line.len()) else { break };
+            let worth = |at: &usize| self.worth(&self.events[&line[*at]]);
+            let Some(least) = (0..line.len()).min_by(|a, b| worth(a).total_cmp(&worth(b)).then(b.cmp(a)))
+            else {
+                break;
+            };
+            out.push(line.remove(least));
+            excess -= 1;
+        }
+        out
+    }
+
+    /// What the event would pay if it were delivered now.
+    fn worth(&self, event: &Event) -> f64 {
+        let of = &self.terms.traffic[event.traffic.0];
+        let age = self.now - (event.patience_ends - of.patience);
+        let late = ((age - of.soft_limit) / (of.patience - of.soft_limit).max(1.0)).clamp(0.0, 1.0);
+        of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
+    }
+
     fn forget_if_over(&mut self, place: u64) {
         let event = &self.events[&place];
         if !event.over || event.call.is_some() {
@@ -704,6 +739,8 @@
 
 /// The design's second between pings.
 const PING: Ms = 1000.0;
+/// The share of the room that may fill before events make way: a tenth left over takes in a clump.
+const FILLED: f64 = 0.9;
 /// What each further event of a call is taken to weigh: the wire says only that it is a little.
 const RIDER: f64 = 0.25;
 /// Held events end this long before patience does, so that the answer's round is in time.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -42,6 +42,9 @@
 pub struct TrafficType {
     pub effect: Effect,
     pub soft_limit: Ms,
+    pub patience: Ms,
+    pub payoff: f64,
+    pub payoff_at_end: f64,
     pub ordered: bool,
 }
 
@@ -60,6 +63,7 @@
     pub traffic: Vec<TrafficType>,
     pub kinds: Vec<DestinationKind>,
     pub slots: usize,
+    pub room: usize,
     pub sends_cap: u32,
     pub pings_allowed: bool,
     pub longest_advice: Option<Ms>,
