--- a/src/decide.rs
+++ b/src/decide.rs
@@ -474,21 +474,25 @@
         if since < terms.warm_after {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
-            let (destination, routes) = match id {
-                LaneId::Destination(d) => (*d, 1.0),
-                LaneId::Route(t) => {
-                    let destination = self.targets[t].destination;
-                    (destination, self.running(destination).len().max(1) as f64)
+            let usual = match id {
+                LaneId::Destination(destination) => self.usual(*destination),
+                LaneId::Route(target) => {
+                    let destination = self.targets[target].destination;
+                    self.usual(destination) / self.running(destination).len().max(1) as f64
                 }
             };
-            let seen = 1.0 - (-(now - self.started) / USUAL).exp();
-            let offered = &mut self.destinations.get_mut(&destination).expect("listed").offered;
-            let usual = offered.read(now, USUAL) * 1000.0 / USUAL / seen.max(0.05) / routes;
             rate = rate.min((0.6 * self.terms.tip_multiple * warm * usual).max(least));
         }
         rate.is_finite().then_some(rate)
     }
 
+    /// Events a second that usually come in for the destination, from what this forwarder took.
+    fn usual(&mut self, id: DestinationId) -> f64 {
+        let seen = 1.0 - (-(self.now - self.started) / USUAL).exp();
+        let offered = &mut self.destinations.get_mut(&id).expect("named").offered;
+        offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05)
+    }
+
     fn running(&self, destination: DestinationId) -> Vec<TargetId> {
         let known = self.destinations.get(&destination).map_or(&[][..], |d| &d.targets);
         known.iter().filter(|t| self.targets[*t].listing == Listing::Running).cloned().collect()
@@ -511,7 +515,8 @@
                 ended.push(place);
             }
         }
-        ended.extend(self.crowding_out(ended.len()));
+        let crowded = self.crowding_out(&ended);
+        ended.extend(crowded);
         for place in ended {
             let event = self.events.get_mut(&place).expect("held");
             event.over = true;
@@ -529,28 +534,31 @@
         }
     }
 
-    /// The room is nearly full: what waits longest in line at one destination makes way, the least worth first,
-    /// before events for destinations that work are turned away. Guards against any destination that stands still
-    /// or floods; could harm a destination that is about to return with all of its backlog still in time.
-    fn crowding_out(&self, ended: usize) -> Vec<u64> {
-        let mut excess =
-            (self.events.len() - ended).saturating_sub((self.terms.room as f64 * FILLED) as usize);
-        let mut waiting: BTreeMap<DestinationId, Vec<u64>> = BTreeMap::new();
-        for (&place, event) in self.events.iter().filter(|(_, e)| excess > 0 && !e.over && e.call.is_none()) {
-            if event.patience_ends - LAST_MOMENT > self.now && !event.hopeless {
-                waiting.entry(event.destination).or_default().push(place);
+    /// Events that make way, the least worth first. Where a destination is down or cold, what waits beyond a few
+    /// seconds of its usual traffic: kept, it would make all that comes later late as well. And when the room is
+    /// nearly full, at the destination with most waiting, before events for those that work are turned away.
+    /// Guards against any destination that stands still or floods; could harm one about to take all at once.
+    fn crowding_out(&mut self, ended: &[u64]) -> Vec<u64> {
+        let mut waiting: BTreeMap<DestinationId, Vec<(f64, u64)>> = BTreeMap::new();
+        for (&place, event) in &self.events {
+            if !event.over && event.call.is_none() && !ended.contains(&place) {
+                waiting.entry(event.destination).or_default().push((self.worth(event), place));
             }
         }
         let mut out = Vec::new();
-        while excess > 0 {
-            let Some(line) = waiting.values_mut().max_by_key(|line| line.len()) else { break };
-            let worth = |at: &usize| self.worth(&self.events[&line[*at]]);
-            let Some(least) = (0..line.len()).min_by(|a, b| worth(a).total_cmp(&worth(b)).then(b.cmp(a)))
-            else {
-                break;
-            };
-            out.push(line.remove(least));
-            excess -= 1;
+        for (&id, line) in &mut waiting {
+            line.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            let lanes = self.running(id).into_iter().map(|t| &self.lanes[&self.targets[&t].lane]);
+            if lanes.fold(false, |any, lane| any || lane.offline || lane.cold_since.is_some()) {
+                let most = (self.usual(id) * BACKLOG / 1000.0).max(3.0) as usize;
+                out.extend(line.drain(most.min(line.len())..).map(|(_, place)| place));
+            }
+        }
+        let held = self.events.len() - ended.len() - out.len();
+        for _ in (self.terms.room as f64 * FILLED) as usize..held {
+            out.extend(
+                waiting.values_mut().max_by_key(|line| line.len()).and_then(|line| line.pop()).map(|e| e.1),
+            );
         }
         out
     }
@@ -739,6 +747,8 @@
 
 /// The design's second between pings.
 const PING: Ms = 1000.0;
+/// Usual traffic that may wait for a destination down or cold. Tried 2, 4 and 8 s: 4 s serves all three best.
+const BACKLOG: Ms = 4000.0;
 /// The share of the room that may fill before events make way: a tenth left over takes in a clump.
 const FILLED: f64 = 0.9;
 /// What each further event of a call is taken to weigh: the wire says only that it is a little.
