--- a/src/decide.rs
+++ b/src/decide.rs
@@ -168,6 +168,10 @@
         self.now = now;
         self.wake_at = f64::INFINITY;
         came_in(self)?;
+        let warm = now - self.terms.warm_after;
+        self.lanes
+            .values_mut()
+            .for_each(|lane| lane.cold_since = lane.cold_since.filter(|&since| since > warm));
         self.end_events(out);
         self.watch_health(out);
         self.dispatch(out);
@@ -470,8 +474,7 @@
                 rate = f64::INFINITY;
             }
         }
-        let since = lane.cold_since.map_or(f64::INFINITY, |since| now - since);
-        if since < terms.warm_after {
+        if let Some(since) = lane.cold_since.map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
             let usual = match id {
