--- a/src/decide.rs
+++ b/src/decide.rs
@@ -101,6 +101,7 @@
 struct Destination {
     targets: Vec<TargetId>,
     offered: Fading,
+    usual: Option<f64>, // its usual traffic, kept as it was when a lane of it went down or cold
     turn: u64,
 }
 
@@ -172,6 +173,7 @@
         self.lanes
             .values_mut()
             .for_each(|lane| lane.cold_since = lane.cold_since.filter(|&since| since > warm));
+        self.mark_troubled();
         self.end_events(out);
         self.watch_health(out);
         self.dispatch(out);
@@ -395,6 +397,17 @@
         }
     }
 
+    /// A destination in trouble keeps the usual traffic that it had: what clients hand in again after a dismissal
+    /// would swell the measure, and with it the budget of a cold destination.
+    fn mark_troubled(&mut self) {
+        for id in self.destinations.keys().copied().collect::<Vec<_>>() {
+            let of_lane = |t: &TargetId| &self.lanes[&self.targets[t].lane];
+            let troubled = self.running(id).iter().map(of_lane).any(|l| l.offline || l.cold_since.is_some());
+            let usual = troubled.then(|| self.usual(id));
+            self.destinations.get_mut(&id).expect("named").usual = usual;
+        }
+    }
+
     fn usual_answer(&mut self, id: &LaneId) -> Ms {
         let now = self.now;
         // Until anything has answered, a second; a lane's own answers outweigh the others' after two.
@@ -492,8 +505,10 @@
     /// Events a second that usually come in for the destination, from what this forwarder took.
     fn usual(&mut self, id: DestinationId) -> f64 {
         let seen = 1.0 - (-(self.now - self.started) / USUAL).exp();
-        let offered = &mut self.destinations.get_mut(&id).expect("named").offered;
-        offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05)
+        let destination = self.destinations.get_mut(&id).expect("named");
+        destination
+            .usual
+            .unwrap_or(destination.offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05))
     }
 
     fn running(&self, destination: DestinationId) -> Vec<TargetId> {
@@ -551,8 +566,7 @@
         let mut out = Vec::new();
         for (&id, line) in &mut waiting {
             line.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            let lanes = self.running(id).into_iter().map(|t| &self.lanes[&self.targets[&t].lane]);
-            if lanes.fold(false, |any, lane| any || lane.offline || lane.cold_since.is_some()) {
+            if self.destinations[&id].usual.is_some() {
                 let most = (self.usual(id) * BACKLOG / 1000.0).max(3.0) as usize;
                 out.extend(line.drain(most.min(line.len())..).map(|(_, place)| place));
             }
