--- a/src/decide.rs
+++ b/src/decide.rs
@@ -597,6 +597,10 @@
         let usual = self.usual_answer(&lane_id);
         self.calls_made += 1;
         self.turns += 1;
+        // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must not
+        // pin them: four times, which cuts a few slow answers short. Guards against losses, hangs and stalls.
+        let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
+        let (times, least) = if scarce { (4.0, 1000.0) } else { (6.0, 1500.0) };
         self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
         for &place in &aboard {
             let event = self.events.get_mut(&place).expect("ready");
@@ -605,7 +609,7 @@
                 Effect::Binding => 2.0,
                 _ => 1.0,
             };
-            let time_out = (given * (6.0 * usual).clamp(1500.0, 8000.0)).min(event.patience_ends - now);
+            let time_out = (given * (times * usual).clamp(least, 8000.0)).min(event.patience_ends - now);
             event.call = Some(self.calls_made);
             event.sends += 1;
             out.send(&event.id, &target, time_out);
