--- a/src/decide.rs
+++ b/src/decide.rs
@@ -206,11 +206,16 @@
     /// Reads the outcome of a call (once, however many events it carried) for its target and lane.
     fn judge(&mut self, id: &TargetId, fate: Fate, sent: Ms, took: Ms, wait: Ms) {
         let (now, chance) = (self.now, self.draw(1));
+        let lane_id = self.targets[id].lane.clone();
+        let usual = self.usual_answer(&lane_id);
         let target = self.targets.get_mut(id).expect("called");
         let lane = self.lanes.get_mut(&target.lane).expect("listed");
         match fate {
             Fate::Delivered => {
                 target.failures = 0;
+                // A cold destination that answers at its usual pace is under its limit: past that, answers slow
+                // down well before it tips.
+                lane.trust = if took < 2.0 * usual { (lane.trust.max(1.0) * 1.25).min(4.0) } else { 1.0 };
                 lane.delivered_at = now;
                 lane.good.add(now, TREND, 1.0);
                 lane.proven_well(now);
@@ -223,6 +228,7 @@
             Fate::Full => {
                 lane.release(now);
                 lane.failures = 0;
+                lane.trust = 1.0;
                 lane.bad_since.get_or_insert(now);
                 if sent >= lane.refused_at {
                     lane.refusals += 1;
@@ -248,6 +254,7 @@
                 let pause = 500.0 * f64::powi(2.0, target.failures.min(5) - 1);
                 target.shunned_until = now + pause * (0.75 + 0.5 * chance);
                 lane.failures += 1;
+                lane.trust = 1.0;
                 lane.failed.add(now, TREND, 1.0);
                 lane.bad_since.get_or_insert(now);
                 if fate == Fate::TimedOut && lane.answered_at < sent {
@@ -368,6 +375,7 @@
         if let Some(since) = lane.cold_since.map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
+            let trust = lane.trust.max(1.0);
             let usual = match id {
                 LaneId::Destination(destination) => self.usual(*destination),
                 LaneId::Route(target) => {
@@ -375,7 +383,7 @@
                     self.usual(destination) / self.running(destination).len().max(1) as f64
                 }
             };
-            rate = rate.min((BUDGET * self.terms.tip_multiple * warm * usual).max(least));
+            rate = rate.min((BUDGET * self.terms.tip_multiple * warm * usual).max(least) * trust);
         }
         rate.is_finite().then_some(rate)
     }
@@ -446,8 +454,20 @@
         for (&id, line) in &mut waiting {
             line.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             if self.destinations[&id].usual.is_some() {
-                let most = (self.usual(id) * BACKLOG / 1000.0).max(3.0) as usize;
-                out.extend(line.drain(most.min(line.len())..).map(|(_, place)| place));
+                let usual = self.usual(id) / 1000.0;
+                let (mut kept, mut gone) = (Vec::new(), Vec::new());
+                for (worth, place) in line.drain(..) {
+                    let of = &self.terms.traffic[self.events[&place].traffic.0];
+                    let slope = (1.0 - of.payoff_at_end) / (of.patience - of.soft_limit).max(1.0);
+                    let bears = of.soft_limit + BEARABLE / slope;
+                    if kept.len() < 3 || kept.len() as f64 <= bears * usual {
+                        kept.push((worth, place));
+                    } else {
+                        gone.push(place);
+                    }
+                }
+                *line = kept;
+                out.extend(gone);
             }
         }
         let held = self.events.len() - ended.len() - out.len();
@@ -650,8 +670,9 @@
 /// The share of the tipping load that a forwarder allows itself, with its usual traffic for its part of the
 /// capacity. 0.6, 0.8 and 1 kept the rules alike and each step paid; a tenth is left for what pings weigh.
 const BUDGET: f64 = 0.9;
-/// Usual traffic that may wait for a destination down or cold. Tried 2, 4 and 8 s: 4 s serves all three best.
-const BACKLOG: Ms = 4000.0;
+/// The part of its payoff that an event may lose while those before it go, at a destination down or cold.
+/// 0.15, 0.25 and 0.35 serve alike.
+const BEARABLE: f64 = 0.25;
 /// The share of the room that may fill before events make way: a tenth left over takes in a clump.
 const FILLED: f64 = 0.9;
 /// What each further event of a call is taken to weigh: the wire says only that it is a little.
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,8 +86,9 @@
     pub(crate) good: Fading,
     pub(crate) failed: Fading,
     pub(crate) cold_since: Option<Ms>,
+    pub(crate) trust: f64, // multiplies the cold budget: one and up, with answers at the usual pace
     pub(crate) pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
-    pub(crate) next_slot: Ms,           // when the paced budget has room again
+    pub(crate) next_slot: Ms, // when the paced budget has room again
     pub(crate) sent: Fading,
     pub(crate) answers: Fading,
     pub(crate) answer_time: Fading,
