--- a/src/decide.rs
+++ b/src/decide.rs
@@ -620,13 +620,13 @@
         // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must not
         // pin them: four times, which cuts a few slow answers short. Guards against losses, hangs and stalls.
         let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
-        let (times, least) = if scarce { (4.0, 1000.0) } else { (6.0, 1500.0) };
+        let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
         self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
         for &place in &aboard {
             let event = self.events.get_mut(&place).expect("ready");
             // A binding event cannot be sent again: it is given twice the time.
             let given = match self.terms.traffic[event.traffic.0].effect {
-                Effect::Binding => 2.0,
+                Effect::Binding if !scarce => 2.0,
                 _ => 1.0,
             };
             let time_out = (given * (times * usual).clamp(least, 8000.0)).min(event.patience_ends - now);
