--- a/src/decide.rs
+++ b/src/decide.rs
@@ -310,7 +310,7 @@
         // too low.
         let calls: Vec<(LaneId, Ms)> = self.calls.values().map(|c| (c.lane.clone(), c.sent)).collect();
         for (id, sent) in calls {
-            let limit = (4.0 * self.usual_answer(&id)).max(1500.0);
+            let limit = (5.0 * self.usual_answer(&id)).max(2000.0);
             let lane = self.lanes.get_mut(&id).expect("listed");
             if lane.answered_at < sent && !lane.offline {
                 if now >= sent + limit {
