--- a/src/decide.rs
+++ b/src/decide.rs
@@ -620,7 +620,7 @@
         self.calls_made += 1;
         self.turns += 1;
         // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must not
-        // pin them: four times, which cuts a few slow answers short. Guards against losses, hangs and stalls.
+        // pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and stalls.
         let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
         let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
         self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
