--- a/src/decide.rs
+++ b/src/decide.rs
@@ -181,17 +181,17 @@
 
     pub fn ping_ended(&mut self, target: &TargetId, fate: Fate) -> Result<(), Unknown> {
         let id = self.targets.get(target).ok_or(Unknown("the target"))?.lane.clone();
-        let pause = PING * (0.75 + 0.5 * self.draw(0));
-        let now = self.now;
+        let pause = self.ping_pause();
+        let (now, stagger) = (self.now, self.stagger(&id));
         let lane = self.lanes.get_mut(&id).expect("listed");
         lane.ping_out = false;
         lane.ping_at = now + pause;
         match fate {
             Fate::Delivered => {
                 lane.proven_well(now);
-                lane.release(now);
+                lane.release(now, stagger);
             }
-            Fate::Full => lane.release(now),
+            Fate::Full => lane.release(now, stagger),
             _ => {
                 lane.failed.add(now, TREND, 1.0);
                 lane.doubtful |= lane.cold_since.is_none();
@@ -207,6 +207,7 @@
     fn judge(&mut self, id: &TargetId, fate: Fate, sent: Ms, took: Ms, wait: Ms) {
         let (now, chance) = (self.now, self.draw(1));
         let lane_id = self.targets[id].lane.clone();
+        let stagger = self.stagger(&lane_id);
         let usual = self.usual_answer(&lane_id);
         let target = self.targets.get_mut(id).expect("called");
         let lane = self.lanes.get_mut(&target.lane).expect("listed");
@@ -219,14 +220,14 @@
                 lane.delivered_at = now;
                 lane.good.add(now, TREND, 1.0);
                 lane.proven_well(now);
-                lane.release(now);
+                lane.release(now, stagger);
                 lane.answers.add(now, MEMORY, 1.0);
                 lane.answer_time.add(now, MEMORY, took);
                 self.answers.add(now, MEMORY, 1.0);
                 self.answer_time.add(now, MEMORY, took);
             }
             Fate::Full => {
-                lane.release(now);
+                lane.release(now, stagger);
                 lane.failures = 0;
                 lane.trust = 1.0;
                 lane.bad_since.get_or_insert(now);
@@ -399,6 +400,17 @@
             .unwrap_or(destination.offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05))
     }
 
+    /// A part of the lane's spacing, drawn at random.
+    fn stagger(&mut self, id: &LaneId) -> Ms {
+        self.draw(3) * self.rate(id).map_or(0.0, |rate| 1000.0 / rate)
+    }
+
+    /// A second, longer where many forwarders would ping: pings are cold load too, and use up a limit. All
+    /// together send four a second at most.
+    fn ping_pause(&mut self) -> Ms {
+        PING * (self.terms.forwarders / 4.0).max(1.0) * (0.75 + 0.5 * self.draw(0))
+    }
+
     fn running(&self, destination: DestinationId) -> Vec<TargetId> {
         let known = self.destinations.get(&destination).map_or(&[][..], |d| &d.targets);
         known.iter().filter(|t| self.targets[*t].listing == Listing::Running).cloned().collect()
@@ -691,7 +703,11 @@
         }
         self.refusals = 0;
     }
-    fn release(&mut self, now: Ms) {
+    /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
+    fn release(&mut self, now: Ms, stagger: Ms) {
+        if self.offline {
+            self.next_slot = self.next_slot.max(now + stagger);
+        }
         self.answered_at = now;
         self.offline = false;
         self.failures = 0;
