--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -243,6 +243,17 @@
         forwarders: number(env, "balancers")?,
         traffic,
         kinds,
+        zone: ZoneId(
+            optional_text(env, "zone")?.map_or(Ok(0), |zone| place(&names.zones, zone, "env.zone"))?,
+        ),
+        crossing_fee: match present(env, "prices") {
+            Some(_) => optional_number(object(env, "prices")?, "crossZone")?,
+            None => 0.0,
+        },
+        route_fees: match present(family, "carriage") {
+            Some(_) => list(family, "carriage")?.iter().map(|fee| fee.as_f64().unwrap_or(0.0)).collect(),
+            None => Vec::new(),
+        },
         slots: whole(family, "slots").map_err(within("familyInfo"))? as usize,
         room: whole(allowed, "maxOpen").map_err(within("allowed"))? as usize,
         sends_cap: whole(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
@@ -347,6 +358,10 @@
     present(from, field).and_then(Value::as_f64).ok_or_else(|| format!("{field}: a number is missing"))
 }
 
+fn optional_number(from: &Object, field: &str) -> Plain<f64> {
+    present(from, field).map_or(Ok(0.0), |_| number(from, field))
+}
+
 fn time(from: &Object, field: &str) -> Plain<Ms> {
     Ok(number(from, field)? / 1000.0)
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -621,10 +621,19 @@
         let one = drawn(self.draw(place), from.len());
         let other = (one + 1 + drawn(self.draw(place), from.len().max(2) - 1)) % from.len();
         let count = |t: &TargetId| self.calls.values().filter(|c| c.target == *t).count();
-        let favoured = if count(from[other]) < count(from[one]) { other } else { one };
+        let weigh = |t: &TargetId| (count(t) as f64, self.fee(t));
+        let favoured = if weigh(from[other]) < weigh(from[one]) { other } else { one };
         Some(from[favoured].clone())
     }
 
+    /// What an event costs that goes to the target, by the terms' figures; it settles ties of the counts.
+    fn fee(&self, id: &TargetId) -> f64 {
+        let target = &self.targets[id];
+        let crossing = if target.zone == self.terms.zone { 0.0 } else { self.terms.crossing_fee };
+        let apart = matches!(target.lane, LaneId::Route(_));
+        crossing + self.terms.route_fees.get(target.zone.0).filter(|_| apart).copied().unwrap_or(0.0)
+    }
+
     fn call(&mut self, id: DestinationId, target: TargetId, aboard: Vec<u64>, out: &mut impl Decisions) {
         let now = self.now;
         let lane_id = self.targets[&target].lane.clone();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -27,7 +27,7 @@
 pub struct KindId(pub usize);
 
 /// Position in the host's list of zones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneId(pub usize);
 
 /// What a repeat of an event does at its destination.
@@ -62,6 +62,11 @@
     pub forwarders: f64,
     pub traffic: Vec<TrafficType>,
     pub kinds: Vec<DestinationKind>,
+    pub zone: ZoneId,
+    /// Taken off the result for each event that leaves the zone.
+    pub crossing_fee: f64,
+    /// Taken off for each event that a route apart in that zone takes on.
+    pub route_fees: Vec<f64>,
     pub slots: usize,
     pub room: usize,
     pub sends_cap: u32,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -304,3 +304,16 @@
     }
     assert!(at_once < 5, "{at_once} of 20 at once");
 }
+
+#[rstest]
+fn a_tie_of_two_targets_goes_to_the_one_without_a_fee() {
+    let mut host = Host::new(|terms| terms.crossing_fee = 0.03);
+    host.at(0.0, |f| f.listed(target("far"), DestinationId(1), KindId(0), ZoneId(1), Listing::Running));
+    for at in 0..10 {
+        let (now, name) = (1.0 + at as f64, format!("e{at}"));
+        assert_eq!(host.take(now, &name, RETRIABLE, 1, None), [format!("send {name} to t")]);
+        assert_eq!(host.take(now, &format!("o{at}"), RETRIABLE, 1, None), [format!("send o{at} to far")]);
+        host.ends(now, &name, Fate::Delivered);
+        host.ends(now, &format!("o{at}"), Fate::Delivered);
+    }
+}
