--- a/src/decide.rs
+++ b/src/decide.rs
@@ -188,13 +188,12 @@
         lane.ping_at = now + pause;
         match fate {
             Fate::Delivered => {
-                lane.proven_well(now);
+                lane.refusals = 0;
                 lane.release(now, stagger);
             }
             Fate::Full => lane.release(now, stagger),
             _ => {
                 lane.failed.add(now, TREND, 1.0);
-                lane.doubtful |= lane.cold_since.is_none();
                 lane.cold_since = Some(now);
             }
         }
@@ -219,7 +218,7 @@
                 lane.trust = if took < 2.0 * usual { (lane.trust.max(1.0) * 1.25).min(4.0) } else { 1.0 };
                 lane.delivered_at = now;
                 lane.good.add(now, TREND, 1.0);
-                lane.proven_well(now);
+                lane.refusals = 0;
                 lane.release(now, stagger);
                 lane.answers.add(now, MEMORY, 1.0);
                 lane.answer_time.add(now, MEMORY, took);
@@ -230,7 +229,6 @@
                 lane.release(now, stagger);
                 lane.failures = 0;
                 lane.trust = 1.0;
-                lane.bad_since.get_or_insert(now);
                 if sent >= lane.refused_at {
                     lane.refusals += 1;
                     lane.refused_at = now;
@@ -248,7 +246,6 @@
                 // same for long.
                 let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
                 if shut || wait > 2.0 * PING || lane.cold_since.is_some() {
-                    lane.doubtful |= lane.cold_since.is_none() && wait <= 2.0 * PING;
                     lane.cold_since = Some(now + wait);
                 }
             }
@@ -259,7 +256,6 @@
                 lane.failures += 1;
                 lane.trust = 1.0;
                 lane.failed.add(now, TREND, 1.0);
-                lane.bad_since.get_or_insert(now);
                 if fate == Fate::TimedOut && lane.answered_at < sent {
                     // What was cut short took at least so long: a slow destination gets more time. Where
                     // others were answered meanwhile it was lost, not slow, and longer time-outs would only
@@ -272,7 +268,6 @@
                 let (failed, good) = (lane.failed.read(now, TREND), lane.good.read(now, TREND));
                 if failed / (failed + good + 2.0) > 0.4 {
                     lane.cold_since = Some(now);
-                    lane.doubtful = false;
                 }
                 lane.ping_at = if lane.offline { now + PING } else { now };
                 lane.offline |= lane.failures >= 2;
@@ -704,14 +699,6 @@
 const LAST_MOMENT: Ms = 30.0;
 
 impl Lane {
-    /// Bad for a moment only, on thin evidence: that was chance or a limit, not an outage.
-    fn proven_well(&mut self, now: Ms) {
-        let brief = self.bad_since.take().is_some_and(|since| now - since < 2.5 * PING);
-        if std::mem::take(&mut self.doubtful) && brief {
-            self.cold_since = None;
-        }
-        self.refusals = 0;
-    }
     /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
     fn release(&mut self, now: Ms, stagger: Ms) {
         if self.offline {
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,8 +81,6 @@
     pub(crate) refused_at: Ms,
     pub(crate) answered_at: Ms,
     pub(crate) delivered_at: Ms,
-    pub(crate) bad_since: Option<Ms>, // the first refusal or failure since something was last delivered
-    pub(crate) doubtful: bool,        // thought cold on thin evidence
     pub(crate) good: Fading,
     pub(crate) failed: Fading,
     pub(crate) cold_since: Option<Ms>,
