--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,6 +58,7 @@
         self.now = now;
         self.wake_at = f64::INFINITY;
         came_in(self)?;
+        self.forget_gone();
         self.mark_troubled();
         self.end_events(out);
         self.watch_health(out);
@@ -213,8 +214,8 @@
         match fate {
             Fate::Delivered => {
                 target.failures = 0;
-                // A cold destination that answers at its usual pace is under its limit: past that, answers slow
-                // down well before it tips.
+                // A cold destination that answers at its usual pace is under its limit: past that, answers
+                // slow down well before it tips.
                 lane.trust = if took < 2.0 * usual { (lane.trust.max(1.0) * 1.25).min(4.0) } else { 1.0 };
                 lane.delivered_at = now;
                 lane.good.add(now, TREND, 1.0);
@@ -233,8 +234,8 @@
                     lane.refusals += 1;
                     lane.refused_at = now;
                     let recent = lane.sent.read(now, RECENT) * 1000.0 / RECENT;
-                    // A tenth less after a refusal, 8% a second back: half and twice of either only moves the loss
-                    // between lateness and refusals.
+                    // A tenth less after a refusal, 8% a second back: half and twice of either only moves the
+                    // loss between lateness and refusals.
                     lane.pace = Some((recent.max(0.3) * 0.9, now));
                     if wait == 0.0 {
                         let pause = 250.0 * f64::powi(2.0, lane.refusals.min(5) - 1);
@@ -276,6 +277,21 @@
         }
     }
 
+    /// Memory is bounded by what is held and listed: targets that are gone go with their last call, ping and
+    /// wait.
+    fn forget_gone(&mut self) {
+        let (now, calls, lanes) = (self.now, &self.calls, &mut self.lanes);
+        self.keys.retain(|_, line| !line.queue.is_empty() || line.rests_until > now);
+        self.targets.retain(|id, t| {
+            let lane = &lanes[&t.lane];
+            let idle = !lane.ping_out && lane.closed_until <= now && lane.cold_since.is_none();
+            t.listing != Listing::Gone || !idle || calls.values().any(|call| call.target == *id)
+        });
+        let targets = &self.targets;
+        lanes.retain(|id, _| !matches!(id, LaneId::Route(target) if !targets.contains_key(target)));
+        self.destinations.values_mut().for_each(|d| d.targets.retain(|id| targets.contains_key(id)));
+    }
+
     /// A destination in trouble keeps the usual traffic that it had: what clients hand in again after a
     /// dismissal would swell the measure, and with it the budget of a cold destination.
     fn mark_troubled(&mut self) {
@@ -506,9 +522,6 @@
         if let Some(key) = event.key {
             let line = self.keys.get_mut(&key).expect("queued");
             line.queue.retain(|&p| p != place);
-            if line.queue.is_empty() && line.rests_until <= self.now {
-                self.keys.remove(&key);
-            }
         }
     }
 
@@ -635,8 +648,9 @@
         let usual = self.usual_answer(&lane_id);
         self.calls_made += 1;
         self.turns += 1;
-        // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must not
-        // pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and stalls.
+        // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must
+        // not pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and
+        // stalls.
         let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
         let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
         self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -317,3 +317,15 @@
         host.ends(now, &format!("o{at}"), Fate::Delivered);
     }
 }
+
+#[rstest]
+fn a_route_that_left_and_came_back_is_still_waited_for() {
+    let mut host = plain();
+    host.at(0.0, |f| f.left(&target("w")));
+    host.take(1.0, "a", RETRIABLE, 3, None);
+    host.ends_with(2.0, "a", Fate::Full, 5000.0);
+    host.at(3.0, |f| f.left(&target("v")));
+    host.at(4.0, |f| f.listed(target("v"), DestinationId(3), KindId(1), ZoneId(0), Listing::Running));
+    assert!(host.idle(4000.0).is_empty());
+    assert_eq!(sends(&host.take(60_000.0, "b", RETRIABLE, 3, None)), 1);
+}
