--- a/src/decide.rs
+++ b/src/decide.rs
@@ -188,11 +188,7 @@
         lane.ping_out = false;
         lane.ping_at = now + pause;
         match fate {
-            Fate::Delivered => {
-                lane.refusals = 0;
-                lane.release(now, stagger);
-            }
-            Fate::Full => lane.release(now, stagger),
+            Fate::Delivered | Fate::Full => lane.release(now, stagger),
             _ => {
                 lane.failed.add(now, TREND, 1.0);
                 lane.cold_since = Some(now);
