--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,15 +73,18 @@
     // ---- what came in ----
 
     pub fn woken(&mut self) {
-        if self.now >= self.woken_at {
-            self.woken_at = f64::INFINITY;
-        }
+        self.woken_at = Some(self.woken_at).filter(|&at| at > self.now).unwrap_or(f64::INFINITY);
     }
 
     pub fn list_replaced(&mut self) {
         self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
     }
 
+    /// The list states what the destination takes a second, half too high at worst: its usual traffic is no less.
+    pub fn limit_stated(&mut self, of: DestinationId, rate: f64) {
+        self.destinations.entry(of).or_default().stated = rate / 1.5 / self.terms.forwarders;
+    }
+
     pub fn left(&mut self, target: &TargetId) {
         if let Some(target) = self.targets.get_mut(target) {
             target.listing = Listing::Gone;
@@ -152,6 +155,9 @@
         // Every event of a call may be told a wait of its own.
         let lane = self.lanes.get_mut(&self.targets[&target].lane).expect("listed");
         lane.closed_until = lane.closed_until.max(now + wait);
+        if wait > 2.0 * PING {
+            lane.chill(now + wait);
+        }
         if first {
             self.judge(&target, fate, sent, took, wait);
         }
@@ -187,12 +193,11 @@
         let lane = self.lanes.get_mut(&id).expect("listed");
         lane.ping_out = false;
         lane.ping_at = now + pause;
-        match fate {
-            Fate::Delivered | Fate::Full => lane.release(now, stagger),
-            _ => {
-                lane.failed.add(now, TREND, 1.0);
-                lane.cold_since = Some(now);
-            }
+        if matches!(fate, Fate::Delivered | Fate::Full) {
+            lane.release(now, stagger);
+        } else {
+            lane.failed.add(now, TREND, 1.0);
+            lane.chill(now);
         }
         Ok(())
     }
@@ -242,8 +247,8 @@
                 // shut, and returns cold. Guards whatever refuses all; harmful where a tight limit looks the
                 // same for long.
                 let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
-                if shut || wait > 2.0 * PING || lane.cold_since.is_some() {
-                    lane.cold_since = Some(now + wait);
+                if shut || lane.cold_since.is_some() {
+                    lane.chill(now + wait);
                 }
             }
             Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => {
@@ -264,7 +269,7 @@
                 // losses is none, and a cold pace there would starve a destination that works.
                 let (failed, good) = (lane.failed.read(now, TREND), lane.good.read(now, TREND));
                 if failed / (failed + good + 2.0) > 0.4 {
-                    lane.cold_since = Some(now);
+                    lane.chill(now);
                 }
                 lane.ping_at = if lane.offline { now + PING } else { now };
                 lane.offline |= lane.failures >= 2;
@@ -365,10 +370,7 @@
             return lane.ping_at.max(lane.closed_until);
         }
         let rested = lane.closed_until.max(lane.held_until);
-        match self.rate(id) {
-            Some(_) => rested.max(self.lanes[id].next_slot),
-            None => rested,
-        }
+        self.rate(id).map_or(rested, |_| rested.max(self.lanes[id].next_slot))
     }
 
     /// Calls a second that this forwarder allows itself; none where nothing speaks for a limit.
@@ -376,11 +378,8 @@
         let (now, terms) = (self.now, &self.terms);
         let lane = &self.lanes[id];
         let mut rate = f64::INFINITY;
-        if let Some((pace, set)) = lane.pace {
+        if let Some((pace, set)) = lane.pace.filter(|&(_, set)| now - set < 20_000.0) {
             rate = pace * (0.08 * (now - set) / 1000.0).exp();
-            if now - set > 20_000.0 {
-                rate = f64::INFINITY;
-            }
         }
         if let Some(since) = lane.cold_since.map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
@@ -402,9 +401,8 @@
     fn usual(&mut self, id: DestinationId) -> f64 {
         let seen = 1.0 - (-(self.now - self.started) / USUAL).exp();
         let destination = self.destinations.get_mut(&id).expect("named");
-        destination
-            .usual
-            .unwrap_or(destination.offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05))
+        let offered = destination.offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05);
+        destination.usual.unwrap_or(offered.max(destination.stated))
     }
 
     /// A part of the lane's spacing, drawn at random.
@@ -709,6 +707,11 @@
 const LAST_MOMENT: Ms = 30.0;
 
 impl Lane {
+    /// Cold from then on, or from the end of a told wait: a late time-out does not shorten it.
+    fn chill(&mut self, at: Ms) {
+        self.cold_since = Some(self.cold_since.unwrap_or(at).max(at).max(self.closed_until));
+    }
+
     /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
     fn release(&mut self, now: Ms, stagger: Ms) {
         if self.offline {
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,5 +97,6 @@
     pub(crate) targets: Vec<TargetId>,
     pub(crate) offered: Fading,
     pub(crate) usual: Option<f64>, // its usual traffic, kept as it was when a lane of it went down or cold
+    pub(crate) stated: f64,        // events a second for this forwarder, where the list states a limit
     pub(crate) turn: u64,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -387,3 +387,23 @@
     assert!(host.idle(4000.0).is_empty());
     assert_eq!(sends(&host.take(60_000.0, "b", RETRIABLE, 3, None)), 1);
 }
+
+/// Met in a hunt on sofia-main: a call that timed out in a told wait of twenty seconds let the cold state end first.
+#[rstest]
+fn a_late_time_out_does_not_warm_a_destination_that_is_still_shut() {
+    let mut host = Host::new(|terms| (terms.slots, terms.room) = (400, 400));
+    host.runs_well(20_000.0);
+    for name in
+        ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r", "s"]
+    {
+        host.take(30_001.0, name, RETRIABLE, 1, None);
+    }
+    host.ends_with(30_002.0, "a", Fate::Full, 15_000.0);
+    for name in ["b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r", "s"] {
+        host.ends(31_600.0, name, Fate::TimedOut);
+    }
+    host.idle(45_003.0);
+    let mut sent = sends(&host.ping_ends(45_010.0, "t", Fate::Delivered));
+    sent += (0..20).map(|step| sends(&host.idle(45_050.0 + 50.0 * step as f64))).sum::<usize>();
+    assert!(sent <= 6, "{sent} in a second");
+}
