--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -271,7 +271,6 @@
         cold_share: number(rules, "coldFrom").map_err(within("rules"))?,
         warm_after: time(rules, "coldUs").map_err(within("rules"))?,
         tip_multiple: number(rules, "tipMultiple").map_err(within("rules"))?,
-        tip_window: time(rules, "fallUs").map_err(within("rules"))?,
         key_rest: optional_time(rules, "keyQuietUs")?,
     };
     Ok((terms, names))
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -7,7 +7,7 @@
 
 const ENV: &str = r#"{"allowed":{"attemptsCap":6,"maxOpen":20,"probes":true,"new":1},"balancers":2,"me":0,
 "familyInfo":{"slots":4},"profiles":[{"name":"p","semantics":"pure","aimUs":1000000,"deadlineUs":9000000,
-"credit":1,"lateWorth":0.1}],"rules":{"coldFrom":0.2,"coldUs":9000000,"tipMultiple":2,"fallUs":2000000},
+"credit":1,"lateWorth":0.1}],"rules":{"coldFrom":0.2,"coldUs":9000000,"tipMultiple":2},
 "shapes":["k"],"zones":["z"]}"#;
 const PAGE: &str = r#"{"cmd":"page","list":0,"items":[{"target":"T","campus":"z","kind":"k","belongsTo":5,
 "mode":"Running","unknown":true}]}"#;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,7 +75,6 @@
     pub cold_share: f64,
     pub warm_after: Ms,
     pub tip_multiple: f64,
-    pub tip_window: Ms,
     pub key_rest: Ms,
 }
 
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -48,7 +48,6 @@
         cold_share: 0.2,
         warm_after: 10_000.0,
         tip_multiple: 2.0,
-        tip_window: 2000.0,
         key_rest: 300.0,
     }
 }
