--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,7 +18,6 @@
     now: Ms,
     draws: u64,
     taken: u64,
-    turns: u64,
     calls_made: u64,
     events: BTreeMap<u64, Event>, // in the order taken
     places: HashMap<EventId, u64>,
@@ -80,7 +79,7 @@
         self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
     }
 
-    /// The list states what the destination takes a second, half too high at worst: its usual traffic is no less.
+    /// The list states what the destination takes a second, half too high at worst: a floor to its usual traffic.
     pub fn limit_stated(&mut self, of: DestinationId, rate: f64) {
         self.destinations.entry(of).or_default().stated = rate / 1.5 / self.terms.forwarders;
     }
@@ -152,11 +151,11 @@
             self.calls.remove(&number);
         }
         let zone = self.targets[&target].zone;
-        // Every event of a call may be told a wait of its own.
+        // Every event of a call may be told a wait of its own; a long one is that of a shut destination.
         let lane = self.lanes.get_mut(&self.targets[&target].lane).expect("listed");
         lane.closed_until = lane.closed_until.max(now + wait);
         if wait > 2.0 * PING {
-            lane.chill(now + wait);
+            lane.chill(now);
         }
         if first {
             self.judge(&target, fate, sent, took, wait);
@@ -229,7 +228,6 @@
             }
             Fate::Full => {
                 lane.release(now, stagger);
-                lane.failures = 0;
                 lane.trust = 1.0;
                 if sent >= lane.refused_at {
                     lane.refusals += 1;
@@ -240,21 +238,20 @@
                     lane.pace = Some((recent.max(0.3) * 0.9, now));
                     if wait == 0.0 {
                         let pause = 250.0 * f64::powi(2.0, lane.refusals.min(5) - 1);
-                        lane.held_until = now + pause * (0.75 + 0.5 * chance);
+                        lane.held_until = now + pause * jitter(chance);
                     }
                 }
-                // Refused again with nothing delivered between, or told to stay away for long: it may be
-                // shut, and returns cold. Guards whatever refuses all; harmful where a tight limit looks the
-                // same for long.
+                // Refused again with nothing delivered between: it may be shut, and returns cold. Guards whatever
+                // refuses all; harmful where a tight limit looks the same for long.
                 let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
                 if shut || lane.cold_since.is_some() {
-                    lane.chill(now + wait);
+                    lane.chill(now);
                 }
             }
             Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => {
                 target.failures += 1;
                 let pause = 500.0 * f64::powi(2.0, target.failures.min(5) - 1);
-                target.shunned_until = now + pause * (0.75 + 0.5 * chance);
+                target.shunned_until = now + pause * jitter(chance);
                 lane.failures += 1;
                 lane.trust = 1.0;
                 lane.failed.add(now, TREND, 1.0);
@@ -334,11 +331,11 @@
                 }
             }
         }
-        let offline: Vec<LaneId> =
-            self.lanes.iter().filter(|(_, l)| l.offline && !l.ping_out).map(|(id, _)| id.clone()).collect();
         if !self.terms.pings_allowed {
             return;
         }
+        let offline: Vec<LaneId> =
+            self.lanes.iter().filter(|(_, l)| l.offline && !l.ping_out).map(|(id, _)| id.clone()).collect();
         for id in offline {
             let lane = &self.lanes[&id];
             let due = lane.ping_at.max(lane.closed_until);
@@ -413,7 +410,7 @@
     /// A second, longer where many forwarders would ping: pings are cold load too, and use up a limit. All
     /// together send four a second at most.
     fn ping_pause(&mut self) -> Ms {
-        PING * (self.terms.forwarders / 4.0).max(1.0) * (0.75 + 0.5 * self.draw(0))
+        PING * (self.terms.forwarders / 4.0).max(1.0) * jitter(self.draw(0))
     }
 
     fn running(&self, destination: DestinationId) -> Vec<TargetId> {
@@ -427,7 +424,7 @@
         let now = self.now;
         let mut ended = Vec::new();
         for (&place, event) in &mut self.events {
-            if event.over || event.call.is_some() {
+            if !event.is_held() {
                 continue;
             }
             let effect = self.terms.traffic[event.traffic.0].effect;
@@ -465,7 +462,7 @@
     fn crowding_out(&mut self, ended: &[u64]) -> Vec<u64> {
         let mut waiting: BTreeMap<DestinationId, Vec<(f64, u64)>> = BTreeMap::new();
         for (&place, event) in &self.events {
-            if !event.over && event.call.is_none() && !ended.contains(&place) {
+            if event.is_held() && !ended.contains(&place) {
                 waiting.entry(event.destination).or_default().push((self.worth(event), place));
             }
         }
@@ -526,7 +523,7 @@
         let mut ready: BTreeMap<DestinationId, VecDeque<u64>> = BTreeMap::new();
         let mut wake = f64::INFINITY;
         for (&place, event) in &self.events {
-            if event.over || event.call.is_some() {
+            if !event.is_held() {
                 continue;
             }
             wake = wake.min(event.patience_ends - LAST_MOMENT);
@@ -641,13 +638,12 @@
         let lane_id = self.targets[&target].lane.clone();
         let usual = self.usual_answer(&lane_id);
         self.calls_made += 1;
-        self.turns += 1;
         // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must
         // not pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and
         // stalls.
         let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
         let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
-        self.destinations.get_mut(&id).expect("chosen").turn = self.turns;
+        self.destinations.get_mut(&id).expect("chosen").turn = self.calls_made;
         for &place in &aboard {
             let event = self.events.get_mut(&place).expect("ready");
             // A binding event cannot be sent again: it is given twice the time.
@@ -674,7 +670,7 @@
     fn pause(&mut self, place: u64) -> Ms {
         let chance = self.draw(place);
         let failures = self.events[&place].failures.min(5);
-        500.0 * f64::powi(2.0, failures) * (0.75 + 0.5 * chance)
+        500.0 * f64::powi(2.0, failures) * jitter(chance)
     }
 
     fn wake(&mut self, at: Ms) {
@@ -691,6 +687,11 @@
     }
 }
 
+/// A quarter either way, so that what failed together does not come again together.
+fn jitter(chance: f64) -> f64 {
+    0.75 + 0.5 * chance
+}
+
 /// The design's second between pings.
 const PING: Ms = 1000.0;
 /// The share of the tipping load that a forwarder allows itself, with its usual traffic for its part of the
@@ -707,9 +708,9 @@
 const LAST_MOMENT: Ms = 30.0;
 
 impl Lane {
-    /// Cold from then on, or from the end of a told wait: a late time-out does not shorten it.
-    fn chill(&mut self, at: Ms) {
-        self.cold_since = Some(self.cold_since.unwrap_or(at).max(at).max(self.closed_until));
+    /// Cold from now on, or from the end of a told wait: a late time-out does not shorten it.
+    fn chill(&mut self, now: Ms) {
+        self.cold_since = Some(self.cold_since.unwrap_or(now).max(now).max(self.closed_until));
     }
 
     /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,13 @@
     pub(crate) over: bool, // answered, and kept only until its send has ended
 }
 
+impl Event {
+    /// Neither answered nor out.
+    pub(crate) fn is_held(&self) -> bool {
+        !self.over && self.call.is_none()
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct KeyLine {
     pub(crate) queue: VecDeque<u64>,
