--- a/src/decide.rs
+++ b/src/decide.rs
@@ -79,7 +79,7 @@
         self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
     }
 
-    /// The list states what the destination takes a second, half too high at worst: a floor to its usual traffic.
+    /// What the destination takes a second, by the list, half too high at worst: its usual traffic is no less.
     pub fn limit_stated(&mut self, of: DestinationId, rate: f64) {
         self.destinations.entry(of).or_default().stated = rate / 1.5 / self.terms.forwarders;
     }
@@ -241,8 +241,8 @@
                         lane.held_until = now + pause * jitter(chance);
                     }
                 }
-                // Refused again with nothing delivered between: it may be shut, and returns cold. Guards whatever
-                // refuses all; harmful where a tight limit looks the same for long.
+                // Refused again with nothing delivered between: it may be shut, and returns cold. Guards
+                // whatever refuses all; harmful where a tight limit looks the same for long.
                 let shut = lane.refusals >= 2 && now - lane.delivered_at > 1.5 * PING;
                 if shut || lane.cold_since.is_some() {
                     lane.chill(now);
