--- a/src/decide.rs
+++ b/src/decide.rs
@@ -79,7 +79,7 @@
         self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
     }
 
-    /// What the destination takes a second, by the list, half too high at worst: its usual traffic is no less.
+    /// What a destination takes a second, by the list, half too high at worst: a floor to its usual traffic.
     pub fn limit_stated(&mut self, of: DestinationId, rate: f64) {
         self.destinations.entry(of).or_default().stated = rate / 1.5 / self.terms.forwarders;
     }
