--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,34 +2,44 @@
 //! over by the calls of the first block below (`taken`, `send_ended`, `listed`, ...), then the decisions go
 //! straight into the writer passed with the call. Ids, terms and the writer stand in `interface.rs`,
 //! what is kept between rounds in `state.rs`.
+//! A round looks only at destinations that something came in for or is due at. Each stands in three rosters
+//! (when something is due, whose turn it is, how much waits) and is filed anew when it changes.
 //! docs/design.md tells the mechanism and when each exception from it acts.
 
+use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 
 use crate::interface::*;
 use crate::state::*;
 
+/// What the decisions about one destination read besides it.
 #[derive(Default)]
-pub struct Forwarder {
+struct Here {
     terms: Terms,
     started: Ms,
     now: Ms,
     draws: u64,
+    answers: AnswerTimes, // of all destinations
+}
+
+#[derive(Default)]
+pub struct Forwarder {
+    here: Here,
     taken: u64,
     calls_made: u64,
-    events: BTreeMap<u64, Event>, // in the order taken
-    places: HashMap<EventId, u64>,
-    keys: HashMap<OrderKey, KeyLine>,
+    calls_out: usize,
     destinations: BTreeMap<DestinationId, Destination>,
-    targets: BTreeMap<TargetId, Target>,
-    lanes: BTreeMap<LaneId, Lane>,
-    calls: BTreeMap<u64, Call>,
-    answers: Fading,
-    answer_time: Fading,
-    wake_at: Ms,
-    woken_at: Ms, // the ring that is already ordered
+    homes: HashMap<TargetId, DestinationId>,
+    places: HashMap<EventId, (DestinationId, u64)>,
+    keys: HashMap<OrderKey, KeyLine>,
+    resting: VecDeque<(Ms, OrderKey)>,
+    changed: BTreeSet<DestinationId>,
+    due: BTreeSet<(Moment, DestinationId)>,
+    ready: BTreeSet<(usize, u64, DestinationId)>, // fewest calls out first, then the longest without a turn
+    waiting: BTreeSet<(usize, DestinationId)>,
+    woken_at: Moment, // the ring that is already ordered
 }
 
 /// Long enough to know a destination's usual traffic, short against the length of a busy hour.
@@ -43,8 +53,7 @@
 
 impl Forwarder {
     pub fn start(terms: Terms, now: Ms) -> Self {
-        let never = f64::INFINITY;
-        Forwarder { terms, started: now, wake_at: never, woken_at: never, ..Self::default() }
+        Forwarder { here: Here { terms, started: now, now, ..Here::default() }, ..Self::default() }
     }
 
     /// One round: `came_in` hands over all that arrived, then the decisions are written.
@@ -54,17 +63,32 @@
         came_in: impl FnOnce(&mut Self) -> Result<(), E>,
         out: &mut impl Decisions,
     ) -> Result<(), E> {
-        self.now = now;
-        self.wake_at = f64::INFINITY;
+        self.here.now = now;
         came_in(self)?;
-        self.forget_gone();
-        self.mark_troubled();
-        self.end_events(out);
-        self.watch_health(out);
-        self.dispatch(out);
-        if self.wake_at < self.woken_at {
-            self.woken_at = self.wake_at;
-            out.wake_after(self.wake_at - now);
+        while self.due.first().is_some_and(|(at, _)| at.0 <= now) {
+            self.changed.extend(self.due.pop_first().map(|(_, id)| id));
+        }
+        while self.resting.front().is_some_and(|(until, _)| *until <= now) {
+            let (_, key) = self.resting.pop_front().expect("seen");
+            if self.keys.get(&key).is_some_and(|line| line.queue.is_empty() && line.rests_until <= now) {
+                self.keys.remove(&key);
+            }
+        }
+        for id in self.changed.clone() {
+            self.tend(id, out);
+        }
+        self.keep_room(out);
+        while let Some(id) = self.changed.pop_first() {
+            self.file(id);
+        }
+        while self.calls_out < self.here.terms.slots {
+            let Some(&(_, _, id)) = self.ready.first() else { break };
+            self.send_next(id, out);
+            self.file(id);
+        }
+        if let Some(&(at, _)) = self.due.first().filter(|(at, _)| *at < self.woken_at) {
+            self.woken_at = at;
+            out.wake_after(at.0 - now);
         }
         Ok(())
     }
@@ -72,34 +96,47 @@
     // ---- what came in ----
 
     pub fn woken(&mut self) {
-        self.woken_at = Some(self.woken_at).filter(|&at| at > self.now).unwrap_or(f64::INFINITY);
+        if self.woken_at.0 <= self.here.now {
+            self.woken_at = Moment::default();
+        }
     }
 
     pub fn list_replaced(&mut self) {
-        self.targets.values_mut().for_each(|target| target.listing = Listing::Gone);
+        for (&id, destination) in &mut self.destinations {
+            let targets = destination.lanes.iter_mut().flat_map(|lane| &mut lane.targets);
+            targets.for_each(|target| target.listing = Listing::Gone);
+            self.changed.insert(id);
+        }
     }
 
     /// What a destination takes a second, by the list, half too high at worst: a floor to its usual traffic.
     pub fn limit_stated(&mut self, of: DestinationId, rate: f64) {
-        self.destinations.entry(of).or_default().stated = rate / 1.5 / self.terms.forwarders;
+        self.destinations.entry(of).or_default().stated = rate / 1.5 / self.here.terms.forwarders;
     }
 
-    pub fn left(&mut self, target: &TargetId) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.listing = Listing::Gone;
-        }
+    pub fn left(&mut self, id: &TargetId) {
+        let Some(&of) = self.homes.get(id) else { return };
+        let lanes = &mut self.destinations.get_mut(&of).expect("a home").lanes;
+        let found = lanes.iter_mut().flat_map(|lane| &mut lane.targets).find(|target| target.id == *id);
+        found.expect("at home").listing = Listing::Gone;
+        self.changed.insert(of);
     }
 
     pub fn listed(&mut self, id: TargetId, of: DestinationId, kind: KindId, zone: ZoneId, listing: Listing) {
-        let apart = self.terms.kinds[kind.0].routes_apart;
-        let lane = if apart { LaneId::Route(id.clone()) } else { LaneId::Destination(of) };
-        self.lanes.entry(lane.clone()).or_default();
-        let fresh = Target { destination: of, lane, zone, kind, listing, failures: 0, shunned_until: 0.0 };
-        self.targets.entry(id.clone()).or_insert(fresh).listing = listing;
-        let known = &mut self.destinations.entry(of).or_default().targets;
-        if !known.contains(&id) {
-            known.push(id);
+        self.homes.insert(id.clone(), of);
+        self.changed.insert(of);
+        let destination = self.destinations.entry(of).or_default();
+        destination.kind = kind;
+        let known = destination.lanes.iter_mut().flat_map(|lane| &mut lane.targets).find(|t| t.id == id);
+        if let Some(target) = known {
+            target.listing = listing;
+            return;
+        }
+        if destination.lanes.is_empty() || self.here.terms.kinds[kind.0].routes_apart {
+            destination.lanes.push(Lane::default());
         }
+        let fresh = Target { id, zone, listing, failures: 0, shunned_until: 0.0, out: 0 };
+        destination.lanes.last_mut().expect("pushed").targets.push(fresh);
     }
 
     pub fn taken(
@@ -110,22 +147,23 @@
         patience_ends: Ms,
         key: Option<OrderKey>,
     ) {
-        let key = key.filter(|_| self.terms.traffic[traffic.0].ordered);
+        let key = key.filter(|_| self.here.terms.traffic[traffic.0].ordered);
         self.taken += 1;
-        let place = self.taken;
-        self.places.insert(id.clone(), place);
+        self.places.insert(id.clone(), (destination, self.taken));
         if let Some(key) = key {
-            self.keys.entry(key).or_default().queue.push_back(place);
+            self.keys.entry(key).or_default().queue.push_back((self.taken, destination));
         }
-        self.destinations.entry(destination).or_default().offered.add(self.now, USUAL, 1.0);
-        let event = Event { id, destination, traffic, key, patience_ends, ..Event::default() };
-        self.events.insert(place, event);
+        let to = self.destinations.entry(destination).or_default();
+        to.offered.add(self.here.now, USUAL, 1.0);
+        to.events.insert(self.taken, Event { id, traffic, key, patience_ends, ..Event::default() });
+        self.changed.insert(destination);
     }
 
     pub fn withdrawn(&mut self, id: &EventId) {
-        if let Some(&place) = self.places.get(id) {
-            self.events.get_mut(&place).expect("placed").over = true;
-            self.forget_if_over(place);
+        if let Some(&(of, place)) = self.places.get(id) {
+            let events = &mut self.destinations.get_mut(&of).expect("placed").events;
+            events.get_mut(&place).expect("placed").over = true;
+            self.forget_if_over(of, place);
         }
     }
 
@@ -137,80 +175,220 @@
         complete: bool,
         wait: Ms,
     ) -> Result<(), Unknown> {
-        let &place = self.places.get(id).ok_or(Unknown("the event"))?;
-        let now = self.now;
-        let event = self.events.get_mut(&place).expect("placed");
+        let &(of, place) = self.places.get(id).ok_or(Unknown("the event"))?;
+        let here = &mut self.here;
+        let now = here.now;
+        let to = self.destinations.get_mut(&of).expect("placed");
+        let event = to.events.get_mut(&place).expect("placed");
         let number = event.call.take().ok_or(Unknown("the send"))?;
-        event.over |= complete;
-        let (traffic, key) = (event.traffic, event.key);
-        let call = self.calls.get_mut(&number).expect("a call has members");
+        let call = to.calls.get_mut(&number).expect("a call has members");
         call.members -= 1;
-        let (sent, first, target) =
-            (call.sent, !std::mem::replace(&mut call.judged, true), call.target.clone());
-        if call.members == 0 {
-            self.calls.remove(&number);
-        }
-        let zone = self.targets[&target].zone;
+        let (sent, first) = (call.sent, !std::mem::replace(&mut call.judged, true));
+        let (target, last) = (call.target.clone(), call.members == 0);
         // Every event of a call may be told a wait of its own; a long one is that of a shut destination.
-        let lane = self.lanes.get_mut(&self.targets[&target].lane).expect("listed");
+        let at = to.lane_of(&target).expect("kept while called");
+        let lane = &mut to.lanes[at];
         lane.closed_until = lane.closed_until.max(now + wait);
         if wait > 2.0 * PING {
             lane.chill(now);
         }
+        let zone = lane.target(&target).expect("found").zone;
         if first {
-            self.judge(&target, fate, sent, took, wait);
-        }
-        let pause = self.pause(place);
-        let event = self.events.get_mut(&place).expect("placed");
-        match fate {
-            Fate::Delivered => event.over = true,
-            Fate::Full => event.not_before = now + pause * 0.5,
-            Fate::NotSent => event.not_before = now + pause * 0.1,
-            Fate::NoConnection => {
-                event.failures += 1;
-                event.not_before = now + pause;
-            }
-            Fate::Error | Fate::TimedOut | Fate::Reset | Fate::Cancelled => {
-                event.failures += 1;
-                event.not_before = now + pause;
-                event.may_have_run.get_or_insert((sent, zone));
-                event.hopeless |= self.terms.traffic[traffic.0].effect == Effect::Binding;
-            }
-        }
-        event.hopeless |= event.sends >= self.terms.sends_cap;
-        if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (key, fate) {
-            self.keys.entry(key).or_default().rests_until = now + self.terms.key_rest;
-        }
-        self.forget_if_over(place);
+            to.judge(here, at, &target, fate, sent, wait, took);
+        }
+        if last {
+            to.calls.remove(&number);
+            self.calls_out -= 1;
+            let called = to.lanes[at].targets.iter_mut().find(|t| t.id == target);
+            called.expect("found").out -= 1;
+        }
+        let event = to.events.get_mut(&place).expect("placed");
+        event.over |= complete || fate == Fate::Delivered;
+        let failed = !matches!(fate, Fate::Delivered | Fate::Full | Fate::NotSent);
+        // Half a second, doubling with the failures, jittered.
+        let pause = 500.0 * f64::powi(2.0, event.failures.min(5)) * jitter(here.draw(place));
+        event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
+        event.failures += failed as i32;
+        if failed && fate != Fate::NoConnection {
+            event.may_have_run.get_or_insert((sent, zone));
+            event.hopeless |= here.terms.traffic[event.traffic.0].effect == Effect::Binding;
+        }
+        event.hopeless |= event.sends >= here.terms.sends_cap;
+        if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (event.key, fate) {
+            let rest = here.terms.key_rest;
+            self.keys.get_mut(&key).expect("queued").rests_until = now + rest;
+            self.resting.push_back((now + rest, key));
+        }
+        self.changed.insert(of);
+        self.forget_if_over(of, place);
         Ok(())
     }
 
     pub fn ping_ended(&mut self, target: &TargetId, fate: Fate) -> Result<(), Unknown> {
-        let id = self.targets.get(target).ok_or(Unknown("the target"))?.lane.clone();
-        let pause = self.ping_pause();
-        let (now, stagger) = (self.now, self.stagger(&id));
-        let lane = self.lanes.get_mut(&id).expect("listed");
-        lane.ping_out = false;
-        lane.ping_at = now + pause;
+        let &of = self.homes.get(target).ok_or(Unknown("the target"))?;
+        let to = self.destinations.get_mut(&of).expect("a home");
+        let at = to.lane_of(target).expect("at home");
+        let (pause, stagger) = (self.here.ping_pause(), to.stagger(&mut self.here, at));
+        let (lane, now) = (&mut to.lanes[at], self.here.now);
+        (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
             lane.release(now, stagger);
         } else {
             lane.failed.add(now, TREND, 1.0);
             lane.chill(now);
         }
+        self.changed.insert(of);
         Ok(())
     }
 
-    // ---- health and pace ----
+    // ---- what follows from it ----
+
+    /// What is due at a destination, apart from its sends.
+    fn tend(&mut self, id: DestinationId, out: &mut impl Decisions) {
+        let Some(to) = self.destinations.get_mut(&id) else { return };
+        let here = &mut self.here;
+        to.forget_gone(here.now, &mut self.homes);
+        to.mark_troubled(here);
+        let mut ended: Vec<u64> = Vec::new();
+        for (&place, event) in to.events.iter_mut().filter(|(_, event)| event.is_held()) {
+            event.hopeless |= here.now.max(event.not_before) >= here.window_ends(event);
+            if event.hopeless || here.now >= event.patience_ends - LAST_MOMENT {
+                ended.push(place);
+            }
+        }
+        ended.extend(to.beyond_bearing(here, &ended));
+        to.watch_health(here, out);
+        ended.into_iter().for_each(|place| self.end(id, place, out));
+    }
+
+    /// Before the room is full, and events for destinations that work are turned away, the one with most
+    /// waiting gives way, the least worth first. Guards against any destination that stands still or floods.
+    fn keep_room(&mut self, out: &mut impl Decisions) {
+        let filled = (self.here.terms.room as f64 * FILLED) as usize;
+        if self.places.len() <= filled {
+            return;
+        }
+        self.changed.clone().into_iter().for_each(|id| self.file(id));
+        while self.places.len() > filled {
+            let Some((_, id)) = self.waiting.last().copied().filter(|(held, _)| *held > 0) else { return };
+            let to = &self.destinations[&id];
+            let worth = |event: &Event| Moment(self.here.worth(event));
+            let held = to.events.iter().filter(|(_, event)| event.is_held());
+            let least = held.min_by_key(|(place, event)| (worth(event), Reverse(**place)));
+            let place = *least.expect("holds some").0;
+            self.end(id, place, out);
+            self.file(id);
+        }
+    }
+
+    /// The final answer: dismissed where another try does no harm, written off where it might.
+    fn end(&mut self, id: DestinationId, place: u64, out: &mut impl Decisions) {
+        let events = &mut self.destinations.get_mut(&id).expect("holds it").events;
+        let event = events.get_mut(&place).expect("held");
+        event.over = true;
+        let effect = self.here.terms.traffic[event.traffic.0].effect;
+        let one_zone = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
+        if event.may_have_run.is_none() || effect != Effect::Binding && !one_zone {
+            out.dismiss(&event.id, self.here.terms.longest_advice);
+        } else {
+            out.write_off(&event.id);
+        }
+        self.forget_if_over(id, place);
+    }
+
+    fn forget_if_over(&mut self, id: DestinationId, place: u64) {
+        let events = &mut self.destinations.get_mut(&id).expect("holds it").events;
+        if !events[&place].over || events[&place].call.is_some() {
+            return;
+        }
+        let event = events.remove(&place).expect("held");
+        self.places.remove(&event.id);
+        self.changed.insert(id);
+        if let Some(key) = event.key {
+            let line = self.keys.get_mut(&key).expect("queued");
+            line.queue.retain(|&(p, _)| p != place);
+            self.changed.extend(line.queue.front().map(|(_, next)| next));
+            if line.queue.is_empty() && line.rests_until <= self.here.now {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    /// Enters a destination anew in the rosters, or forgets it: memory is bounded by what is held and listed.
+    fn file(&mut self, id: DestinationId) {
+        let Some(to) = self.destinations.get_mut(&id) else { return };
+        let (due, held, ready) = std::mem::take(&mut to.filed);
+        self.due.remove(&(due, id));
+        self.waiting.remove(&(held, id));
+        ready.map(|(out, turn)| self.ready.remove(&(out, turn, id)));
+        if to.events.is_empty() && to.lanes.is_empty() {
+            self.destinations.remove(&id);
+            return;
+        }
+        let (heads, _, next) = to.prospects(&self.here, &self.keys);
+        let ready = (!heads.is_empty()).then_some((to.calls.len(), to.turn));
+        to.filed = (Moment(next.min(to.next_check(&self.here))), to.held(), ready);
+        let (due, held, _) = to.filed;
+        if due != Moment::default() {
+            self.due.insert((due, id));
+        }
+        self.waiting.insert((held, id));
+        ready.map(|(out, turn)| self.ready.insert((out, turn, id)));
+    }
+
+    /// One call to the destination whose turn it is, with as many heads aboard as it takes.
+    fn send_next(&mut self, id: DestinationId, out: &mut impl Decisions) {
+        let to = self.destinations.get_mut(&id).expect("ready");
+        let here = &mut self.here;
+        let (heads, open, _) = to.prospects(here, &self.keys);
+        let Some(first) = heads.first() else { return };
+        let (at, target) = to.pick(here, &to.events[first], &open);
+        let called = &to.lanes[at].targets[target];
+        let most = here.terms.kinds[to.kind.0].events_per_call.max(1);
+        let cold = to.lanes[at].cold_since.is_some();
+        let most = if cold { most.min(1 + (1.0 / RIDER) as usize) } else { most };
+        let fit = heads.into_iter().filter(|place| here.may_go(&to.events[place], called));
+        let aboard: Vec<u64> = fit.take(most).collect();
+        self.calls_made += 1;
+        to.turn = self.calls_made;
+        // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must
+        // not pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and
+        // stalls.
+        let scarce = 4 * self.calls_out >= 3 * here.terms.slots;
+        let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
+        let time_out = (times * to.lanes[at].usual_answer(here)).clamp(least, 8000.0);
+        for place in &aboard {
+            let event = to.events.get_mut(place).expect("ready");
+            // A binding event cannot be sent again: it is given twice the time.
+            let binding = here.terms.traffic[event.traffic.0].effect == Effect::Binding;
+            let given = if binding && !scarce { 2.0 } else { 1.0 };
+            event.call = Some(self.calls_made);
+            event.sends += 1;
+            out.send(&event.id, &called.id, (given * time_out).min(event.patience_ends - here.now));
+        }
+        let (target_id, rate) = (called.id.clone(), to.rate(here, at));
+        let lane = &mut to.lanes[at];
+        if let Some(rate) = rate {
+            let weight = 1.0 + RIDER * (aboard.len() - 1) as f64;
+            lane.next_slot = lane.next_slot.max(here.now) + weight * 1000.0 / rate;
+        }
+        lane.sent.add(here.now, RECENT, 1.0);
+        lane.targets[target].out += 1;
+        self.calls_out += 1;
+        let call = Call { target: target_id, sent: here.now, members: aboard.len(), judged: false };
+        to.calls.insert(self.calls_made, call);
+    }
+}
 
+impl Destination {
     /// Reads the outcome of a call (once, however many events it carried) for its target and lane.
-    fn judge(&mut self, id: &TargetId, fate: Fate, sent: Ms, took: Ms, wait: Ms) {
-        let (now, chance) = (self.now, self.draw(1));
-        let lane_id = self.targets[id].lane.clone();
-        let stagger = self.stagger(&lane_id);
-        let usual = self.usual_answer(&lane_id);
-        let target = self.targets.get_mut(id).expect("called");
-        let lane = self.lanes.get_mut(&target.lane).expect("listed");
+    #[allow(clippy::too_many_arguments)]
+    fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, fate: Fate, sent: Ms, wait: Ms, took: Ms) {
+        let (now, chance) = (here.now, here.draw(1));
+        let stagger = self.stagger(here, at);
+        let lane = &mut self.lanes[at];
+        let usual = lane.usual_answer(here);
+        let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
             Fate::Delivered => {
                 target.failures = 0;
@@ -221,10 +399,8 @@
                 lane.good.add(now, TREND, 1.0);
                 lane.refusals = 0;
                 lane.release(now, stagger);
-                lane.answers.add(now, MEMORY, 1.0);
-                lane.answer_time.add(now, MEMORY, took);
-                self.answers.add(now, MEMORY, 1.0);
-                self.answer_time.add(now, MEMORY, took);
+                lane.answers.add(now, MEMORY, took);
+                here.answers.add(now, MEMORY, took);
             }
             Fate::Full => {
                 lane.release(now, stagger);
@@ -259,8 +435,7 @@
                     // What was cut short took at least so long: a slow destination gets more time. Where
                     // others were answered meanwhile it was lost, not slow, and longer time-outs would only
                     // pin slots.
-                    lane.answers.add(now, MEMORY, 1.0);
-                    lane.answer_time.add(now, MEMORY, took);
+                    lane.answers.add(now, MEMORY, took);
                 }
                 // Most calls fail: an outage, with cold load counted now and after it. A smaller share of
                 // losses is none, and a cold pace there would starve a destination that works.
@@ -275,105 +450,119 @@
         }
     }
 
-    /// Memory is bounded by what is held and listed: targets that are gone go with their last call, ping and
-    /// wait.
-    fn forget_gone(&mut self) {
-        let (now, calls, lanes) = (self.now, &self.calls, &mut self.lanes);
-        self.keys.retain(|_, line| !line.queue.is_empty() || line.rests_until > now);
-        self.targets.retain(|id, t| {
-            let lane = &lanes[&t.lane];
-            let idle = !lane.ping_out && lane.closed_until <= now && lane.cold_since.is_none();
-            t.listing != Listing::Gone || !idle || calls.values().any(|call| call.target == *id)
-        });
-        let targets = &self.targets;
-        lanes.retain(|id, _| !matches!(id, LaneId::Route(target) if !targets.contains_key(target)));
-        self.destinations.values_mut().for_each(|d| d.targets.retain(|id| targets.contains_key(id)));
+    /// Targets that are gone go with their last call, ping and wait.
+    fn forget_gone(&mut self, now: Ms, homes: &mut HashMap<TargetId, DestinationId>) {
+        for lane in &mut self.lanes {
+            let idle = lane.is_idle(now);
+            lane.targets.retain(|target| {
+                let kept = target.listing != Listing::Gone || target.out > 0 || !idle;
+                kept || homes.remove(&target.id).is_none()
+            });
+        }
+        self.lanes.retain(|lane| !lane.targets.is_empty());
     }
 
     /// A destination in trouble keeps the usual traffic that it had: what clients hand in again after a
     /// dismissal would swell the measure, and with it the budget of a cold destination.
-    fn mark_troubled(&mut self) {
-        for lane in self.lanes.values_mut() {
-            lane.cold_since = lane.cold_since.filter(|&since| self.now - since < self.terms.warm_after);
-        }
-        for id in self.destinations.keys().copied().collect::<Vec<_>>() {
-            let of_lane = |t: &TargetId| &self.lanes[&self.targets[t].lane];
-            let troubled = self.running(id).iter().map(of_lane).any(|l| l.offline || l.cold_since.is_some());
-            let usual = troubled.then(|| self.usual(id));
-            self.destinations.get_mut(&id).expect("named").usual = usual;
+    fn mark_troubled(&mut self, here: &Here) {
+        for lane in &mut self.lanes {
+            lane.cold_since = lane.cold_since.filter(|&since| here.now - since < here.terms.warm_after);
         }
+        let mut running = self.lanes.iter().filter(|lane| lane.running().next().is_some());
+        let troubled = running.any(|lane| lane.offline || lane.cold_since.is_some());
+        self.usual = troubled.then(|| self.usual(here));
     }
 
-    fn usual_answer(&mut self, id: &LaneId) -> Ms {
-        let now = self.now;
-        // Until anything has answered, a second; a lane's own answers outweigh the others' after two.
-        let all = self.answer_time.read(now, MEMORY) + 1000.0;
-        let common = all / (self.answers.read(now, MEMORY) + 1.0);
-        let lane = self.lanes.get_mut(id).expect("listed");
-        (lane.answer_time.read(now, MEMORY) + 2.0 * common) / (lane.answers.read(now, MEMORY) + 2.0)
-    }
-
-    fn watch_health(&mut self, out: &mut impl Decisions) {
-        let now = self.now;
+    fn watch_health(&mut self, here: &mut Here, out: &mut impl Decisions) {
+        let now = here.now;
         // A call without an answer for long, and none from its lane since it went: the lane is silent. It
         // parks before more calls are pinned there. Guards against hung and stalled targets; harmful if set
         // too low.
-        let calls: Vec<(LaneId, Ms)> = self.calls.values().map(|c| (c.lane.clone(), c.sent)).collect();
-        for (id, sent) in calls {
-            let limit = (5.0 * self.usual_answer(&id)).max(2000.0);
-            let lane = self.lanes.get_mut(&id).expect("listed");
-            if lane.answered_at < sent && !lane.offline {
-                if now >= sent + limit {
-                    lane.offline = true;
-                    lane.ping_at = now;
-                } else {
-                    self.wake(sent + limit);
-                }
-            }
+        for at in self.silences(here).filter(|(_, end)| *end <= now).map(|(at, _)| at).collect::<Vec<_>>() {
+            (self.lanes[at].offline, self.lanes[at].ping_at) = (true, now);
         }
-        if !self.terms.pings_allowed {
-            return;
+        for lane in &mut self.lanes {
+            if here.ping_due(lane) > now {
+                continue;
+            }
+            let drawn = here.draw(2) * lane.running().count() as f64;
+            let target = lane.running().nth(drawn as usize).expect("some run");
+            out.ping(&target.id);
+            lane.ping_out = true;
+        }
+    }
+
+    /// Lanes with calls that have had no answer, and when that is taken for silence.
+    fn silences<'a>(&'a self, here: &'a Here) -> impl Iterator<Item = (usize, Ms)> + 'a {
+        self.calls.values().filter_map(move |call| {
+            let at = self.lane_of(&call.target).expect("kept while called");
+            let lane = &self.lanes[at];
+            let silent = lane.answered_at < call.sent && !lane.offline;
+            silent.then(|| (at, call.sent + (5.0 * lane.usual_answer(here)).max(2000.0)))
+        })
+    }
+
+    /// When something but a send is due here: an event's end, a ping, a call's silence.
+    fn next_check(&self, here: &Here) -> Ms {
+        let held = self.events.values().filter(|event| event.is_held());
+        let ends = held.map(|event| here.window_ends(event).min(event.patience_ends - LAST_MOMENT));
+        let pings = self.lanes.iter().map(|lane| here.ping_due(lane));
+        ends.chain(pings).chain(self.silences(here).map(|(_, end)| end)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The heads that can go now, the targets (lane and place in it) that take a call now, and when the next
+    /// of either may.
+    fn prospects(
+        &self,
+        here: &Here,
+        keys: &HashMap<OrderKey, KeyLine>,
+    ) -> (Vec<u64>, Vec<(usize, usize)>, Ms) {
+        let (mut open, mut opens) = (Vec::new(), f64::INFINITY);
+        for (at, lane) in self.lanes.iter().enumerate() {
+            let from = self.opens_at(here, at);
+            let running = lane.targets.iter().enumerate().filter(|(_, t)| t.listing == Listing::Running);
+            if from <= here.now {
+                open.extend(running.map(|(target, _)| (at, target)));
+            } else if lane.running().next().is_some() {
+                opens = opens.min(from);
+            }
         }
-        let offline: Vec<LaneId> =
-            self.lanes.iter().filter(|(_, l)| l.offline && !l.ping_out).map(|(id, _)| id.clone()).collect();
-        for id in offline {
-            let lane = &self.lanes[&id];
-            let due = lane.ping_at.max(lane.closed_until);
-            if due > now {
-                self.wake(due);
+        let (mut heads, mut next, mut shut_out) = (Vec::new(), f64::INFINITY, false);
+        for (&place, event) in self.events.iter().filter(|(_, event)| event.is_held()) {
+            let line = event.key.map(|key| &keys[&key]);
+            if line.is_some_and(|line| line.queue.front().is_some_and(|front| front.0 != place)) {
                 continue;
             }
-            let running: Vec<TargetId> = self
-                .targets
-                .iter()
-                .filter(|(_, t)| t.lane == id && t.listing == Listing::Running)
-                .map(|(id, _)| id.clone())
-                .collect();
-            if !running.is_empty() {
-                let drawn = (self.draw(2) * running.len() as f64) as usize;
-                out.ping(&running[drawn]);
-                self.lanes.get_mut(&id).expect("listed").ping_out = true;
+            // The rest holds back those behind the event that was cut short, not its own next send.
+            let rest = if event.sends > 0 { 0.0 } else { line.map_or(0.0, |line| line.rests_until) };
+            let from = event.not_before.max(rest);
+            let fits = open.iter().any(|&(at, target)| here.may_go(event, &self.lanes[at].targets[target]));
+            if from > here.now {
+                next = next.min(from);
+            } else if fits {
+                heads.push(place);
+            } else {
+                shut_out = true;
             }
         }
+        (heads, open, if shut_out { next.min(opens) } else { next })
     }
 
     /// When the lane takes its next call.
-    fn opens_at(&mut self, id: &LaneId) -> Ms {
-        let lane = &self.lanes[id];
+    fn opens_at(&self, here: &Here, at: usize) -> Ms {
+        let lane = &self.lanes[at];
         if lane.offline {
-            if self.terms.pings_allowed || self.calls.values().any(|c| c.lane == *id) {
-                return f64::INFINITY;
-            }
-            return lane.ping_at.max(lane.closed_until);
+            let called = lane.targets.iter().any(|target| target.out > 0);
+            let trial = !here.terms.pings_allowed && !called;
+            return if trial { lane.ping_at.max(lane.closed_until) } else { f64::INFINITY };
         }
         let rested = lane.closed_until.max(lane.held_until);
-        self.rate(id).map_or(rested, |_| rested.max(self.lanes[id].next_slot))
+        self.rate(here, at).map_or(rested, |_| rested.max(lane.next_slot))
     }
 
     /// Calls a second that this forwarder allows itself; none where nothing speaks for a limit.
-    fn rate(&mut self, id: &LaneId) -> Option<f64> {
-        let (now, terms) = (self.now, &self.terms);
-        let lane = &self.lanes[id];
+    fn rate(&self, here: &Here, at: usize) -> Option<f64> {
+        let (now, terms, lane) = (here.now, &here.terms, &self.lanes[at]);
         let mut rate = f64::INFINITY;
         if let Some((pace, set)) = lane.pace.filter(|&(_, set)| now - set < 20_000.0) {
             rate = pace * (0.08 * (now - set) / 1000.0).exp();
@@ -382,303 +571,136 @@
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
             let trust = lane.trust.max(1.0);
-            let usual = match id {
-                LaneId::Destination(destination) => self.usual(*destination),
-                LaneId::Route(target) => {
-                    let destination = self.targets[target].destination;
-                    self.usual(destination) / self.running(destination).len().max(1) as f64
-                }
-            };
-            rate = rate.min((BUDGET * self.terms.tip_multiple * warm * usual).max(least) * trust);
+            let lanes = self.lanes.iter().filter(|lane| lane.running().next().is_some()).count();
+            let usual = self.usual(here) / lanes.max(1) as f64;
+            rate = rate.min((BUDGET * terms.tip_multiple * warm * usual).max(least) * trust);
         }
         rate.is_finite().then_some(rate)
     }
 
     /// Events a second that usually come in for the destination, from what this forwarder took.
-    fn usual(&mut self, id: DestinationId) -> f64 {
-        let seen = 1.0 - (-(self.now - self.started) / USUAL).exp();
-        let destination = self.destinations.get_mut(&id).expect("named");
-        let offered = destination.offered.read(self.now, USUAL) * 1000.0 / USUAL / seen.max(0.05);
-        destination.usual.unwrap_or(offered.max(destination.stated))
+    fn usual(&self, here: &Here) -> f64 {
+        let seen = 1.0 - (-(here.now - here.started) / USUAL).exp();
+        let offered = self.offered.read(here.now, USUAL) * 1000.0 / USUAL / seen.max(0.05);
+        self.usual.unwrap_or(offered.max(self.stated))
     }
 
     /// A part of the lane's spacing, drawn at random.
-    fn stagger(&mut self, id: &LaneId) -> Ms {
-        self.draw(3) * self.rate(id).map_or(0.0, |rate| 1000.0 / rate)
+    fn stagger(&self, here: &mut Here, at: usize) -> Ms {
+        here.draw(3) * self.rate(here, at).map_or(0.0, |rate| 1000.0 / rate)
+    }
+
+    /// At a destination down or cold: what waits beyond a few seconds of its usual traffic, least worth first:
+    /// it would make all that comes later late as well. Could harm one about to take all at once.
+    fn beyond_bearing(&self, here: &Here, ended: &[u64]) -> Vec<u64> {
+        if self.usual.is_none() {
+            return Vec::new();
+        }
+        let held = self.events.iter().filter(|(place, event)| event.is_held() && !ended.contains(place));
+        let mut line: Vec<(f64, u64)> = held.map(|(&place, event)| (here.worth(event), place)).collect();
+        line.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let (usual, mut kept) = (self.usual(here) / 1000.0, 0);
+        line.retain(|(_, place)| {
+            let of = &here.terms.traffic[self.events[place].traffic.0];
+            let slope = (1.0 - of.payoff_at_end) / (of.patience - of.soft_limit).max(1.0);
+            let stays = kept < 3 || kept as f64 <= (of.soft_limit + BEARABLE / slope) * usual;
+            kept += stays as usize;
+            !stays
+        });
+        line.into_iter().map(|(_, place)| place).collect()
     }
 
-    /// A second, longer where many forwarders would ping: pings are cold load too, and use up a limit. All
-    /// together send four a second at most.
-    fn ping_pause(&mut self) -> Ms {
-        PING * (self.terms.forwarders / 4.0).max(1.0) * jitter(self.draw(0))
+    /// Two targets drawn at random, and the one that our own counts favour: not just failed, fewer calls out.
+    fn pick(&self, here: &mut Here, event: &Event, open: &[(usize, usize)]) -> (usize, usize) {
+        let target = |&(at, target): &(usize, usize)| &self.lanes[at].targets[target];
+        let mut from: Vec<_> = open.iter().filter(|t| here.may_go(event, target(t))).collect();
+        if from.iter().any(|t| target(t).shunned_until <= here.now) {
+            from.retain(|t| target(t).shunned_until <= here.now);
+        }
+        let one = (here.draw(4) * from.len() as f64) as usize;
+        let other = (one + 1 + (here.draw(5) * (from.len().max(2) - 1) as f64) as usize) % from.len();
+        let apart = here.terms.kinds[self.kind.0].routes_apart;
+        let weigh = |t: &Target| (t.out as f64, here.fee(t, apart));
+        *from[if weigh(target(from[other])) < weigh(target(from[one])) { other } else { one }]
     }
+}
 
-    fn running(&self, destination: DestinationId) -> Vec<TargetId> {
-        let known = self.destinations.get(&destination).map_or(&[][..], |d| &d.targets);
-        known.iter().filter(|t| self.targets[*t].listing == Listing::Running).cloned().collect()
+impl Lane {
+    /// Its own answers outweigh those of the others after two; until anything has answered, a second.
+    fn usual_answer(&self, here: &Here) -> Ms {
+        let (all_time, all) = here.answers.read(here.now, MEMORY);
+        let (own_time, own) = self.answers.read(here.now, MEMORY);
+        (own_time + 2.0 * (all_time + 1000.0) / (all + 1.0)) / (own + 2.0)
     }
 
-    // ---- ends ----
-
-    fn end_events(&mut self, out: &mut impl Decisions) {
-        let now = self.now;
-        let mut ended = Vec::new();
-        for (&place, event) in &mut self.events {
-            if !event.is_held() {
-                continue;
-            }
-            let effect = self.terms.traffic[event.traffic.0].effect;
-            if let (Some((sent, _)), Effect::Fingerprinted { window, .. }) = (event.may_have_run, effect) {
-                event.hopeless |= now.max(event.not_before) >= sent + window;
-            }
-            if event.hopeless || now >= event.patience_ends - LAST_MOMENT {
-                ended.push(place);
-            }
-        }
-        let crowded = self.crowding_out(&ended);
-        ended.extend(crowded);
-        for place in ended {
-            let event = self.events.get_mut(&place).expect("held");
-            event.over = true;
-            let harmless = match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
-                (None, _) | (_, Effect::Retriable) => true,
-                (_, Effect::Fingerprinted { one_zone, .. }) => !one_zone,
-                (_, Effect::Binding) => false,
-            };
-            if harmless {
-                out.dismiss(&event.id, self.terms.longest_advice);
-            } else {
-                out.write_off(&event.id);
-            }
-            self.forget_if_over(place);
-        }
+    /// Cold from now on, or from the end of a told wait: a late time-out does not shorten it.
+    fn chill(&mut self, now: Ms) {
+        self.cold_since = Some(self.cold_since.unwrap_or(now).max(now).max(self.closed_until));
     }
 
-    /// Events that make way, the least worth first. Where a destination is down or cold, what waits beyond a
-    /// few seconds of its usual traffic: kept, it would make all that comes later late as well. And when the
-    /// room is nearly full, at the destination with most waiting, before events for those that work are
-    /// turned away. Guards against any destination that stands still or floods; could harm one about to take
-    /// all at once.
-    fn crowding_out(&mut self, ended: &[u64]) -> Vec<u64> {
-        let mut waiting: BTreeMap<DestinationId, Vec<(f64, u64)>> = BTreeMap::new();
-        for (&place, event) in &self.events {
-            if event.is_held() && !ended.contains(&place) {
-                waiting.entry(event.destination).or_default().push((self.worth(event), place));
-            }
-        }
-        let mut out = Vec::new();
-        for (&id, line) in &mut waiting {
-            line.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            if self.destinations[&id].usual.is_some() {
-                let usual = self.usual(id) / 1000.0;
-                let (mut kept, mut gone) = (Vec::new(), Vec::new());
-                for (worth, place) in line.drain(..) {
-                    let of = &self.terms.traffic[self.events[&place].traffic.0];
-                    let slope = (1.0 - of.payoff_at_end) / (of.patience - of.soft_limit).max(1.0);
-                    let bears = of.soft_limit + BEARABLE / slope;
-                    if kept.len() < 3 || kept.len() as f64 <= bears * usual {
-                        kept.push((worth, place));
-                    } else {
-                        gone.push(place);
-                    }
-                }
-                *line = kept;
-                out.extend(gone);
-            }
-        }
-        let held = self.events.len() - ended.len() - out.len();
-        for _ in (self.terms.room as f64 * FILLED) as usize..held {
-            out.extend(
-                waiting.values_mut().max_by_key(|line| line.len()).and_then(|line| line.pop()).map(|e| e.1),
-            );
+    /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
+    fn release(&mut self, now: Ms, stagger: Ms) {
+        if self.offline {
+            self.next_slot = self.next_slot.max(now + stagger);
         }
-        out
+        self.answered_at = now;
+        self.offline = false;
+        self.failures = 0;
     }
 
-    /// What the event would pay if it were delivered now.
-    fn worth(&self, event: &Event) -> f64 {
-        let of = &self.terms.traffic[event.traffic.0];
-        let age = self.now - (event.patience_ends - of.patience);
-        let late = ((age - of.soft_limit) / (of.patience - of.soft_limit).max(1.0)).clamp(0.0, 1.0);
-        of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
+    /// Nothing is out and no wait or cold time is still to be kept.
+    fn is_idle(&self, now: Ms) -> bool {
+        let out = self.ping_out || self.targets.iter().any(|target| target.out > 0);
+        !out && self.closed_until <= now && self.cold_since.is_none()
     }
+}
 
-    fn forget_if_over(&mut self, place: u64) {
-        let event = &self.events[&place];
-        if !event.over || event.call.is_some() {
-            return;
-        }
-        let event = self.events.remove(&place).expect("held");
-        self.places.remove(&event.id);
-        if let Some(key) = event.key {
-            let line = self.keys.get_mut(&key).expect("queued");
-            line.queue.retain(|&p| p != place);
+impl Here {
+    /// When an offline lane gets its next ping.
+    fn ping_due(&self, lane: &Lane) -> Ms {
+        let pings = self.terms.pings_allowed && lane.offline && !lane.ping_out;
+        let due = pings && lane.running().next().is_some();
+        if due {
+            lane.ping_at.max(lane.closed_until)
+        } else {
+            f64::INFINITY
         }
     }
 
-    // ---- sends ----
-
-    fn dispatch(&mut self, out: &mut impl Decisions) {
-        let now = self.now;
-        let mut ready: BTreeMap<DestinationId, VecDeque<u64>> = BTreeMap::new();
-        let mut wake = f64::INFINITY;
-        for (&place, event) in &self.events {
-            if !event.is_held() {
-                continue;
-            }
-            wake = wake.min(event.patience_ends - LAST_MOMENT);
-            if let (Some((sent, _)), Effect::Fingerprinted { window, .. }) =
-                (event.may_have_run, self.terms.traffic[event.traffic.0].effect)
-            {
-                wake = wake.min(sent + window);
-            }
-            let line = event.key.map(|key| &self.keys[&key]);
-            if line.is_some_and(|line| line.queue.front() != Some(&place)) {
-                continue;
-            }
-            // The rest holds back those behind the event that was cut short, not its own next send.
-            let rest = if event.sends > 0 { 0.0 } else { line.map_or(0.0, |line| line.rests_until) };
-            let from = event.not_before.max(rest);
-            if from > now {
-                wake = wake.min(from);
-            } else {
-                ready.entry(event.destination).or_default().push_back(place);
-            }
-        }
-        self.wake(wake);
-        while self.calls.len() < self.terms.slots && self.send_next(&mut ready, out) {}
+    /// A second, longer where many forwarders would ping: pings are cold load too, and use up a limit. All
+    /// together send four a second at most.
+    fn ping_pause(&mut self) -> Ms {
+        PING * (self.terms.forwarders / 4.0).max(1.0) * jitter(self.draw(0))
     }
 
-    /// One call, to the destination with the fewest out; false when none can take one.
-    fn send_next(
-        &mut self,
-        ready: &mut BTreeMap<DestinationId, VecDeque<u64>>,
-        out: &mut impl Decisions,
-    ) -> bool {
-        let mut turns: Vec<(usize, u64, DestinationId)> = Vec::new();
-        for (&id, heads) in ready.iter() {
-            if !heads.is_empty() {
-                let out = self.calls.values().filter(|c| self.targets[&c.target].destination == id).count();
-                turns.push((out, self.destinations[&id].turn, id));
-            }
-        }
-        turns.sort();
-        for (_, _, id) in turns {
-            let mut open = Vec::new();
-            for target in self.running(id) {
-                let lane = self.targets[&target].lane.clone();
-                let at = self.opens_at(&lane);
-                if at <= self.now {
-                    open.push(target);
-                } else {
-                    self.wake(at);
-                }
-            }
-            let heads = ready.get_mut(&id).expect("chosen");
-            for index in 0..heads.len() {
-                let Some(target) = self.pick(heads[index], &open) else { continue };
-                let most = self.terms.kinds[self.targets[&target].kind.0].events_per_call.max(1);
-                let cold = self.lanes[&self.targets[&target].lane].cold_since.is_some();
-                let most = if cold { most.min(1 + (1.0 / RIDER) as usize) } else { most };
-                let mut aboard = Vec::new();
-                let mut at = index;
-                while at < heads.len() && aboard.len() < most {
-                    if self.may_go(heads[at], &target) {
-                        aboard.push(heads.remove(at).expect("in range"));
-                    } else {
-                        at += 1;
-                    }
-                }
-                self.call(id, target, aboard, out);
-                return true;
-            }
-            heads.clear();
+    /// When the event may no longer be sent again because it may have run.
+    fn window_ends(&self, event: &Event) -> Ms {
+        match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
+            (Some((sent, _)), Effect::Fingerprinted { window, .. }) => sent + window,
+            _ => f64::INFINITY,
         }
-        false
     }
 
-    fn may_go(&self, place: u64, target: &TargetId) -> bool {
-        let event = &self.events[&place];
-        match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
-            (Some((_, zone)), Effect::Fingerprinted { one_zone: true, .. }) => {
-                self.targets[target].zone == zone
-            }
-            _ => true,
-        }
+    /// What the event would pay if it were delivered now.
+    fn worth(&self, event: &Event) -> f64 {
+        let of = &self.terms.traffic[event.traffic.0];
+        let age = self.now - (event.patience_ends - of.patience);
+        let late = ((age - of.soft_limit) / (of.patience - of.soft_limit).max(1.0)).clamp(0.0, 1.0);
+        of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
     }
 
-    /// Two targets drawn at random, and the one that our own counts favour: not just failed, fewer calls out.
-    fn pick(&mut self, place: u64, open: &[TargetId]) -> Option<TargetId> {
-        let fit: Vec<&TargetId> = open.iter().filter(|target| self.may_go(place, target)).collect();
-        let drawn = |chance: f64, of: usize| ((chance * of as f64) as usize).min(of.saturating_sub(1));
-        let well: Vec<&TargetId> =
-            fit.iter().copied().filter(|t| self.targets[*t].shunned_until <= self.now).collect();
-        let from = if well.is_empty() { fit } else { well };
-        if from.is_empty() {
-            return None;
-        }
-        let one = drawn(self.draw(place), from.len());
-        let other = (one + 1 + drawn(self.draw(place), from.len().max(2) - 1)) % from.len();
-        let count = |t: &TargetId| self.calls.values().filter(|c| c.target == *t).count();
-        let weigh = |t: &TargetId| (count(t) as f64, self.fee(t));
-        let favoured = if weigh(from[other]) < weigh(from[one]) { other } else { one };
-        Some(from[favoured].clone())
+    fn may_go(&self, event: &Event, target: &Target) -> bool {
+        let effect = self.terms.traffic[event.traffic.0].effect;
+        let bound = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
+        !bound || event.may_have_run.is_none_or(|(_, zone)| zone == target.zone)
     }
 
     /// What an event costs that goes to the target, by the terms' figures; it settles ties of the counts.
-    fn fee(&self, id: &TargetId) -> f64 {
-        let target = &self.targets[id];
+    fn fee(&self, target: &Target, apart: bool) -> f64 {
         let crossing = if target.zone == self.terms.zone { 0.0 } else { self.terms.crossing_fee };
-        let apart = matches!(target.lane, LaneId::Route(_));
         crossing + self.terms.route_fees.get(target.zone.0).filter(|_| apart).copied().unwrap_or(0.0)
     }
 
-    fn call(&mut self, id: DestinationId, target: TargetId, aboard: Vec<u64>, out: &mut impl Decisions) {
-        let now = self.now;
-        let lane_id = self.targets[&target].lane.clone();
-        let usual = self.usual_answer(&lane_id);
-        self.calls_made += 1;
-        // Few answers take six times the usual. With the slots nearly all out, calls that get no answer must
-        // not pin them: three times, which cuts a few slow answers short. Guards against losses, hangs and
-        // stalls.
-        let scarce = 4 * self.calls.len() >= 3 * self.terms.slots;
-        let (times, least) = if scarce { (3.0, 800.0) } else { (6.0, 1500.0) };
-        self.destinations.get_mut(&id).expect("chosen").turn = self.calls_made;
-        for &place in &aboard {
-            let event = self.events.get_mut(&place).expect("ready");
-            // A binding event cannot be sent again: it is given twice the time.
-            let given = match self.terms.traffic[event.traffic.0].effect {
-                Effect::Binding if !scarce => 2.0,
-                _ => 1.0,
-            };
-            let time_out = (given * (times * usual).clamp(least, 8000.0)).min(event.patience_ends - now);
-            event.call = Some(self.calls_made);
-            event.sends += 1;
-            out.send(&event.id, &target, time_out);
-        }
-        if let Some(rate) = self.rate(&lane_id) {
-            let lane = self.lanes.get_mut(&lane_id).expect("listed");
-            let weight = 1.0 + RIDER * (aboard.len() - 1) as f64;
-            lane.next_slot = lane.next_slot.max(now) + weight * 1000.0 / rate;
-        }
-        self.lanes.get_mut(&lane_id).expect("listed").sent.add(now, RECENT, 1.0);
-        let call = Call { lane: lane_id, target, sent: now, members: aboard.len(), judged: false };
-        self.calls.insert(self.calls_made, call);
-    }
-
-    /// The pause of a head after its failures: half a second, doubling, jittered by a quarter either way.
-    fn pause(&mut self, place: u64) -> Ms {
-        let chance = self.draw(place);
-        let failures = self.events[&place].failures.min(5);
-        500.0 * f64::powi(2.0, failures) * jitter(chance)
-    }
-
-    fn wake(&mut self, at: Ms) {
-        if at > self.now {
-            self.wake_at = self.wake_at.min(at);
-        }
-    }
-
     fn draw(&mut self, id: u64) -> f64 {
         self.draws += 1;
         let mut hasher = DefaultHasher::new();
@@ -706,20 +728,3 @@
 const RIDER: f64 = 0.25;
 /// Held events end this long before patience does, so that the answer's round is in time.
 const LAST_MOMENT: Ms = 30.0;
-
-impl Lane {
-    /// Cold from now on, or from the end of a told wait: a late time-out does not shorten it.
-    fn chill(&mut self, now: Ms) {
-        self.cold_since = Some(self.cold_since.unwrap_or(now).max(now).max(self.closed_until));
-    }
-
-    /// Back in turn: of many forwarders released by one answer each, the first calls are spread as well.
-    fn release(&mut self, now: Ms, stagger: Ms) {
-        if self.offline {
-            self.next_slot = self.next_slot.max(now + stagger);
-        }
-        self.answered_at = now;
-        self.offline = false;
-        self.failures = 0;
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -23,7 +23,7 @@
 pub struct TrafficId(pub usize);
 
 /// Position in [`Terms::kinds`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KindId(pub usize);
 
 /// Position in the host's list of zones.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,38 +1,65 @@
 //! What the decision module keeps between rounds. Nothing is decided here and no value is tuned.
 
-use std::collections::VecDeque;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
 
-/// What shares one limit, one health and one wait: a destination, or one of its routes where they are apart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum LaneId {
-    Destination(DestinationId),
-    Route(TargetId),
+/// A time that can be sorted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Moment(pub(crate) Ms);
+
+impl Eq for Moment {}
+
+impl Ord for Moment {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Moment {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
 }
 
 /// A sum that fades with a given time constant, brought up to date when it is read.
 #[derive(Default)]
 pub(crate) struct Fading {
-    pub(crate) sum: f64,
-    pub(crate) at: Ms,
+    sum: f64,
+    at: Ms,
 }
 
 impl Fading {
-    pub(crate) fn read(&mut self, now: Ms, constant: Ms) -> f64 {
-        self.sum *= (-(now - self.at).max(0.0) / constant).exp();
-        self.at = now;
-        self.sum
+    pub(crate) fn read(&self, now: Ms, constant: Ms) -> f64 {
+        self.sum * (-(now - self.at).max(0.0) / constant).exp()
     }
     pub(crate) fn add(&mut self, now: Ms, constant: Ms, amount: f64) {
-        self.sum = self.read(now, constant) + amount;
+        (self.sum, self.at) = (self.read(now, constant) + amount, now);
+    }
+}
+
+/// Answers and the time that they took.
+#[derive(Default)]
+pub(crate) struct AnswerTimes {
+    count: Fading,
+    time: Fading,
+}
+
+impl AnswerTimes {
+    /// The time that they took in all, and their number.
+    pub(crate) fn read(&self, now: Ms, constant: Ms) -> (Ms, f64) {
+        (self.time.read(now, constant), self.count.read(now, constant))
+    }
+    pub(crate) fn add(&mut self, now: Ms, constant: Ms, took: Ms) {
+        self.count.add(now, constant, 1.0);
+        self.time.add(now, constant, took);
     }
 }
 
 #[derive(Default)]
 pub(crate) struct Event {
     pub(crate) id: EventId,
-    pub(crate) destination: DestinationId,
     pub(crate) traffic: TrafficId,
     pub(crate) key: Option<OrderKey>,
     pub(crate) patience_ends: Ms,
@@ -54,12 +81,11 @@
 
 #[derive(Default)]
 pub(crate) struct KeyLine {
-    pub(crate) queue: VecDeque<u64>,
+    pub(crate) queue: VecDeque<(u64, DestinationId)>,
     pub(crate) rests_until: Ms,
 }
 
 pub(crate) struct Call {
-    pub(crate) lane: LaneId,
     pub(crate) target: TargetId,
     pub(crate) sent: Ms,
     pub(crate) members: usize,
@@ -67,17 +93,18 @@
 }
 
 pub(crate) struct Target {
-    pub(crate) destination: DestinationId,
-    pub(crate) lane: LaneId,
+    pub(crate) id: TargetId,
     pub(crate) zone: ZoneId,
-    pub(crate) kind: KindId,
     pub(crate) listing: Listing,
     pub(crate) failures: i32,
     pub(crate) shunned_until: Ms,
+    pub(crate) out: usize, // calls of ours
 }
 
+/// What shares one limit, one health and one wait: a destination, or one of its routes where they are apart.
 #[derive(Default)]
 pub(crate) struct Lane {
+    pub(crate) targets: Vec<Target>,
     pub(crate) failures: i32,
     pub(crate) offline: bool,
     pub(crate) ping_at: Ms,
@@ -95,15 +122,42 @@
     pub(crate) pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
     pub(crate) next_slot: Ms, // when the paced budget has room again
     pub(crate) sent: Fading,
-    pub(crate) answers: Fading,
-    pub(crate) answer_time: Fading,
+    pub(crate) answers: AnswerTimes,
 }
 
 #[derive(Default)]
 pub(crate) struct Destination {
-    pub(crate) targets: Vec<TargetId>,
+    pub(crate) kind: KindId,
+    pub(crate) lanes: Vec<Lane>,
+    pub(crate) events: BTreeMap<u64, Event>, // in the order taken
+    pub(crate) calls: BTreeMap<u64, Call>,
     pub(crate) offered: Fading,
     pub(crate) usual: Option<f64>, // its usual traffic, kept as it was when a lane of it went down or cold
     pub(crate) stated: f64,        // events a second for this forwarder, where the list states a limit
     pub(crate) turn: u64,
+    pub(crate) filed: (Moment, usize, Option<(usize, u64)>), // its places in the three rosters
+}
+
+impl Default for Moment {
+    fn default() -> Self {
+        Moment(f64::INFINITY)
+    }
+}
+
+impl Destination {
+    pub(crate) fn held(&self) -> usize {
+        self.events.values().filter(|event| event.is_held()).count()
+    }
+    pub(crate) fn lane_of(&self, id: &TargetId) -> Option<usize> {
+        self.lanes.iter().position(|lane| lane.target(id).is_some())
+    }
+}
+
+impl Lane {
+    pub(crate) fn target(&self, id: &TargetId) -> Option<&Target> {
+        self.targets.iter().find(|target| target.id == *id)
+    }
+    pub(crate) fn running(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(|target| target.listing == Listing::Running)
+    }
 }
