First calls after a long told wait follow the cold budget; refused heads pause longer

Change: after a told wait of over two seconds the first call is drawn from the spacing of the cold budget; a head's pause doubles with its sends, refused ones too. Two quiet seconds before the start instead of ten; the cold budget grows with any answer within five times the usual; idle connections close for ten seconds at a time after losses.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -200,7 +200,7 @@
                 here.reused.add(now, TREND, 1.0);
                 here.stale.add(now, TREND, matches!(fate, Fate::TimedOut | Fate::Reset) as u8 as f64);
                 if here.stale.read(now, TREND) > 0.4 + 0.05 * here.reused.read(now, TREND) {
-                    here.stale_until = now + REUSE;
+                    here.stale_until = now + 10_000.0;
                 }
             }
             to.judge(here, at, &target, fate, sent, wait, took);
@@ -216,7 +216,7 @@
         event.over |= complete || fate == Fate::Delivered;
         let failed = !matches!(fate, Fate::Delivered | Fate::Full | Fate::NotSent);
         // Half a second, doubling with the failures, jittered.
-        let pause = 500.0 * f64::powi(2.0, event.failures.min(5)) * jitter(here.draw(place));
+        let pause = 500.0 * f64::powi(2.0, event.sends.min(6) as i32 - 1) * jitter(here.draw(place));
         event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
         event.failures += failed as i32;
         if failed && fate != Fate::NoConnection {
@@ -393,6 +393,7 @@
     #[allow(clippy::too_many_arguments)]
     fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, fate: Fate, sent: Ms, wait: Ms, took: Ms) {
         let (now, chance) = (here.now, here.draw(1));
+        let cold_spacing = self.rate(here, at).map_or(0.0, |rate| 1000.0 / rate);
         let lane = &mut self.lanes[at];
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
@@ -405,7 +406,7 @@
                 // A cold destination that answers at its usual pace is under its limit: past that, answers
                 // slow down well before it tips.
                 let usual = lane.usual_answer(here);
-                lane.trust = if took < 2.0 * usual { (lane.trust.max(1.0) * 1.25).min(4.0) } else { 1.0 };
+                lane.trust = if took < 5.0 * usual { (lane.trust.max(1.0) * 1.25).min(4.0) } else { 1.0 };
                 lane.answers.add(now, MEMORY, took);
                 here.answers.add(now, MEMORY, took);
             }
@@ -422,7 +423,8 @@
                     // All that were refused, or told the same wait, must not come back together: the more
                     // forwarders, the wider they spread. Half and twice of it serve alike, small and large.
                     let spread = 250.0 * here.terms.forwarders.sqrt() * f64::powi(2.0, lane.refusals.min(4));
-                    lane.held_until = now + wait + spread * chance;
+                    let all = if wait > 2.0 * PING { spread.max(cold_spacing) } else { spread };
+                    lane.held_until = now + wait + all * chance;
                 }
                 // Refused again with nothing delivered between: it may be shut, and returns cold. Guards
                 // whatever refuses all; harmful where a tight limit looks the same for long.
@@ -582,7 +584,7 @@
     /// Events a second that usually come in for the destination, from what this forwarder took.
     fn usual(&self, here: &Here) -> f64 {
         // Some quiet seconds before the start are assumed, or a single clump after it would pass for usual.
-        let seen = 1.0 - (-(here.now - here.started + 10_000.0) / USUAL).exp();
+        let seen = 1.0 - (-(here.now - here.started + 2_000.0) / USUAL).exp();
         self.offered.read(here.now, USUAL) * 1000.0 / USUAL / seen
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -123,6 +123,37 @@
     assert!((1..12).contains(&early), "{early} of 20 in the first of four seconds");
 }
 
+/// Met in a hunt on sofia-main-later: a shut route told all forwarders when it opens, and all came within seconds.
+#[rstest]
+fn first_calls_after_a_long_told_wait_are_spread_by_the_cold_budget() {
+    let early = |seed: u64| {
+        let mut host = Host::new(|terms| (terms.seed, terms.forwarders) = (seed, 180.0));
+        host.take(60_000.0, "a", RETRIABLE, 1, None);
+        host.ends_with(60_001.0, "a", Fate::Full, 9000.0);
+        (0..70).map(|step| sends(&host.idle(69_002.0 + 100.0 * step as f64))).sum::<usize>()
+    };
+    let early: usize = (0..20).map(early).sum();
+    assert!(early <= 4, "{early} of 20 in seven seconds");
+}
+
+/// Met in the same hunt: refused by one route, an event went to the next at once, and round them all.
+#[rstest]
+fn a_head_that_is_refused_again_pauses_longer() {
+    let mut host = plain();
+    host.take(1.0, "a", RETRIABLE, 3, None);
+    let mut at = 1.0;
+    let mut gaps = Vec::new();
+    for _ in 0..3 {
+        host.ends(at, "a", Fate::Full);
+        let from = at;
+        while sends(&host.idle(at)) == 0 {
+            at += 10.0;
+        }
+        gaps.push(at - from);
+    }
+    assert!(gaps[0] < 400.0 && gaps[2] > 700.0, "{gaps:?}");
+}
+
 /// Met on amman-tyre-centres-later rough-2: idle connections were dropped unseen, and each call on one was lost.
 #[rstest]
 fn idle_connections_are_closed_once_calls_on_them_are_lost() {
