Slots are kept for destinations that answer; usual traffic is counted in calls

Change: a lane that failed last, or answers three times as slowly as is common, is in doubt; calls to such lanes have half of the slots at most, and others go first. Usual traffic is the lesser of events taken and calls made.

--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decision module keeps between rounds. Nothing is decided here and no value is tuned.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::interface::*;
 
@@ -85,11 +85,14 @@
     pub(crate) rests_until: Ms,
 }
 
+pub(crate) type Keys = HashMap<OrderKey, KeyLine>;
+
 pub(crate) struct Call {
     pub(crate) target: TargetId,
     pub(crate) sent: Ms,
     pub(crate) members: usize,
     pub(crate) judged: bool,
+    pub(crate) doubtful: bool,
     pub(crate) reuses: bool, // a connection that had been idle for some time
 }
 
@@ -126,15 +129,19 @@
     pub(crate) answers: AnswerTimes,
 }
 
+/// In doubt, calls out, and when it last had a turn: the least is next.
+pub(crate) type Turn = (bool, usize, u64);
+
 #[derive(Default)]
 pub(crate) struct Destination {
     pub(crate) kind: KindId,
     pub(crate) lanes: Vec<Lane>,
     pub(crate) events: BTreeMap<u64, Event>, // in the order taken
     pub(crate) calls: BTreeMap<u64, Call>,
-    pub(crate) offered: Fading,
+    pub(crate) offered: Fading, // events
+    pub(crate) called: Fading,  // calls, of one event or several
     pub(crate) turn: u64,
-    pub(crate) filed: (Moment, usize, Option<(usize, u64)>), // its places in the three rosters
+    pub(crate) filed: (Moment, usize, Option<Turn>), // its places in the three rosters
 }
 
 impl Default for Moment {
