--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,8 +3,7 @@
 //! straight into the writer passed with the call. Ids, terms and the writer stand in `interface.rs`,
 //! what is kept between rounds in `state.rs`.
 //! A round looks only at destinations that something came in for or is due at. Each stands in three rosters
-//! (when something is due, whose turn it is, how much waits) and is filed anew when it changes.
-//! docs/design.md tells the mechanism and when each exception from it acts.
+//! (when something is due, whose turn it is, how much waits), filed anew when it changes; see docs/design.md.
 
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
@@ -573,12 +572,13 @@
         rate.is_finite().then_some(rate)
     }
 
-    /// What usually goes to the destination a second: events taken, or calls, if fewer: one may carry several
-    /// events, and what clients hand in again in an outage is no usual traffic.
+    /// What usually goes to the destination a second: events taken, or calls, if far fewer, as one may carry
+    /// several; what comes again in an outage is not usual. Half more calls: they are fewest in trouble.
     fn usual(&self, here: &Here) -> f64 {
         // Some quiet seconds before the start are assumed, or a single clump after it would pass for usual.
         let seen = 1.0 - (-(here.now - here.started + 2_000.0) / USUAL).exp();
-        self.offered.read(here.now, USUAL).min(self.called.read(here.now, USUAL)) * 1000.0 / USUAL / seen
+        let counted = |sum: &Fading| sum.read(here.now, USUAL) * 1000.0 / USUAL / seen;
+        counted(&self.offered).min(1.5 * counted(&self.called))
     }
 
     /// A second, or as the cold budget asks: half is for pings, half for the heads that an answer lets go.
