One piece each for the common answer, finding a target and running lanes; dead state out

The failures of an event were counted and no longer read; the common answer time, the search for a target and the check for running targets stood two to five times; the cold spacing was worked out at each outcome and used only after a long told wait. The fake host no longer keeps time-outs that no story reads.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -121,9 +121,8 @@
 
     pub fn left(&mut self, id: &TargetId) {
         let Some(&of) = self.homes.get(id) else { return };
-        let lanes = &mut self.destinations.get_mut(&of).expect("a home").lanes;
-        let found = lanes.iter_mut().flat_map(|lane| &mut lane.targets).find(|target| target.id == *id);
-        found.expect("at home").listing = Listing::Gone;
+        let home = self.destinations.get_mut(&of).expect("a home");
+        home.target_mut(id).expect("at home").listing = Listing::Gone;
         self.changed.insert(of);
     }
 
@@ -132,8 +131,7 @@
         self.changed.insert(of);
         let destination = self.destinations.entry(of).or_default();
         destination.kind = kind;
-        let known = destination.lanes.iter_mut().flat_map(|lane| &mut lane.targets).find(|t| t.id == id);
-        if let Some(target) = known {
+        if let Some(target) = destination.target_mut(&id) {
             target.listing = listing;
             return;
         }
@@ -213,17 +211,16 @@
         if last {
             self.doubtful_out -= to.calls.remove(&number).expect("seen").doubtful as usize;
             self.calls_out -= 1;
-            let called = to.lanes[at].targets.iter_mut().find(|t| t.id == target).expect("found");
+            let called = to.lanes[at].target_mut(&target).expect("found");
             called.out -= 1;
             called.idle_since = (called.out == 0).then_some(now);
         }
         let event = to.events.get_mut(&place).expect("placed");
         event.over |= complete || fate == Fate::Delivered;
         let failed = !matches!(fate, Fate::Delivered | Fate::Full | Fate::NotSent);
-        // Half a second, doubling with the failures, jittered.
+        // Half a second, doubling with its sends, jittered.
         let pause = 500.0 * f64::powi(2.0, event.sends.min(6) as i32 - 1) * jitter(here.draw(place));
         event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
-        event.failures += failed as i32;
         if failed && fate != Fate::NoConnection {
             event.may_have_run.get_or_insert((sent, zone));
             event.hopeless |= here.terms.traffic[event.traffic.0].effect == Effect::Binding;
@@ -248,8 +245,7 @@
         (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
             lane.release(now);
-            let pinged = lane.targets.iter_mut().find(|t| t.id == *target).expect("at home");
-            pinged.connects(&mut self.here, to.kind);
+            lane.target_mut(target).expect("at home").connects(&mut self.here, to.kind);
         } else {
             lane.chill(now);
         }
@@ -411,7 +407,8 @@
     #[allow(clippy::too_many_arguments)]
     fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, fate: Fate, sent: Ms, wait: Ms, took: Ms) {
         let (now, chance) = (here.now, here.draw(1));
-        let cold_spacing = self.rate(here, at).map_or(0.0, |rate| 1000.0 / rate);
+        let shut = self.rate(here, at).filter(|_| wait > 2.0 * PING);
+        let cold_spacing = shut.map_or(0.0, |rate| 1000.0 / rate);
         let lane = &mut self.lanes[at];
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
@@ -440,8 +437,7 @@
                     // All that were refused, or told the same wait, must not come back together: the more
                     // forwarders, the wider they spread. Half and twice of it serve alike, small and large.
                     let spread = 250.0 * here.terms.forwarders.sqrt() * f64::powi(2.0, lane.refusals.min(4));
-                    let all = if wait > 2.0 * PING { spread.max(cold_spacing) } else { spread };
-                    lane.held_until = now + wait + all * chance;
+                    lane.held_until = now + wait + spread.max(cold_spacing) * chance;
                 }
                 // Refused again with nothing delivered between: it may be shut, and returns cold. Guards
                 // whatever refuses all; harmful where a tight limit looks the same for long.
@@ -503,7 +499,8 @@
     fn next_check(&self, here: &Here) -> Ms {
         let held = self.events.values().filter(|event| event.is_held());
         let ends = held.map(|event| here.window_ends(event).min(event.patience_ends - LAST_MOMENT));
-        let pings = self.lanes.iter().map(|lane| here.ping_due(lane, self.held() > 0));
+        let wanted = self.held() > 0;
+        let pings = self.lanes.iter().map(|lane| here.ping_due(lane, wanted));
         let idle = self.lanes.iter().flat_map(|lane| &lane.targets).filter_map(|t| t.idle_since);
         let closing = idle.filter(|_| here.closes(self.kind)).map(|since| since + BRIEF);
         ends.chain(pings).chain(closing).fold(f64::INFINITY, f64::min)
@@ -518,7 +515,7 @@
             let running = lane.targets.iter().enumerate().filter(|(_, t)| t.listing == Listing::Running);
             if from <= here.now {
                 open.extend(running.map(|(target, _)| (at, target)));
-            } else if lane.running().next().is_some() {
+            } else if lane.runs() {
                 opens = opens.min(from);
             }
         }
@@ -565,7 +562,7 @@
         if let Some(since) = lane.cold_since.filter(|_| lane.is_cold(here)).map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
-            let lanes = self.lanes.iter().filter(|lane| lane.running().next().is_some()).count();
+            let lanes = self.lanes.iter().filter(|lane| lane.runs()).count();
             let usual = self.usual(here) / lanes.max(1) as f64;
             rate = rate.min((BUDGET * terms.tip_multiple * warm * usual).max(least) * lane.trust.max(1.0));
         }
@@ -600,17 +597,15 @@
 }
 
 impl Lane {
-    /// Its own answers outweigh those of the others after two; until anything has answered, a second.
+    /// Its own answers outweigh those of the others after two.
     fn usual_answer(&self, here: &Here) -> Ms {
-        let (all_time, all) = here.answers.read(here.now, MEMORY);
         let (own_time, own) = self.answers.read(here.now, MEMORY);
-        (own_time + 2.0 * (all_time + 1000.0) / (all + 1.0)) / (own + 2.0)
+        (own_time + 2.0 * here.common_answer()) / (own + 2.0)
     }
 
     /// It failed last, or answers three times as slowly as is common.
     fn in_doubt(&self, here: &Here) -> bool {
-        let (time, count) = here.answers.read(here.now, MEMORY);
-        self.failures > 0 || self.usual_answer(here) > 3.0 * (time + 1000.0) / (count + 1.0)
+        self.failures > 0 || self.usual_answer(here) > 3.0 * here.common_answer()
     }
 
     /// Cold from now on, or from the end of a told wait: a late time-out does not shorten it.
@@ -661,11 +656,16 @@
         self.now < self.stale_until || self.cramped[kind.0].read(self.now, REUSE) > 0.4
     }
 
+    /// What an answer takes at all destinations; until anything has answered, a second.
+    fn common_answer(&self) -> Ms {
+        let (time, count) = self.answers.read(self.now, MEMORY);
+        (time + 1000.0) / (count + 1.0)
+    }
+
     /// When an offline lane gets its next ping.
     fn ping_due(&self, lane: &Lane, wanted: bool) -> Ms {
         let pings = wanted && self.terms.pings_allowed && lane.offline && !lane.ping_out;
-        let due = pings && lane.running().next().is_some();
-        if due {
+        if pings && lane.runs() {
             lane.ping_at.max(lane.closed_until)
         } else {
             f64::INFINITY
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,13 @@
 
 impl Eq for Moment {}
 
+/// Never.
+impl Default for Moment {
+    fn default() -> Self {
+        Moment(f64::INFINITY)
+    }
+}
+
 impl Ord for Moment {
     fn cmp(&self, other: &Self) -> Ordering {
         self.0.total_cmp(&other.0)
@@ -66,7 +73,6 @@
     pub(crate) sends: u32,
     pub(crate) call: Option<u64>,
     pub(crate) not_before: Ms,
-    pub(crate) failures: i32,
     pub(crate) may_have_run: Option<(Ms, ZoneId)>, // when and where the first send went that may have run
     pub(crate) hopeless: bool,
     pub(crate) over: bool, // answered, and kept only until its send has ended
@@ -144,12 +150,6 @@
     pub(crate) filed: (Moment, usize, Option<Turn>), // its places in the three rosters
 }
 
-impl Default for Moment {
-    fn default() -> Self {
-        Moment(f64::INFINITY)
-    }
-}
-
 impl Destination {
     pub(crate) fn held(&self) -> usize {
         self.events.values().filter(|event| event.is_held()).count()
@@ -157,12 +157,21 @@
     pub(crate) fn lane_of(&self, id: &TargetId) -> Option<usize> {
         self.lanes.iter().position(|lane| lane.target(id).is_some())
     }
+    pub(crate) fn target_mut(&mut self, id: &TargetId) -> Option<&mut Target> {
+        self.lanes.iter_mut().find_map(|lane| lane.target_mut(id))
+    }
 }
 
 impl Lane {
     pub(crate) fn target(&self, id: &TargetId) -> Option<&Target> {
         self.targets.iter().find(|target| target.id == *id)
     }
+    pub(crate) fn target_mut(&mut self, id: &TargetId) -> Option<&mut Target> {
+        self.targets.iter_mut().find(|target| target.id == *id)
+    }
+    pub(crate) fn runs(&self) -> bool {
+        self.running().next().is_some()
+    }
     pub(crate) fn running(&self) -> impl Iterator<Item = &Target> {
         self.targets.iter().filter(|target| target.listing == Listing::Running)
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -10,7 +10,6 @@
 pub struct Host {
     pub forwarder: Forwarder,
     pub now: Ms,
-    pub time_outs: Vec<Ms>, // of the last round's sends
 }
 
 /// One forwarder of two, with 8 slots and room for 40; kind 0 shares a limit, kind 1 has routes apart and
@@ -65,7 +64,7 @@
     pub fn new(change: impl FnOnce(&mut Terms)) -> Self {
         let mut terms = terms();
         change(&mut terms);
-        let mut host = Host { forwarder: Forwarder::start(terms, 0.0), now: 0.0, time_outs: Vec::new() };
+        let mut host = Host { forwarder: Forwarder::start(terms, 0.0), now: 0.0 };
         host.at(0.0, |f| {
             for (name, of, kind) in [("t", 1, 0), ("u", 2, 0), ("v", 3, 1), ("w", 3, 1)] {
                 f.listed(target(name), DestinationId(of), KindId(kind), ZoneId(0), Listing::Running);
@@ -77,14 +76,13 @@
     /// A round at `now`; wake-ups are left out of what it returns.
     pub fn at(&mut self, now: Ms, came_in: impl FnOnce(&mut Forwarder)) -> Vec<String> {
         self.now = now;
-        let mut told = Told(Vec::new(), Vec::new());
+        let mut told = Told(Vec::new());
         let hand_over = |forwarder: &mut Forwarder| {
             forwarder.woken();
             came_in(forwarder);
             Ok::<(), Unknown>(())
         };
         self.forwarder.round(now, hand_over, &mut told).expect("the story names only what it introduced");
-        self.time_outs = told.1;
         told.0
     }
 
@@ -140,11 +138,11 @@
     told.iter().filter(|word| word.starts_with("send")).count()
 }
 
-struct Told(Vec<String>, Vec<Ms>);
+struct Told(Vec<String>);
 
 impl Decisions for Told {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
-        self.1.push(time_out);
+        assert!(time_out > 0.0);
         self.0.push(format!("send {} to {}", event.0, target.0));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) {
