--- /dev/null
+++ b/forwarder/src/clients.rs
@@ -0,0 +1,382 @@
+//! Client connections: each has an actor that reads requests, hands events to the decisions and answers.
+
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
+use plankhill::interface::*;
+use plankhill_buffers::Buffer;
+use plankhill_http1::{self as http1, Chunks, HeadSearch, Malformed, RequestHead};
+use plankhill_terms::Told;
+use slog::{debug, info, warn};
+
+use crate::exchange::{is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
+use crate::rounds::{CameIn, Handed, Verdict};
+use crate::Common;
+
+/// A request whose first byte has come has to be whole within that time.
+const READING: Duration = Duration::from_secs(10);
+/// An answer that is not read within that time is given up.
+const WRITING: Duration = Duration::from_secs(5);
+
+/// A refusal that is no decision on an event: what is wrong with the request.
+struct Refusal(u16, &'static str);
+
+impl From<Malformed> for Refusal {
+    fn from(Malformed(what): Malformed) -> Self {
+        Refusal(400, what)
+    }
+}
+
+/// One of the connections open.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub async fn listen(
+    common: Common,
+    listener: Async<TcpListener>,
+    to_rounds: Sender<CameIn>,
+    closing: Receiver<()>,
+) {
+    let open = Rc::new(Cell::new(0));
+    // Half of the sockets are the clients', and an eighth is for telling more of them that it is full.
+    let (most, at_all) = (common.told.sockets / 2, common.told.sockets * 5 / 8);
+    let mut incoming = Box::pin(listener.incoming());
+    while let Some(stream) = incoming.next().await {
+        match stream {
+            Ok(stream) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                let counted = Counted::new(&open);
+                let client = Client {
+                    common: common.clone(),
+                    to_rounds: to_rounds.clone(),
+                    closing: closing.clone(),
+                    stream,
+                    full: open.get() > most,
+                    _counted: counted,
+                };
+                common.executor.spawn(client.run()).detach();
+            }
+            Err(e) => {
+                warn!(common.log, "a connection cannot be accepted"; "error" => %e);
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+        while open.get() >= at_all {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+struct Client {
+    common: Common,
+    to_rounds: Sender<CameIn>,
+    closing: Receiver<()>,
+    stream: Stream,
+    full: bool,
+    _counted: Counted,
+}
+
+/// What is left in a buffer of the next request.
+struct Unread {
+    buffer: Buffer,
+    filled: usize,
+}
+
+impl Client {
+    async fn run(mut self) {
+        let mut unread = None;
+        loop {
+            if unread.is_none() && !self.has_more().await {
+                return;
+            }
+            let began = Instant::now();
+            let refused = match unread.take().or_else(|| self.fresh()) {
+                Some(next) => match until(began + READING, self.request(next)).await {
+                    Some(Ok(rest)) => {
+                        unread = match rest {
+                            Some(rest) => rest,
+                            None => return,
+                        };
+                        continue;
+                    }
+                    Some(Err(refusal)) => refusal,
+                    None => Refusal(408, "the request took too long"),
+                },
+                None => {
+                    self.respond(503, &[("Retry-After", &1)], "no memory for more requests", true).await;
+                    return;
+                }
+            };
+            info!(self.common.log, "a request is refused"; "status" => refused.0, "why" => refused.1);
+            let allow: [(&str, &dyn std::fmt::Display); 1] = [("Allow", &"GET, POST")];
+            self.respond(refused.0, &allow[..(refused.0 == 405) as usize], refused.1, true).await;
+            return;
+        }
+    }
+
+    fn fresh(&self) -> Option<Unread> {
+        self.common.pool.take().map(|buffer| Unread { buffer, filled: 0 })
+    }
+
+    /// Waits for the next request without a buffer; false if the client is gone or the connection closes.
+    async fn has_more(&mut self) -> bool {
+        let closes = async {
+            let _ = self.closing.recv().await;
+        };
+        let readable = async {
+            let _ = self.stream.readable().await;
+        };
+        future::or(readable, closes).await;
+        // What has been read by then is still answered.
+        !self.closing.is_closed() || !is_quiet(&self.stream)
+    }
+
+    /// Reads one request and answers it. Returns what follows it, or None if the connection is over.
+    async fn request(&mut self, next: Unread) -> Result<Option<Option<Unread>>, Refusal> {
+        let Unread { mut buffer, mut filled } = next;
+        let mut search = HeadSearch::default();
+        let end = loop {
+            let blank = buffer[..filled].starts_with(b"\r\n");
+            if blank {
+                buffer.copy_within(2..filled, 0);
+                filled -= 2;
+                search = HeadSearch::default();
+                continue;
+            }
+            if let Some(end) = search.end(&buffer[..filled]) {
+                break end;
+            }
+            if filled > LONGEST_HEAD {
+                return Err(Refusal(400, "the head is too long"));
+            }
+            if !self.more(&mut buffer, &mut filled).await {
+                return Ok(None);
+            }
+        };
+        if end > LONGEST_HEAD {
+            return Err(Refusal(400, "the head is too long"));
+        }
+        let head = RequestHead::read(&buffer[..end])?;
+        let (body, closes) = (head.body, head.closes || self.full);
+        if head.expects_continue && filled == end {
+            let mut told = Vec::new();
+            http1::response(&mut told, 100, &[], 0);
+            let _ = self.stream.write_all(&told).await;
+        }
+        let asked = read_fields(&head, &self.common.told);
+        let (data, rest) = match body {
+            http1::Body::Chunked => {
+                let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
+                while !chunks.decode(&mut buffer, &mut read, &mut write, filled)? {
+                    if write - end > LONGEST_BODY || filled == buffer.len() {
+                        return Err(Refusal(413, "the body is too long"));
+                    }
+                    // What was decoded makes room.
+                    buffer.copy_within(read..filled, write);
+                    (filled, read) = (filled - (read - write), write);
+                    if !self.more(&mut buffer, &mut filled).await {
+                        return Ok(None);
+                    }
+                }
+                (end..write, read)
+            }
+            http1::Body::Length(length) if length <= LONGEST_BODY as u64 => {
+                let whole = end + length as usize;
+                while filled < whole {
+                    if !self.more(&mut buffer, &mut filled).await {
+                        return Ok(None);
+                    }
+                }
+                (end..whole, whole)
+            }
+            _ => return Err(Refusal(413, "the body is too long")),
+        };
+        if data.len() > LONGEST_BODY {
+            return Err(Refusal(413, "the body is too long"));
+        }
+        let asked = asked?;
+        let unread = match filled > rest {
+            true => {
+                let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
+                next.buffer[..filled - rest].copy_from_slice(&buffer[rest..filled]);
+                next.filled = filled - rest;
+                Some(next)
+            }
+            false => None,
+        };
+        let closes = closes || self.closing.is_closed();
+        let stays = match asked {
+            Asked::Up => {
+                let up = !self.closing.is_closed();
+                self.respond(if up { 200 } else { 503 }, &[], "", closes).await
+            }
+            Asked::Event(event) => self.event(event, buffer, data, closes, unread.is_some()).await,
+        };
+        Ok((stays && !closes).then_some(unread))
+    }
+
+    async fn more(&mut self, buffer: &mut Buffer, filled: &mut usize) -> bool {
+        let read = self.stream.read(&mut buffer[*filled..]).await.unwrap_or(0);
+        *filled += read;
+        read > 0
+    }
+
+    async fn event(
+        &mut self,
+        asked: Event,
+        buffer: Buffer,
+        data: Range<usize>,
+        closes: bool,
+        more: bool,
+    ) -> bool {
+        // A client that has already gone is not served: after a stall many have.
+        if !more && !is_quiet(&self.stream) && self.is_gone() {
+            return false;
+        }
+        let (answer, verdict) = async_channel::bounded(1);
+        let id = asked.id.clone();
+        let refusing = self.full || self.closing.is_closed();
+        let verdict = if refusing {
+            Some(Verdict::Refused(self.common.told.terms.longest_advice))
+        } else {
+            let handed = Handed {
+                id: asked.id,
+                destination: asked.destination,
+                traffic: asked.traffic,
+                patience_ends: self.common.clock.now() + asked.patience,
+                key: asked.key,
+                fingerprint: asked.fingerprint,
+                body: Body::new(buffer, data),
+                answer,
+            };
+            if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
+                return false;
+            }
+            let answered = async { verdict.recv().await.ok() };
+            let gone = async {
+                loop {
+                    let _ = self.stream.readable().await;
+                    if more || !self.is_gone() {
+                        future::pending::<()>().await;
+                    }
+                    return None;
+                }
+            };
+            future::or(answered, gone).await
+        };
+        let told = match verdict {
+            Some(Verdict::TakenOn) => self.respond(202, &[], "", closes).await,
+            Some(Verdict::Refused(wait)) => {
+                let wait = wait.map(|wait| format!("{:.3}", wait / 1000.0));
+                let field = wait.as_ref().map(|wait| ("Retry-After", wait as &dyn std::fmt::Display));
+                return self.respond(503, field.as_slice(), "", closes).await;
+            }
+            Some(Verdict::Failed) => return self.respond(500, &[], "", closes).await,
+            None => false,
+        };
+        if !told {
+            debug!(self.common.log, "a client left before its answer"; "event" => &*id.0);
+            let _ = self.to_rounds.send(CameIn::Withdrawn(id)).await;
+        }
+        told
+    }
+
+    /// Whether the client has closed its side or broken off.
+    fn is_gone(&self) -> bool {
+        let mut byte = [0];
+        match self.stream.get_ref().peek(&mut byte) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Whether the answer was written.
+    async fn respond(
+        &mut self,
+        status: u16,
+        fields: &[(&str, &dyn std::fmt::Display)],
+        text: &str,
+        closes: bool,
+    ) -> bool {
+        let mut fields = fields.to_vec();
+        if closes {
+            fields.push(("Connection", &"close"));
+        }
+        let mut message = Vec::with_capacity(128);
+        http1::response(&mut message, status, &fields, text.len());
+        message.extend_from_slice(text.as_bytes());
+        let written = until(Instant::now() + WRITING, self.stream.write_all(&message)).await;
+        matches!(written, Some(Ok(())))
+    }
+}
+
+enum Asked {
+    Up,
+    Event(Event),
+}
+
+/// What the head of a request says of its event.
+struct Event {
+    id: EventId,
+    destination: DestinationId,
+    traffic: TrafficId,
+    patience: Ms,
+    key: Option<OrderKey>,
+    fingerprint: Option<Rc<str>>,
+}
+
+fn read_fields(head: &RequestHead, told: &Told) -> Result<Asked, Refusal> {
+    if head.path() == "/up" {
+        return if head.method == "GET" {
+            Ok(Asked::Up)
+        } else {
+            Err(Refusal(405, "only GET is served here"))
+        };
+    }
+    let class = head.path().split('/').nth(1).unwrap_or_default();
+    let traffic = told.names.traffic.iter().position(|name| name == class);
+    let traffic = traffic.map(TrafficId).ok_or(Refusal(404, "no such traffic type"))?;
+    if head.method != "POST" {
+        return Err(Refusal(405, "only POST is served here"));
+    }
+    let (fields, kind) = (&head.fields, &told.terms.traffic[traffic.0]);
+    let id = fields.one("Req-Id")?.filter(|id| !id.is_empty() && id.len() <= 128);
+    let patience = fields.one("Req-Deadline")?.and_then(|text| text.parse::<f64>().ok());
+    let patience = patience.filter(|seconds| seconds.is_finite() && (0.0..=1e6).contains(seconds));
+    let envelope = fields.one("X-Envelope")?.unwrap_or_default();
+    let dest = envelope.split([';', ',', ' ']).find_map(|part| part.trim().strip_prefix("dest="));
+    let key = fields.cookie("about").filter(|_| kind.ordered).map(plankhill_terms::order_key).transpose();
+    let fingerprint = fields.one("Idempotency-Key")?.map(Rc::from);
+    if matches!(kind.effect, Effect::Fingerprinted { .. }) && fingerprint.is_none() {
+        return Err(Refusal(400, "Idempotency-Key: is missing"));
+    }
+    Ok(Asked::Event(Event {
+        id: EventId(id.ok_or(Refusal(400, "Req-Id: is missing or too long"))?.into()),
+        destination: DestinationId(
+            dest.and_then(|dest| dest.parse().ok())
+                .ok_or(Refusal(400, "X-Envelope: no dest with a number"))?,
+        ),
+        traffic,
+        patience: 1000.0 * patience.ok_or(Refusal(400, "Req-Deadline: not a number of seconds"))?,
+        key: key.map_err(|_| Refusal(400, "Cookie: about is not a hexadecimal key"))?,
+        fingerprint,
+    }))
+}
--- /dev/null
+++ b/forwarder/src/list.rs
@@ -0,0 +1,123 @@
+//! The list of targets: what was last known at the start, then a watch on discovery without a break.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::AsyncWriteExt;
+use plankhill::decide::Forwarder;
+use plankhill::interface::*;
+use plankhill_terms::fields::*;
+use plankhill_terms::Names;
+use serde_json::Value;
+use slog::{debug, warn};
+
+use crate::exchange::{answer, connect, is_quiet, until, Stream};
+use crate::rounds::CameIn;
+use crate::Common;
+
+/// A watch's answer comes at the latest after so long, in milliseconds; discovery allows up to a minute.
+const WATCH: u64 = 20_000;
+/// Past that discovery is silent, and the watch is asked for anew, on a new connection.
+const SILENT: Duration = Duration::from_millis(WATCH + 2_000);
+/// Between tries while discovery refuses; a watch must be renewed within 200 ms.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest list that is read: some thousands of targets.
+const LONGEST: usize = 2 << 20;
+
+pub async fn run(common: Common, to_rounds: Sender<CameIn>) {
+    let mut since = common.told.known.get("revision").and_then(Value::as_u64);
+    let mut bytes = vec![0; LONGEST];
+    let mut stream = None;
+    loop {
+        match watch(&common, since, &mut stream, &mut bytes).await {
+            Ok(page) => {
+                let whole = page.get("complete") == Some(&Value::Bool(true));
+                let revision = page.get("revision").and_then(Value::as_u64);
+                debug!(common.log, "list"; "revision" => revision, "whole" => whole);
+                since = revision.or(since);
+                if to_rounds.send(CameIn::List(page)).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                stream = None;
+                warn!(common.log, "discovery cannot be asked"; "error" => %e);
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn watch(
+    common: &Common,
+    since: Option<u64>,
+    kept: &mut Option<Stream>,
+    bytes: &mut [u8],
+) -> io::Result<Value> {
+    let until_silent = Instant::now() + SILENT;
+    let path = match since {
+        Some(since) => format!("/discovery/hosts?since={since}&timeout_ms={WATCH}"),
+        None => "/discovery/hosts".into(),
+    };
+    let mut request = Vec::new();
+    plankhill_http1::request(&mut request, "GET", &path, &[("Host", &common.told.discovery)], 0);
+    let exchange = async {
+        let mut stream = match kept.take().filter(is_quiet) {
+            Some(stream) => stream,
+            None => connect(common.told.discovery).await?,
+        };
+        stream.write_all(&request).await?;
+        let mut filled = 0;
+        let answer = answer(&mut stream, bytes, &mut filled).await?;
+        let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
+        let head = &bytes[answer.head.clone()];
+        if plankhill_http1::ResponseHead::read(head).map_err(|e| bad(e.to_string()))?.status != 200 {
+            return Err(bad(String::from_utf8_lossy(head).lines().next().unwrap_or_default().to_owned()));
+        }
+        *kept = answer.reusable.then_some(stream);
+        serde_json::from_slice(&bytes[answer.body]).map_err(|e| bad(format!("the list is not JSON: {e}")))
+    };
+    until(until_silent, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Hands a page of the list to the decisions; `place` learns where each target stands, `gone` which went.
+/// An entry that can't be read is left out and told to `bad`.
+pub fn hand_over(
+    page: &Value,
+    names: &Names,
+    to: &mut Forwarder,
+    mut place: impl FnMut(&TargetId, SocketAddr, ZoneId),
+    mut gone: impl FnMut(&TargetId),
+    mut bad: impl FnMut(String),
+) {
+    for entry in page.get("members").and_then(Value::as_array).into_iter().flatten() {
+        let mut read = || -> Plain<()> {
+            let entry = entry.as_object().ok_or("not an object")?;
+            let target = TargetId(text(entry, "id")?.into());
+            let listing = match text(entry, "phase")? {
+                "up" => Listing::Running,
+                "draining" => Listing::Leaving,
+                "removed" => Listing::Gone,
+                other => return Err(format!("phase: unknown word {other:?}")),
+            };
+            if listing == Listing::Gone {
+                to.left(&target);
+                gone(&target);
+                return Ok(());
+            }
+            let address = text(entry, "host_port")?;
+            let address = address.parse().map_err(|_| format!("host_port: {address:?} is no address"))?;
+            let kind = KindId(self::place(&names.kinds, text(entry, "flavor")?, "flavor")?);
+            let zone = ZoneId(self::place(&names.zones, text(entry, "locality")?, "locality")?);
+            place(&target, address, zone);
+            to.listed(target, DestinationId(whole(entry, "cell")?), kind, zone, listing);
+            Ok(())
+        };
+        if let Err(what) = read() {
+            bad(what);
+        }
+    }
+}
--- /dev/null
+++ b/forwarder/src/main.rs
@@ -0,0 +1,94 @@
+//! The forwarder on sockets: one core, one local executor, and an actor with a bounded mailbox for each
+//! client connection, each target, the list, the notices and the decisions.
+
+mod clients;
+mod clock;
+mod exchange;
+mod list;
+mod notices;
+mod rounds;
+mod targets;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use plankhill_buffers::Pool;
+use plankhill_ledger::Ledger;
+use plankhill_terms::{fields::Plain, Told};
+use slog::{info, o, Drain, Logger};
+
+use crate::clock::Clock;
+
+/// What every actor is given.
+#[derive(Clone)]
+pub struct Common {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub pool: Pool,
+    pub clock: Clock,
+    pub log: Logger,
+    pub told: Rc<Told>,
+}
+
+fn main() {
+    if let Err(trouble) = run() {
+        eprintln!("plankhill-forwarder: {trouble}");
+        std::process::exit(1);
+    }
+}
+
+fn run() -> Plain<()> {
+    let told = Rc::new(plankhill_terms::told(|name| std::env::var(name).ok())?);
+    let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
+    let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
+    let log = Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
+    let (ledger, owed) = Ledger::open(&told.state, told.disk)
+        .map_err(|e| format!("PROXY_STATE: the ledger in {}: {e}", told.state.display()))?;
+    let listener = Async::<std::net::TcpListener>::bind(told.listen)
+        .map_err(|e| format!("PROXY_LISTEN: {} cannot be listened on: {e}", told.listen))?;
+    let common = Common {
+        executor: Rc::new(LocalExecutor::new()),
+        // Half of the memory is for bodies and messages under way.
+        pool: Pool::new(exchange::MESSAGE, (told.memory / 2) as usize / exchange::MESSAGE),
+        clock: Clock::start(),
+        log,
+        told,
+    };
+    let executor = common.executor.clone();
+    async_io::block_on(executor.run(serve(common, ledger, owed, listener)))
+}
+
+async fn serve(
+    common: Common,
+    ledger: Ledger,
+    owed: Vec<plankhill_ledger::Owed>,
+    listener: Async<std::net::TcpListener>,
+) -> Plain<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])
+        .map_err(|e| format!("signals cannot be waited for: {e}"))?;
+    let (log, executor) = (common.log.clone(), common.executor.clone());
+    info!(log, "starts"; "listen" => %common.told.listen, "owed" => owed.len());
+    let (to_rounds, came_in) = async_channel::bounded(rounds::MAILBOX);
+    let (to_notices, owed_notices) = async_channel::bounded(notices::MAILBOX);
+    let (closing, closes) = async_channel::bounded::<()>(1);
+    let decisions = rounds::Rounds::new(common.clone(), ledger, to_notices, to_rounds.clone());
+    let rounds = executor.spawn(decisions.run(owed, came_in));
+    let _notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
+    let _list = executor.spawn(list::run(common.clone(), to_rounds.clone()));
+    let _clients = executor.spawn(clients::listen(common.clone(), listener, to_rounds.clone(), closes));
+
+    signals.next().await;
+    info!(log, "closes");
+    drop(closing);
+    let _ = to_rounds.send(rounds::CameIn::Closing).await;
+    let most = Duration::from_secs_f64(common.told.closing_time / 1000.0);
+    future::or(rounds, async {
+        Timer::after(most).await;
+    })
+    .await;
+    info!(log, "ends");
+    Ok(())
+}
--- /dev/null
+++ b/forwarder/src/rounds.rs
@@ -0,0 +1,428 @@
+//! The actor of the decisions: hands all that came in to one round of the module and carries out what it
+//! decides. It owns the ledger, the bodies of the events held, and the mailboxes of the targets. What was
+//! taken on or sent is in the ledger before a client or target can know of it.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use plankhill::decide::Forwarder;
+use plankhill::interface::*;
+use plankhill_ledger::{Ledger, Outcome, Owed, Taken};
+use serde_json::Value;
+use slog::{debug, error, info, warn};
+
+use crate::exchange::{until, Body};
+use crate::notices::{self, Notice};
+use crate::targets::{self, Reach, Sending, ToTarget};
+use crate::{list, Common};
+
+/// Those who wait to be heard beyond that wait at their end.
+pub const MAILBOX: usize = 1024;
+
+pub enum CameIn {
+    Event(Handed),
+    /// The client went away before it had its answer.
+    Withdrawn(EventId),
+    SendEnded {
+        event: EventId,
+        fate: Fate,
+        took: Ms,
+        over: bool,
+        wait: Ms,
+    },
+    PingEnded {
+        target: TargetId,
+        fate: Fate,
+    },
+    List(Value),
+    Heard(Vec<EventId>),
+    Closing,
+}
+
+/// An event that a client hands in.
+pub struct Handed {
+    pub id: EventId,
+    pub destination: DestinationId,
+    pub traffic: TrafficId,
+    pub patience_ends: Ms,
+    pub key: Option<OrderKey>,
+    pub fingerprint: Option<Rc<str>>,
+    pub body: Body,
+    pub answer: Sender<Verdict>,
+}
+
+/// What the client is to be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    TakenOn,
+    /// It may come again, after that time if one is told.
+    Refused(Option<Ms>),
+    Failed,
+}
+
+/// What is kept of an event until it ends.
+struct Held {
+    fingerprint: Option<Rc<str>>,
+    body: Body,
+    /// Until the first round is done.
+    answer: Option<Sender<Verdict>>,
+}
+
+struct Target {
+    mailbox: Sender<ToTarget>,
+    address: SocketAddr,
+    zone: ZoneId,
+}
+
+/// All that the decisions are carried out with.
+struct Hands {
+    common: Common,
+    reach: Reach,
+    ledger: Ledger,
+    now: Ms,
+    held: HashMap<EventId, Held>,
+    targets: HashMap<TargetId, Target>,
+    outbox: Vec<(TargetId, ToTarget)>,
+    notices: Vec<Notice>,
+    unheard: usize,
+    wake_at: Option<Ms>,
+}
+
+pub struct Rounds {
+    hands: Hands,
+    forwarder: Forwarder,
+    to_notices: Sender<Notice>,
+    closing: bool,
+}
+
+impl Rounds {
+    pub fn new(
+        common: Common,
+        ledger: Ledger,
+        to_notices: Sender<Notice>,
+        to_rounds: Sender<CameIn>,
+    ) -> Self {
+        let now = common.clock.now();
+        let forwarder = Forwarder::start(common.told.terms.clone(), now);
+        let most_idle = common.told.sockets / 4;
+        let reach = Reach { common: common.clone(), to_rounds, idle: Rc::new(Cell::new(0)), most_idle };
+        let hands = Hands {
+            common,
+            reach,
+            ledger,
+            now,
+            held: HashMap::new(),
+            targets: HashMap::new(),
+            outbox: Vec::new(),
+            notices: Vec::new(),
+            unheard: 0,
+            wake_at: None,
+        };
+        Rounds { hands, forwarder, to_notices, closing: false }
+    }
+
+    /// Serves until it is closing and nothing is held or unheard.
+    pub async fn run(mut self, owed: Vec<Owed>, mailbox: Receiver<CameIn>) {
+        self.restore(owed);
+        while !(self.closing && self.hands.held.is_empty() && self.hands.unheard == 0) {
+            let first = match self.hands.wake_at {
+                Some(at) => until(self.hands.common.clock.instant(at), mailbox.recv()).await,
+                None => Some(mailbox.recv().await),
+            };
+            let mut came_in = match first {
+                None => Vec::new(),
+                Some(Ok(first)) => vec![first],
+                Some(Err(_)) => return,
+            };
+            while let Ok(next) = mailbox.try_recv() {
+                came_in.push(next);
+            }
+            self.round(came_in);
+        }
+    }
+
+    /// The first round: the list as it was last known, and what an earlier process still owes.
+    fn restore(&mut self, owed: Vec<Owed>) {
+        let hands = &mut self.hands;
+        let names = &hands.common.told.clone().names;
+        let zone = |name: &str| ZoneId(names.zones.iter().position(|z| z == name).unwrap_or(0));
+        let mut events = Vec::new();
+        for Owed { taken, sends, may_have_run, was_out, ended } in owed {
+            let id = EventId(taken.id.as_ref().into());
+            let traffic = names.traffic.iter().position(|t| *t == taken.traffic).map(TrafficId);
+            let buffer = hands.common.pool.take().filter(|buffer| taken.body.len() <= buffer.len());
+            let (None, Some(traffic), Some(mut buffer)) = (ended, traffic, buffer) else {
+                let (outcome, come_back_after) = ended.unwrap_or((Outcome::WrittenOff, None));
+                hands.ledger.ended(&id.0, outcome, come_back_after);
+                hands.notices.push(Notice { event: id, outcome, come_back_after });
+                continue;
+            };
+            let length = taken.body.len();
+            buffer[..length].copy_from_slice(&taken.body);
+            let body = Body::new(buffer, 0..length);
+            let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
+            hands.held.insert(id.clone(), Held { fingerprint, body, answer: None });
+            let out = was_out.is_some();
+            let ran = may_have_run.or(was_out).map(|(at, name)| (at, zone(&name)));
+            events.push((id, taken.destination, traffic, taken.patience_ends, taken.key, sends, ran, out));
+        }
+        let known = hands.common.told.known.clone();
+        self.decide(|forwarder, hands| {
+            hands.listed(forwarder, &known);
+            for (id, destination, traffic, ends, key, sends, ran, out) in events {
+                let key = key.map(OrderKey);
+                forwarder.taken(id.clone(), DestinationId(destination), traffic, ends, key);
+                forwarder.restored(&id, sends, ran, out);
+            }
+        });
+    }
+
+    fn round(&mut self, came_in: Vec<CameIn>) {
+        self.closing |= came_in.iter().any(|what| matches!(what, CameIn::Closing));
+        let mut accepted = Vec::with_capacity(came_in.len());
+        let mut fresh = Vec::new();
+        for what in came_in {
+            if let CameIn::Event(handed) = &what {
+                if self.closing || !self.hands.takes(handed) {
+                    let wait = self.hands.common.told.terms.longest_advice;
+                    let _ = handed.answer.try_send(Verdict::Refused(wait));
+                    continue;
+                }
+                fresh.push(handed.id.clone());
+            }
+            accepted.push(what);
+        }
+        if let Err(e) = self.hands.ledger.commit() {
+            // Not on the disk is not taken on.
+            error!(self.hands.common.log, "the ledger cannot be written"; "error" => %e);
+            accepted.retain(|what| !matches!(what, CameIn::Event(_)));
+            for id in fresh.drain(..) {
+                self.hands.ledger.over(&id.0);
+                self.hands
+                    .held
+                    .remove(&id)
+                    .and_then(|h| h.answer)
+                    .map(|a| a.try_send(Verdict::Refused(None)));
+            }
+        }
+        self.decide(|forwarder, hands| {
+            accepted.into_iter().for_each(|what| hands.hand_over(forwarder, what))
+        });
+        for id in fresh {
+            let answer = self.hands.held.get_mut(&id).and_then(|held| held.answer.take());
+            answer.map(|answer| answer.try_send(Verdict::TakenOn));
+        }
+    }
+
+    fn decide(&mut self, came_in: impl FnOnce(&mut Forwarder, &mut Hands)) {
+        let Rounds { hands, forwarder, to_notices, .. } = self;
+        hands.now = hands.common.clock.now();
+        if hands.wake_at.is_some_and(|at| at <= hands.now) {
+            hands.wake_at = None;
+        }
+        let hand_over = |forwarder: &mut Forwarder, hands: &mut Hands| -> Result<(), Unknown> {
+            forwarder.woken();
+            came_in(forwarder, hands);
+            Ok(())
+        };
+        let _ = forwarder.round(hands.now, hand_over, hands);
+        if let Err(e) = hands.ledger.commit() {
+            // What is not on the disk does not go out: a restart must know of each send.
+            error!(hands.common.log, "the ledger cannot be written"; "error" => %e);
+            hands.unsend();
+        }
+        hands.carry_out(to_notices);
+    }
+}
+
+impl Hands {
+    /// Enters an event in the ledger if there is room for it.
+    fn takes(&mut self, handed: &Handed) -> bool {
+        let room = self.common.told.terms.room;
+        let full = self.held.len() >= room || self.unheard + self.held.len() + 1 >= notices::MAILBOX;
+        if full || self.ledger.holds(&handed.id.0) || !self.ledger.has_room_for(handed.body.len()) {
+            return false;
+        }
+        self.ledger.taken(Taken {
+            id: (&*handed.id.0).into(),
+            destination: handed.destination.0,
+            traffic: self.common.told.names.traffic[handed.traffic.0].as_str().into(),
+            patience_ends: handed.patience_ends,
+            key: handed.key.map(|key| key.0),
+            fingerprint: handed.fingerprint.as_deref().map(Into::into),
+            body: (&*handed.body).into(),
+        });
+        let answer = Some(handed.answer.clone());
+        let held = Held { fingerprint: handed.fingerprint.clone(), body: handed.body.clone(), answer };
+        self.held.insert(handed.id.clone(), held);
+        true
+    }
+
+    fn hand_over(&mut self, to: &mut Forwarder, what: CameIn) {
+        match what {
+            CameIn::Event(event) => {
+                to.taken(event.id, event.destination, event.traffic, event.patience_ends, event.key);
+            }
+            CameIn::Withdrawn(id) => {
+                if self.held.remove(&id).is_some() {
+                    self.ledger.over(&id.0);
+                    to.withdrawn(&id);
+                }
+            }
+            CameIn::SendEnded { event, fate, took, over, wait } => {
+                if over {
+                    self.ledger.over(&event.0);
+                    self.held.remove(&event);
+                } else if matches!(fate, Fate::Full | Fate::NoConnection | Fate::NotSent) {
+                    self.ledger.unrun(&event.0);
+                }
+                if let Err(Unknown(what)) = to.send_ended(&event, fate, took, over, wait) {
+                    warn!(self.common.log, "a send ended that is not known"; "event" => &*event.0, "what" => what);
+                }
+            }
+            CameIn::PingEnded { target, fate } => {
+                if to.ping_ended(&target, fate).is_err() {
+                    debug!(self.common.log, "a ping ended at a target that is gone"; "target" => &*target.0);
+                }
+            }
+            CameIn::List(page) => self.listed(to, &page),
+            CameIn::Heard(events) => {
+                self.unheard -= events.len();
+                for id in events {
+                    self.ledger.over(&id.0);
+                    to.heard(&id);
+                }
+            }
+            CameIn::Closing => (),
+        }
+    }
+
+    fn listed(&mut self, to: &mut Forwarder, page: &Value) {
+        let (told, log) = (self.common.told.clone(), self.common.log.clone());
+        let before: Vec<TargetId> = self.targets.keys().cloned().collect();
+        let whole = page.get("complete") == Some(&Value::Bool(true));
+        if whole {
+            to.list_replaced();
+        }
+        let mut named = std::collections::HashSet::new();
+        let mut gone = Vec::new();
+        list::hand_over(
+            page,
+            &told.names,
+            to,
+            |id, address, zone| {
+                named.insert(id.clone());
+                self.place(id, address, zone);
+            },
+            |id| gone.push(id.clone()),
+            |what| warn!(log, "an entry of the list cannot be read"; "what" => what),
+        );
+        if whole {
+            gone.extend(before.into_iter().filter(|id| !named.contains(id)));
+        }
+        // The actor ends with its mailbox, its connections with their calls.
+        gone.iter().for_each(|id| drop(self.targets.remove(id)));
+    }
+
+    fn place(&mut self, id: &TargetId, address: SocketAddr, zone: ZoneId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.zone = zone;
+            if std::mem::replace(&mut target.address, address) != address {
+                let _ = target.mailbox.try_send(ToTarget::Moved(address));
+            }
+            return;
+        }
+        // Room for every call that may be out, its return, and as many words about idle connections.
+        let (mailbox, inbox) = async_channel::bounded(4 * self.common.told.terms.slots + 16);
+        let actor = targets::run(self.reach.clone(), id.clone(), address, inbox, mailbox.downgrade());
+        self.common.executor.spawn(actor).detach();
+        self.targets.insert(id.clone(), Target { mailbox, address, zone });
+    }
+
+    /// Sends and pings that the ledger could not note never leave; their ends come in with the next round.
+    fn unsend(&mut self) {
+        for (target, word) in std::mem::take(&mut self.outbox) {
+            self.turn_back(target, word);
+        }
+    }
+
+    fn turn_back(&self, target: TargetId, word: ToTarget) {
+        let ended = match word {
+            ToTarget::Send(send) => CameIn::SendEnded {
+                event: send.event,
+                fate: Fate::NotSent,
+                took: 0.0,
+                over: false,
+                wait: 0.0,
+            },
+            ToTarget::Ping => CameIn::PingEnded { target, fate: Fate::NotSent },
+            _ => return,
+        };
+        let to_rounds = self.reach.to_rounds.clone();
+        self.common.executor.spawn(async move { to_rounds.send(ended).await }).detach();
+    }
+
+    fn carry_out(&mut self, to_notices: &Sender<Notice>) {
+        for (id, word) in std::mem::take(&mut self.outbox) {
+            let refused = match self.targets.get(&id) {
+                Some(target) => target.mailbox.try_send(word).err().map(|e| e.into_inner()),
+                None => Some(word),
+            };
+            if let Some(word) = refused {
+                self.turn_back(id, word);
+            }
+        }
+        for notice in self.notices.drain(..) {
+            info!(self.common.log, "not delivered"; "event" => &*notice.event.0, "outcome" => ?notice.outcome);
+            self.unheard += 1;
+            // Fewer are taken on than the mailbox holds.
+            let _ = to_notices.try_send(notice);
+        }
+    }
+
+    /// An end for an event that was taken on; true if it goes as a notice.
+    fn ended(&mut self, event: &EventId, outcome: Outcome, come_back_after: Option<Ms>) -> bool {
+        let answer = self.held.remove(event).and_then(|held| held.answer);
+        let Some(answer) = answer else {
+            self.ledger.ended(&event.0, outcome, come_back_after);
+            self.notices.push(Notice { event: event.clone(), outcome, come_back_after });
+            return true;
+        };
+        self.ledger.over(&event.0);
+        let _ = answer.try_send(match outcome {
+            Outcome::Dismissed => Verdict::Refused(come_back_after),
+            Outcome::WrittenOff => Verdict::Failed,
+        });
+        false
+    }
+}
+
+impl Decisions for Hands {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
+        let Some(held) = self.held.get(event) else { return };
+        let zone = self.targets.get(target).map_or(ZoneId(0), |target| target.zone);
+        self.ledger.sent(&event.0, self.now, &self.common.told.names.zones[zone.0]);
+        let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
+        let send = Sending { event: event.clone(), fingerprint, body, time_out };
+        self.outbox.push((target.clone(), ToTarget::Send(send)));
+    }
+    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
+        self.ended(event, Outcome::Dismissed, come_back_after)
+    }
+    fn write_off(&mut self, event: &EventId) -> bool {
+        self.ended(event, Outcome::WrittenOff, None)
+    }
+    fn ping(&mut self, target: &TargetId) {
+        self.outbox.push((target.clone(), ToTarget::Ping));
+    }
+    fn close_idle(&mut self, target: &TargetId) {
+        self.outbox.push((target.clone(), ToTarget::CloseIdle));
+    }
+    fn wake_after(&mut self, pause: Ms) {
+        // A little more, so that rounding does not wake it before it is due.
+        self.wake_at = Some(self.now + pause + 0.01);
+    }
+}
--- /dev/null
+++ b/forwarder/src/targets.rs
@@ -0,0 +1,256 @@
+//! One target: its actor owns the connections to it, lends one to each call and takes it back.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender, WeakSender};
+use futures_lite::{future, AsyncWriteExt};
+use plankhill::interface::*;
+use plankhill_http1::ResponseHead;
+use slog::debug;
+
+use crate::exchange::{answer, connect, is_quiet, until, Body, Stream};
+use crate::rounds::CameIn;
+use crate::Common;
+
+pub enum ToTarget {
+    Send(Sending),
+    Ping,
+    CloseIdle,
+    /// Calls of which nothing is written yet are not to be written.
+    TakeBack,
+    Moved(SocketAddr),
+    /// A connection that a call has done with.
+    Returned(Stream),
+}
+
+pub struct Sending {
+    pub event: EventId,
+    pub fingerprint: Option<Rc<str>>,
+    pub body: Body,
+    pub time_out: Ms,
+}
+
+/// What every target's actor shares with its calls.
+#[derive(Clone)]
+pub struct Reach {
+    pub common: Common,
+    pub to_rounds: Sender<CameIn>,
+    /// Connections that stand idle at all targets, and how many may.
+    pub idle: Rc<Cell<usize>>,
+    pub most_idle: usize,
+}
+
+struct Idle {
+    stream: Stream,
+    since: Instant,
+    _counted: Counted,
+}
+
+/// One of the connections that stand idle at all targets.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>, most: usize) -> Option<Self> {
+        let free = count.get() < most;
+        free.then(|| {
+            count.set(count.get() + 1);
+            Counted(count.clone())
+        })
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub async fn run(
+    reach: Reach,
+    id: TargetId,
+    mut address: SocketAddr,
+    mailbox: Receiver<ToTarget>,
+    own: WeakSender<ToTarget>,
+) {
+    let mut idle: Vec<Idle> = Vec::new(); // the one used last is last
+    let (mut unwritten, mut taken_back) = async_channel::bounded::<()>(1);
+    let limit = Duration::from_secs_f64(reach.common.told.idle_limit / 1000.0);
+    loop {
+        let oldest = idle.first().map(|idle| idle.since + limit);
+        let next = match oldest {
+            Some(at) => until(at, mailbox.recv()).await,
+            None => Some(mailbox.recv().await),
+        };
+        let Some(next) = next else {
+            idle.remove(0);
+            continue;
+        };
+        let Ok(next) = next else { return };
+        let send = match next {
+            ToTarget::Send(send) => Some(send),
+            ToTarget::Ping => None,
+            ToTarget::CloseIdle => {
+                idle.clear();
+                continue;
+            }
+            ToTarget::TakeBack => {
+                drop(unwritten);
+                (unwritten, taken_back) = async_channel::bounded(1);
+                continue;
+            }
+            ToTarget::Moved(to) => {
+                if to != address {
+                    address = to;
+                    idle.clear();
+                }
+                continue;
+            }
+            ToTarget::Returned(stream) => {
+                if let Some(_counted) = Counted::new(&reach.idle, reach.most_idle) {
+                    idle.push(Idle { stream, since: Instant::now(), _counted });
+                }
+                continue;
+            }
+        };
+        let kept = std::iter::from_fn(|| idle.pop()).map(|idle| idle.stream).find(is_quiet);
+        let call = Call {
+            reach: reach.clone(),
+            target: id.clone(),
+            address,
+            kept,
+            taken_back: taken_back.clone(),
+            own: own.clone(),
+        };
+        reach.common.executor.spawn(call.run(send)).detach();
+    }
+}
+
+struct Call {
+    reach: Reach,
+    target: TargetId,
+    address: SocketAddr,
+    kept: Option<Stream>,
+    taken_back: Receiver<()>,
+    own: WeakSender<ToTarget>,
+}
+
+/// How a call ended, and what its answer said.
+struct End {
+    fate: Fate,
+    over: bool,
+    wait: Ms,
+}
+
+impl End {
+    fn plain(fate: Fate) -> Self {
+        End { fate, over: fate == Fate::Delivered, wait: 0.0 }
+    }
+}
+
+impl Call {
+    async fn run(mut self, send: Option<Sending>) {
+        let began = Instant::now();
+        let time_out = send.as_ref().map_or(self.reach.common.told.connect_time_out, |send| send.time_out);
+        let End { fate, over, wait } = self.exchange(began, time_out, send.as_ref()).await;
+        let took = began.elapsed().as_secs_f64() * 1000.0;
+        let ended = match send {
+            Some(send) => {
+                debug!(self.reach.common.log, "send ended"; "event" => &*send.event.0,
+                    "target" => &*self.target.0, "fate" => ?fate, "wait" => wait, "took" => took);
+                CameIn::SendEnded { event: send.event, fate, took, over, wait }
+            }
+            None => {
+                debug!(self.reach.common.log, "ping ended"; "target" => &*self.target.0, "fate" => ?fate);
+                CameIn::PingEnded { target: self.target.clone(), fate }
+            }
+        };
+        let _ = self.reach.to_rounds.send(ended).await;
+    }
+
+    async fn exchange(&mut self, began: Instant, time_out: Ms, send: Option<&Sending>) -> End {
+        let told = &self.reach.common.told;
+        let ends = began + Duration::from_secs_f64(time_out / 1000.0);
+        let Some(mut buffer) = self.reach.common.pool.take() else { return End::plain(Fate::NotSent) };
+        let mut stream = match self.kept.take() {
+            Some(stream) => stream,
+            None => {
+                let up_by = began + Duration::from_secs_f64(told.connect_time_out / 1000.0);
+                let taken_back = async {
+                    let _ = self.taken_back.recv().await;
+                    None
+                };
+                let up = until(up_by.min(ends), connect(self.address));
+                match future::or(taken_back, async { Some(up.await) }).await {
+                    None => return End::plain(Fate::NotSent),
+                    Some(Some(Ok(stream))) => stream,
+                    Some(_) => return End::plain(Fate::NoConnection),
+                }
+            }
+        };
+        if self.taken_back.is_closed() {
+            return End::plain(Fate::NotSent);
+        }
+        let mut message = Vec::new();
+        let left = ends.saturating_duration_since(Instant::now()).as_secs_f64();
+        let deadline = format!("{left:.3}");
+        match send {
+            Some(send) => {
+                let (id, key) = (&*send.event.0, send.fingerprint.as_deref());
+                let mut fields: Vec<(&str, &dyn std::fmt::Display)> =
+                    vec![("Host", &self.address), ("Req-Id", &id), ("Req-Deadline", &deadline)];
+                key.iter().for_each(|key| fields.push(("Idempotency-Key", key)));
+                plankhill_http1::request(&mut message, "POST", "/receive", &fields, send.body.len());
+                message.extend_from_slice(&send.body);
+            }
+            None => plankhill_http1::request(&mut message, "GET", "/alive", &[("Host", &self.address)], 0),
+        }
+        match until(ends, stream.write_all(&message)).await {
+            Some(Ok(())) => (),
+            _ => return End::plain(Fate::NoConnection),
+        }
+        drop(message);
+        let mut filled = 0;
+        let answered = until(ends, answer(&mut stream, &mut buffer, &mut filled)).await;
+        let whole = match answered {
+            Some(Ok(answer)) => answer,
+            cut_short => {
+                // An answer that broke off after its first line is an answer.
+                let fate = match (ResponseHead::status_in(&buffer[..filled]), cut_short) {
+                    (Some(200), _) => Fate::Delivered,
+                    (Some(100..=199) | None, None) => Fate::TimedOut,
+                    (Some(100..=199) | None, _) if filled == 0 => Fate::Reset,
+                    _ => Fate::Error,
+                };
+                return End::plain(fate);
+            }
+        };
+        let end = match ResponseHead::read(&buffer[whole.head]) {
+            Ok(head) => judge(&head, send.is_none()),
+            Err(_) => End::plain(Fate::Error),
+        };
+        if let Some(own) = self.own.upgrade().filter(|_| whole.reusable) {
+            let _ = own.try_send(ToTarget::Returned(stream));
+        }
+        end
+    }
+}
+
+/// What the wire's statuses mean. An answer to a ping says no more than that.
+fn judge(head: &ResponseHead, ping: bool) -> End {
+    let field = |name| head.fields.one(name).ok().flatten();
+    match head.status {
+        200 => End::plain(Fate::Delivered),
+        503 if field("X-No-Slot") == Some("1") => End::plain(Fate::NotSent),
+        429 | 503 => {
+            let wait = field("X-Retry-In-Ms").and_then(|text| text.parse::<Ms>().ok());
+            let wait = wait.filter(|wait| wait.is_finite() && *wait > 0.0 && !ping).unwrap_or(0.0);
+            End { wait, ..End::plain(Fate::Full) }
+        }
+        410 => End { over: true, ..End::plain(Fate::NotSent) },
+        504 => End::plain(Fate::NotSent),
+        _ => End::plain(Fate::Error),
+    }
+}
--- /dev/null
+++ b/http1/src/head.rs
@@ -0,0 +1,205 @@
+//! Finds and reads the head of a request or a response.
+
+use std::fmt;
+
+/// What about a message can't be read; it goes into the log and the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// Looks for the end of a head; what was looked at before is not looked at again.
+#[derive(Default)]
+pub struct HeadSearch {
+    seen: usize,
+}
+
+impl HeadSearch {
+    /// The length of the head with its empty line, once all of it is there.
+    pub fn end(&mut self, bytes: &[u8]) -> Option<usize> {
+        let from = self.seen.saturating_sub(3);
+        let found = bytes[from..].windows(4).position(|w| w == b"\r\n\r\n").map(|at| from + at + 4);
+        self.seen = bytes.len();
+        found
+    }
+}
+
+/// How long the body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    Length(u64),
+    Chunked,
+    UntilClose,
+}
+
+#[derive(Debug)]
+pub struct RequestHead<'a> {
+    pub method: &'a str,
+    pub target: &'a str,
+    pub fields: Fields<'a>,
+    pub body: Body,
+    pub closes: bool,
+    pub expects_continue: bool,
+}
+
+#[derive(Debug)]
+pub struct ResponseHead<'a> {
+    pub status: u16,
+    pub fields: Fields<'a>,
+    pub body: Body,
+    pub closes: bool,
+}
+
+impl<'a> RequestHead<'a> {
+    /// Reads a whole head, its empty line included.
+    pub fn read(head: &'a [u8]) -> Result<Self, Malformed> {
+        let (line, fields) = split(head)?;
+        let mut words = line.split(' ');
+        let (Some(method), Some(target), Some(version), None) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err(Malformed("the request line is not three words"));
+        };
+        if method.is_empty() || !method.bytes().all(is_token) {
+            return Err(Malformed("the method is not a word"));
+        }
+        if !target.starts_with('/') && target != "*" {
+            return Err(Malformed("the request's target is not a path"));
+        }
+        let old = is_old(version)?;
+        if !old && fields.all("host").count() != 1 {
+            return Err(Malformed("one host field is required"));
+        }
+        let body = match fields.framing(old)? {
+            Some(body) => body,
+            None => Body::Length(0),
+        };
+        let expects_continue = !old && fields.has_word("expect", "100-continue");
+        Ok(RequestHead { method, target, body, closes: fields.closes(old), expects_continue, fields })
+    }
+
+    pub fn path(&self) -> &'a str {
+        self.target.split(['?', '#']).next().unwrap_or_default()
+    }
+}
+
+impl<'a> ResponseHead<'a> {
+    /// Reads a whole head, its empty line included.
+    pub fn read(head: &'a [u8]) -> Result<Self, Malformed> {
+        let (line, fields) = split(head)?;
+        let status = status(line)?;
+        let old = is_old(line.split(' ').next().unwrap_or_default())?;
+        let body = match status {
+            100..=199 | 204 | 304 => Body::Length(0),
+            _ => fields.framing(old)?.unwrap_or(Body::UntilClose),
+        };
+        let closes = fields.closes(old) || body == Body::UntilClose;
+        Ok(ResponseHead { status, body, closes, fields })
+    }
+
+    /// The status, once the first line is there, whatever follows it.
+    pub fn status_in(bytes: &[u8]) -> Option<u16> {
+        let end = bytes.windows(2).position(|w| w == b"\r\n")?;
+        status(std::str::from_utf8(&bytes[..end]).ok()?).ok()
+    }
+}
+
+/// The fields of a head, in their order.
+#[derive(Debug)]
+pub struct Fields<'a>(Vec<(&'a str, &'a str)>);
+
+impl<'a> Fields<'a> {
+    fn all<'s>(&'s self, name: &'s str) -> impl Iterator<Item = &'a str> + 's {
+        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| *value)
+    }
+
+    /// The value, if the field stands there once.
+    pub fn one(&self, name: &str) -> Result<Option<&'a str>, Malformed> {
+        let mut values = self.all(name);
+        match (values.next(), values.next()) {
+            (value, None) => Ok(value),
+            _ => Err(Malformed("a field that may stand once is there twice")),
+        }
+    }
+
+    /// The value of a cookie.
+    pub fn cookie(&self, name: &str) -> Option<&'a str> {
+        let pairs = self.all("cookie").flat_map(|value| value.split(';'));
+        pairs.filter_map(|pair| pair.trim().split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+
+    fn has_word(&self, name: &str, word: &str) -> bool {
+        self.all(name).flat_map(|value| value.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    fn closes(&self, old: bool) -> bool {
+        self.has_word("connection", "close") || old && !self.has_word("connection", "keep-alive")
+    }
+
+    fn framing(&self, old: bool) -> Result<Option<Body>, Malformed> {
+        let length = self.one("content-length")?;
+        if let Some(coding) = self.one("transfer-encoding")? {
+            if length.is_some() {
+                return Err(Malformed("both a length and a transfer coding"));
+            }
+            if old || !coding.eq_ignore_ascii_case("chunked") {
+                return Err(Malformed("a transfer coding other than chunked"));
+            }
+            return Ok(Some(Body::Chunked));
+        }
+        let Some(length) = length else { return Ok(None) };
+        if length.is_empty() || length.len() > 18 || !length.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(Malformed("the length is not a number"));
+        }
+        Ok(Some(Body::Length(length.parse().expect("up to 18 digits"))))
+    }
+}
+
+fn split(head: &[u8]) -> Result<(&str, Fields<'_>), Malformed> {
+    let text = std::str::from_utf8(head).map_err(|_| Malformed("the head is not UTF-8"))?;
+    let text = text.strip_suffix("\r\n\r\n").ok_or(Malformed("the head has no end"))?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next().unwrap_or_default();
+    if first.bytes().any(|b| b < b' ' || b == 127) {
+        return Err(Malformed("a control character in the first line"));
+    }
+    let mut fields = Vec::new();
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(Malformed("a field without a colon"))?;
+        if name.is_empty() || !name.bytes().all(is_token) {
+            return Err(Malformed("a field's name is not a word"));
+        }
+        let value = value.trim_matches([' ', '\t']);
+        if value.bytes().any(|b| b < b' ' && b != b'\t' || b == 127) {
+            return Err(Malformed("a control character in a field"));
+        }
+        fields.push((name, value));
+    }
+    Ok((first, Fields(fields)))
+}
+
+fn status(line: &str) -> Result<u16, Malformed> {
+    let mut words = line.splitn(3, ' ');
+    is_old(words.next().unwrap_or_default())?;
+    let digits = words.next().filter(|d| d.len() == 3 && d.bytes().all(|b| b.is_ascii_digit()));
+    digits
+        .and_then(|d| d.parse().ok())
+        .filter(|status| *status >= 100)
+        .ok_or(Malformed("the status is not a number"))
+}
+
+fn is_old(version: &str) -> Result<bool, Malformed> {
+    match version {
+        "HTTP/1.1" => Ok(false),
+        "HTTP/1.0" => Ok(true),
+        _ => Err(Malformed("the version is not HTTP/1.1")),
+    }
+}
+
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
--- /dev/null
+++ b/ledger/src/frame.rs
@@ -0,0 +1,183 @@
+//! One frame: length, checksum, and a mark. Numbers are little-endian; a text or body has its length before it.
+
+use std::borrow::Cow;
+
+#[derive(Clone, Debug, Default)]
+pub struct Taken<'a> {
+    pub id: Cow<'a, str>,
+    pub destination: u64,
+    pub traffic: Cow<'a, str>,
+    pub patience_ends: f64,
+    pub key: Option<u64>,
+    pub fingerprint: Option<Cow<'a, str>>,
+    pub body: Cow<'a, [u8]>,
+}
+
+impl Taken<'_> {
+    pub(crate) fn into_owned(self) -> Taken<'static> {
+        Taken {
+            id: self.id.into_owned().into(),
+            destination: self.destination,
+            traffic: self.traffic.into_owned().into(),
+            patience_ends: self.patience_ends,
+            key: self.key,
+            fingerprint: self.fingerprint.map(|f| f.into_owned().into()),
+            body: self.body.into_owned().into(),
+        }
+    }
+}
+
+/// How an event ended that was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Dismissed,
+    WrittenOff,
+}
+
+pub(crate) enum Mark<'a> {
+    Taken(Taken<'a>),
+    Sent { id: Cow<'a, str>, at: f64, zone: Cow<'a, str> },
+    Unrun { id: Cow<'a, str> },
+    Ended { id: Cow<'a, str>, outcome: Outcome, come_back_after: Option<f64> },
+    Over { id: Cow<'a, str> },
+}
+
+const HEAD: usize = 8;
+
+impl Mark<'_> {
+    pub(crate) fn write(&self, out: &mut Vec<u8>) {
+        let from = out.len();
+        out.extend_from_slice(&[0; HEAD]);
+        match self {
+            Mark::Taken(event) => {
+                out.push(1);
+                text(out, event.id.as_bytes());
+                number(out, event.destination);
+                text(out, event.traffic.as_bytes());
+                number(out, event.patience_ends.to_bits());
+                optional(out, event.key);
+                out.push(event.fingerprint.is_some() as u8);
+                text(out, event.fingerprint.as_deref().unwrap_or_default().as_bytes());
+                text(out, &event.body);
+            }
+            Mark::Sent { id, at, zone } => {
+                out.push(2);
+                text(out, id.as_bytes());
+                number(out, at.to_bits());
+                text(out, zone.as_bytes());
+            }
+            Mark::Unrun { id } => {
+                out.push(3);
+                text(out, id.as_bytes());
+            }
+            Mark::Ended { id, outcome, come_back_after } => {
+                out.push(4);
+                text(out, id.as_bytes());
+                out.push((*outcome == Outcome::WrittenOff) as u8);
+                optional(out, come_back_after.map(f64::to_bits));
+            }
+            Mark::Over { id } => {
+                out.push(5);
+                text(out, id.as_bytes());
+            }
+        }
+        let length = (out.len() - from - HEAD) as u32;
+        let sum = crc32fast::hash(&out[from + HEAD..]);
+        out[from..from + 4].copy_from_slice(&length.to_le_bytes());
+        out[from + 4..from + HEAD].copy_from_slice(&sum.to_le_bytes());
+    }
+}
+
+fn number(out: &mut Vec<u8>, value: u64) {
+    out.extend_from_slice(&value.to_le_bytes());
+}
+
+fn optional(out: &mut Vec<u8>, value: Option<u64>) {
+    out.push(value.is_some() as u8);
+    number(out, value.unwrap_or(0));
+}
+
+fn text(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend_from_slice(&(bytes.len() as u32).to_le_bytes());
+    out.extend_from_slice(bytes);
+}
+
+/// Reads frames up to the first that is torn.
+pub(crate) struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(bytes: &'a [u8]) -> Self {
+        Reader { bytes, at: 0 }
+    }
+
+    /// The length of the whole frames read so far.
+    pub(crate) fn read(&self) -> usize {
+        self.at
+    }
+
+    pub(crate) fn next(&mut self) -> Option<(Mark<'a>, &'a [u8])> {
+        let rest = &self.bytes[self.at..];
+        let length = u32::from_le_bytes(rest.get(..4)?.try_into().ok()?) as usize;
+        let sum = u32::from_le_bytes(rest.get(4..HEAD)?.try_into().ok()?);
+        let payload = rest.get(HEAD..HEAD.checked_add(length)?)?;
+        let mark = (crc32fast::hash(payload) == sum).then(|| Payload(payload).mark()).flatten()?;
+        self.at += HEAD + length;
+        Some((mark, &rest[..HEAD + length]))
+    }
+}
+
+struct Payload<'a>(&'a [u8]);
+
+impl<'a> Payload<'a> {
+    fn mark(mut self) -> Option<Mark<'a>> {
+        Some(match self.byte()? {
+            1 => Mark::Taken(Taken {
+                id: self.text()?,
+                destination: self.number()?,
+                traffic: self.text()?,
+                patience_ends: f64::from_bits(self.number()?),
+                key: self.optional()?,
+                fingerprint: {
+                    let there = self.byte()? == 1;
+                    Some(self.text()?).filter(|_| there)
+                },
+                body: self.bytes()?.into(),
+            }),
+            2 => Mark::Sent { id: self.text()?, at: f64::from_bits(self.number()?), zone: self.text()? },
+            3 => Mark::Unrun { id: self.text()? },
+            4 => Mark::Ended {
+                id: self.text()?,
+                outcome: if self.byte()? == 1 { Outcome::WrittenOff } else { Outcome::Dismissed },
+                come_back_after: self.optional()?.map(f64::from_bits),
+            },
+            5 => Mark::Over { id: self.text()? },
+            _ => return None,
+        })
+    }
+
+    fn split(&mut self, at: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(at)?;
+        self.0 = rest;
+        Some(head)
+    }
+    fn byte(&mut self) -> Option<u8> {
+        Some(self.split(1)?[0])
+    }
+    fn number(&mut self) -> Option<u64> {
+        Some(u64::from_le_bytes(self.split(8)?.try_into().ok()?))
+    }
+    fn optional(&mut self) -> Option<Option<u64>> {
+        let there = self.byte()? == 1;
+        Some(Some(self.number()?).filter(|_| there))
+    }
+    fn bytes(&mut self) -> Option<&'a [u8]> {
+        let length = u32::from_le_bytes(self.split(4)?.try_into().ok()?);
+        self.split(length as usize)
+    }
+    fn text(&mut self) -> Option<Cow<'a, str>> {
+        std::str::from_utf8(self.bytes()?).ok().map(Cow::from)
+    }
+}
--- /dev/null
+++ b/ledger/src/lib.rs
@@ -0,0 +1,240 @@
+//! The forwarder's record of what it has taken on, in the folder that outlasts its process. Frames are
+//! appended, each with its length and checksum; what a kill tore off at the end is dropped when the record
+//! is read again. When too much of it is over, it is written anew without that. Times are the system
+//! clock's, in milliseconds.
+
+mod frame;
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+use frame::{Mark, Reader};
+pub use frame::{Outcome, Taken};
+
+const MAGIC: &[u8] = b"plankhill ledger 1\n";
+/// The share of the disk for what is live. While the record is written anew, the old file (up to `REWRITE`)
+/// and the new one stand side by side, and both have to fit.
+const LIVE: f64 = 0.4;
+const REWRITE: f64 = 0.55;
+/// Kept free for the marks of each event: a few sends and its end.
+const MARKS: usize = 400;
+
+pub struct Ledger {
+    folder: PathBuf,
+    file: File,
+    written: usize,
+    most: usize,
+    pending: Vec<u8>,
+    events: BTreeMap<u64, Kept>, // in the order taken
+    places: HashMap<String, u64>,
+    live: usize,
+    next: u64,
+}
+
+/// The frames of an event that is not over.
+struct Kept {
+    id: String,
+    frames: Vec<u8>,
+    reserved: usize,
+}
+
+/// An event that an earlier process took on and did not bring to its end.
+#[derive(Debug)]
+pub struct Owed {
+    pub taken: Taken<'static>,
+    pub sends: u32,
+    /// The first send that may have run: when, and to which zone.
+    pub may_have_run: Option<(f64, String)>,
+    /// Its last send had no outcome when the process ended; it may have run too.
+    pub was_out: Option<(f64, String)>,
+    /// It ended; its notice may not have been heard.
+    pub ended: Option<(Outcome, Option<f64>)>,
+}
+
+impl Ledger {
+    /// Opens the record and reads what is still owed, in the order taken.
+    pub fn open(folder: &Path, disk: u64) -> io::Result<(Ledger, Vec<Owed>)> {
+        let path = folder.join("ledger");
+        let _ = fs::remove_file(folder.join("ledger.new"));
+        let mut bytes = Vec::new();
+        match File::open(&path) {
+            Ok(mut file) => drop(file.read_to_end(&mut bytes)?),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => (),
+            Err(e) => return Err(e),
+        }
+        if !bytes.starts_with(MAGIC) && !MAGIC.starts_with(&bytes) {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "the file 'ledger' is not a ledger"));
+        }
+        let mut ledger = Ledger {
+            folder: folder.to_owned(),
+            file: OpenOptions::new().create(true).append(true).open(&path)?,
+            written: 0,
+            most: disk as usize,
+            pending: Vec::new(),
+            events: BTreeMap::new(),
+            places: HashMap::new(),
+            live: 0,
+            next: 0,
+        };
+        let mut owed = BTreeMap::new();
+        let mut reader = Reader::new(bytes.get(MAGIC.len()..).unwrap_or_default());
+        while let Some((mark, frame)) = reader.next() {
+            ledger.replay(mark, frame, &mut owed);
+        }
+        if bytes.len() < MAGIC.len() {
+            ledger.file.set_len(0)?;
+            ledger.file.write_all(MAGIC)?;
+            ledger.written = MAGIC.len();
+        } else {
+            ledger.written = MAGIC.len() + reader.read();
+            ledger.file.set_len(ledger.written as u64)?;
+        }
+        Ok((ledger, owed.into_values().collect()))
+    }
+
+    fn replay(&mut self, mark: Mark, frame: &[u8], owed: &mut BTreeMap<u64, Owed>) {
+        let id = match &mark {
+            Mark::Taken(taken) => &taken.id,
+            Mark::Sent { id, .. } | Mark::Unrun { id } | Mark::Ended { id, .. } | Mark::Over { id } => id,
+        };
+        if let Mark::Taken(taken) = &mark {
+            owed.insert(self.next, Owed::new(taken.clone().into_owned()));
+            self.keep(id.to_string(), frame);
+            return;
+        }
+        let known = self.places.get(&**id).copied();
+        let Some(place) = known.or_else(|| {
+            // Written anew, an ended event is its end alone.
+            matches!(mark, Mark::Ended { .. }).then(|| {
+                owed.insert(self.next, Owed::new(Taken { id: id.to_string().into(), ..Taken::default() }));
+                self.keep(id.to_string(), &[])
+            })
+        }) else {
+            return;
+        };
+        let event = owed.get_mut(&place).expect("kept with its frames");
+        match mark {
+            Mark::Sent { at, zone, .. } => {
+                let earlier = event.was_out.replace((at, zone.into_owned()));
+                event.may_have_run = event.may_have_run.take().or(earlier);
+                event.sends += 1;
+            }
+            Mark::Unrun { .. } => event.was_out = None,
+            Mark::Ended { outcome, come_back_after, .. } => event.ended = Some((outcome, come_back_after)),
+            Mark::Over { .. } => drop(owed.remove(&place)),
+            Mark::Taken(_) => unreachable!("returned above"),
+        }
+        self.follow(place, frame, owed.contains_key(&place));
+    }
+
+    fn keep(&mut self, id: String, frame: &[u8]) -> u64 {
+        let place = self.next;
+        self.next += 1;
+        let reserved = frame.len() + MARKS;
+        self.live += reserved;
+        self.places.insert(id.clone(), place);
+        self.events.insert(place, Kept { id, frames: frame.to_vec(), reserved });
+        place
+    }
+
+    fn follow(&mut self, place: u64, frame: &[u8], still: bool) {
+        if still {
+            self.events.get_mut(&place).expect("kept").frames.extend_from_slice(frame);
+        } else if let Some(kept) = self.events.remove(&place) {
+            self.live -= kept.reserved;
+            self.places.remove(&kept.id);
+        }
+    }
+
+    fn mark(&mut self, id: &str, mark: Mark, still: bool) {
+        let Some(&place) = self.places.get(id) else { return };
+        let from = self.pending.len();
+        mark.write(&mut self.pending);
+        if let Mark::Ended { .. } = mark {
+            // Nothing but the end is needed from now on.
+            let kept = self.events.get_mut(&place).expect("kept");
+            kept.frames.clear();
+            self.live -= kept.reserved;
+            kept.reserved = MARKS;
+            self.live += kept.reserved;
+        }
+        let frame = self.pending[from..].to_vec();
+        self.follow(place, &frame, still);
+    }
+
+    /// Whether an event with that body still fits.
+    pub fn has_room_for(&self, body: usize) -> bool {
+        ((self.live + body + 2 * MARKS) as f64) < self.most as f64 * LIVE
+    }
+
+    pub fn holds(&self, id: &str) -> bool {
+        self.places.contains_key(id)
+    }
+
+    pub fn taken(&mut self, taken: Taken) {
+        let from = self.pending.len();
+        let id = taken.id.to_string();
+        Mark::Taken(taken).write(&mut self.pending);
+        let frame = self.pending[from..].to_vec();
+        self.keep(id, &frame);
+    }
+
+    pub fn sent(&mut self, id: &str, at: f64, zone: &str) {
+        self.mark(id, Mark::Sent { id: id.into(), at, zone: zone.into() }, true);
+    }
+
+    /// The last send surely did not run.
+    pub fn unrun(&mut self, id: &str) {
+        self.mark(id, Mark::Unrun { id: id.into() }, true);
+    }
+
+    /// A notice is owed from now on, and nothing else.
+    pub fn ended(&mut self, id: &str, outcome: Outcome, come_back_after: Option<f64>) {
+        self.mark(id, Mark::Ended { id: id.into(), outcome, come_back_after }, true);
+    }
+
+    /// Nothing more is owed.
+    pub fn over(&mut self, id: &str) {
+        self.mark(id, Mark::Over { id: id.into() }, false);
+    }
+
+    /// Writes what was marked since the last call; it outlasts the process from now on.
+    pub fn commit(&mut self) -> io::Result<()> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        if (self.written + self.pending.len()) as f64 > self.most as f64 * REWRITE {
+            return self.rewrite();
+        }
+        if let Err(e) = self.file.write_all(&self.pending) {
+            // Half a frame would hide all that follows it.
+            self.file.set_len(self.written as u64)?;
+            return Err(e);
+        }
+        self.written += self.pending.len();
+        self.pending.clear();
+        Ok(())
+    }
+
+    fn rewrite(&mut self) -> io::Result<()> {
+        let (path, new) = (self.folder.join("ledger"), self.folder.join("ledger.new"));
+        let mut bytes = MAGIC.to_vec();
+        self.events.values().for_each(|kept| bytes.extend_from_slice(&kept.frames));
+        let mut file = File::create(&new)?;
+        file.write_all(&bytes)?;
+        drop(file);
+        fs::rename(&new, &path)?;
+        self.file = OpenOptions::new().append(true).open(&path)?;
+        self.written = bytes.len();
+        self.pending.clear();
+        Ok(())
+    }
+}
+
+impl Owed {
+    fn new(taken: Taken<'static>) -> Self {
+        Owed { taken, sends: 0, may_have_run: None, was_out: None, ended: None }
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,14 +62,14 @@
     }
 
     /// One round: `came_in` hands over all that arrived, then the decisions are written.
-    pub fn round<E>(
+    pub fn round<E, D: Decisions>(
         &mut self,
         now: Ms,
-        came_in: impl FnOnce(&mut Self) -> Result<(), E>,
-        out: &mut impl Decisions,
+        came_in: impl FnOnce(&mut Self, &mut D) -> Result<(), E>,
+        out: &mut D,
     ) -> Result<(), E> {
         self.here.now = now;
-        came_in(self)?;
+        came_in(self, out)?;
         while self.due.first().is_some_and(|(at, _)| at.0 <= now) {
             self.changed.extend(self.due.pop_first().map(|(_, id)| id));
         }
@@ -165,13 +165,42 @@
     }
 
     pub fn withdrawn(&mut self, id: &EventId) {
-        if let Some(&(of, place)) = self.places.get(id) {
-            let events = &mut self.destinations.get_mut(&of).expect("placed").events;
-            events.get_mut(&place).expect("placed").over = true;
-            self.forget_if_over(of, place);
+        self.settle(id, |event| event.over = true);
+    }
+
+    /// The notice of the event's end was heard: only now may the next one of its key go.
+    pub fn heard(&mut self, id: &EventId) {
+        self.settle(id, |event| event.unheard = false);
+    }
+
+    fn settle(&mut self, id: &EventId, change: impl FnOnce(&mut Event)) {
+        let Some(&(of, place)) = self.places.get(id) else { return };
+        let events = &mut self.destinations.get_mut(&of).expect("placed").events;
+        change(events.get_mut(&place).expect("placed"));
+        self.forget_if_over(of, place);
+    }
+
+    /// What an earlier process did for an event just taken again; a last send without outcome may have run.
+    pub fn restored(&mut self, id: &EventId, sends: u32, may_have_run: Option<(Ms, ZoneId)>, was_out: bool) {
+        let Some(&(of, place)) = self.places.get(id) else { return };
+        let (to, now) = (self.destinations.get_mut(&of).expect("placed"), self.here.now);
+        let event = to.events.get_mut(&place).expect("placed");
+        (event.sends, event.may_have_run) = (sends, may_have_run);
+        // A send that ended badly was a bad sign: the destination may return cold, and its backlog with it.
+        if sends > was_out as u32 {
+            to.lanes.iter_mut().for_each(|lane| lane.chill(now));
+        }
+        if let Some(key) = event.key.filter(|_| was_out) {
+            self.rest(key);
         }
     }
 
+    fn rest(&mut self, key: OrderKey) {
+        let until = self.here.now + self.here.terms.key_rest;
+        self.keys.get_mut(&key).expect("queued").rests_until = until;
+        self.resting.push_back((until, key));
+    }
+
     pub fn send_ended(
         &mut self,
         id: &EventId,
@@ -223,13 +252,9 @@
         event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
         if failed && fate != Fate::NoConnection {
             event.may_have_run.get_or_insert((sent, zone));
-            event.hopeless |= here.terms.traffic[event.traffic.0].effect == Effect::Binding;
         }
-        event.hopeless |= event.sends >= here.terms.sends_cap;
         if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (event.key, fate) {
-            let rest = here.terms.key_rest;
-            self.keys.get_mut(&key).expect("queued").rests_until = now + rest;
-            self.resting.push_back((now + rest, key));
+            self.rest(key);
         }
         self.changed.insert(of);
         self.forget_if_over(of, place);
@@ -262,8 +287,8 @@
         to.forget_gone(here, &mut self.homes);
         let mut ended: Vec<u64> = Vec::new();
         for (&place, event) in to.events.iter_mut().filter(|(_, event)| event.is_held()) {
-            event.hopeless |= here.now.max(event.not_before) >= here.window_ends(event);
-            if event.hopeless || here.now >= event.patience_ends - LAST_MOMENT {
+            let hopeless = here.now.max(event.not_before) >= here.window_ends(event);
+            if hopeless || here.now >= event.patience_ends - LAST_MOMENT {
                 ended.push(place);
             }
         }
@@ -299,17 +324,17 @@
         event.over = true;
         let effect = self.here.terms.traffic[event.traffic.0].effect;
         let one_zone = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
-        if event.may_have_run.is_none() || effect != Effect::Binding && !one_zone {
-            out.dismiss(&event.id, self.here.terms.longest_advice);
-        } else {
-            out.write_off(&event.id);
-        }
+        let dismissed = event.may_have_run.is_none() || effect != Effect::Binding && !one_zone;
+        event.unheard = match dismissed {
+            true => out.dismiss(&event.id, self.here.terms.longest_advice),
+            false => out.write_off(&event.id),
+        };
         self.forget_if_over(id, place);
     }
 
     fn forget_if_over(&mut self, id: DestinationId, place: u64) {
         let events = &mut self.destinations.get_mut(&id).expect("holds it").events;
-        if !events[&place].over || events[&place].call.is_some() {
+        if !events[&place].over || events[&place].unheard || events[&place].call.is_some() {
             return;
         }
         let event = events.remove(&place).expect("held");
@@ -672,9 +697,11 @@
         }
     }
 
-    /// When the event may no longer be sent again because it may have run.
+    /// When the event may no longer be sent again because it may have run, or has had all its sends.
     fn window_ends(&self, event: &Event) -> Ms {
         match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
+            _ if event.sends >= self.terms.sends_cap => f64::NEG_INFINITY,
+            (Some(_), Effect::Binding) => f64::NEG_INFINITY,
             (Some((sent, _)), Effect::Fingerprinted { window, .. }) => sent + window,
             _ => f64::INFINITY,
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,8 +106,10 @@
 /// Takes the decisions of one round, in the order in which they are to run.
 pub trait Decisions {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms);
-    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>);
-    fn write_off(&mut self, event: &EventId);
+    /// True if the end goes as a notice: `Forwarder::heard` follows once that was heard.
+    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool;
+    /// True as for `dismiss`.
+    fn write_off(&mut self, event: &EventId) -> bool;
     fn ping(&mut self, target: &TargetId);
     /// Closes the connections to the target that no call uses.
     fn close_idle(&mut self, target: &TargetId);
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,8 +74,8 @@
     pub(crate) call: Option<u64>,
     pub(crate) not_before: Ms,
     pub(crate) may_have_run: Option<(Ms, ZoneId)>, // when and where the first send went that may have run
-    pub(crate) hopeless: bool,
-    pub(crate) over: bool, // answered, and kept only until its send has ended
+    pub(crate) over: bool,                         // answered, and kept only until its send has ended
+    pub(crate) unheard: bool,                      // the notice of its end has not been heard yet
 }
 
 impl Event {
--- /dev/null
+++ b/terms/src/fields.rs
@@ -0,0 +1,55 @@
+//! A field of a JSON object, read in the form it must have; what is wrong names the field.
+
+use plankhill::interface::Ms;
+use serde_json::{Map, Value};
+
+pub type Plain<T> = Result<T, String>;
+pub type Object = Map<String, Value>;
+
+pub fn place(names: &[String], name: &str, field: &str) -> Plain<usize> {
+    names.iter().position(|n| n == name).ok_or_else(|| format!("{field}: {name:?} is not in the settings"))
+}
+
+pub fn present<'a>(from: &'a Object, field: &str) -> Option<&'a Value> {
+    from.get(field).filter(|value| !value.is_null())
+}
+
+pub fn object<'a>(from: &'a Object, field: &str) -> Plain<&'a Object> {
+    present(from, field).and_then(Value::as_object).ok_or_else(|| format!("{field}: an object is missing"))
+}
+
+pub fn list<'a>(from: &'a Object, field: &str) -> Plain<&'a Vec<Value>> {
+    present(from, field).and_then(Value::as_array).ok_or_else(|| format!("{field}: a list is missing"))
+}
+
+pub fn optional_text<'a>(from: &'a Object, field: &str) -> Plain<Option<&'a str>> {
+    present(from, field).map(|v| v.as_str().ok_or_else(|| format!("{field}: not a text"))).transpose()
+}
+
+pub fn text<'a>(from: &'a Object, field: &str) -> Plain<&'a str> {
+    optional_text(from, field)?.ok_or_else(|| format!("{field}: is missing"))
+}
+
+pub fn optional_whole(from: &Object, field: &str) -> Plain<Option<u64>> {
+    present(from, field).map(|v| v.as_u64().ok_or_else(|| format!("{field}: not a whole number"))).transpose()
+}
+
+pub fn whole(from: &Object, field: &str) -> Plain<u64> {
+    optional_whole(from, field)?.ok_or_else(|| format!("{field}: is missing"))
+}
+
+pub fn number(from: &Object, field: &str) -> Plain<f64> {
+    present(from, field).and_then(Value::as_f64).ok_or_else(|| format!("{field}: a number is missing"))
+}
+
+pub fn optional_number(from: &Object, field: &str) -> Plain<f64> {
+    present(from, field).map_or(Ok(0.0), |_| number(from, field))
+}
+
+pub fn time(from: &Object, field: &str) -> Plain<Ms> {
+    Ok(number(from, field)? / 1000.0)
+}
+
+pub fn optional_time(from: &Object, field: &str) -> Plain<Ms> {
+    present(from, field).map_or(Ok(0.0), |_| time(from, field))
+}
--- /dev/null
+++ b/terms/src/lib.rs
@@ -0,0 +1,183 @@
+//! The one place that reads, checks and defaults what a forwarder is told: the settings that both wires
+//! share, and `config.json` with the `PROXY_*` variables. Every message names the faulty key.
+
+pub mod fields;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use plankhill::interface::*;
+use serde_json::Value;
+
+use fields::*;
+
+/// The names of the settings in their order: the module is handed positions, never names.
+pub struct Names {
+    pub traffic: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+/// All that a forwarder on sockets is told at its start.
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub memory: u64,
+    pub sockets: usize,
+    pub disk: u64,
+    /// The list of targets as it was last had, in discovery's form.
+    pub known: Value,
+    pub terms: Terms,
+    pub names: Names,
+    pub connect_time_out: Ms,
+    /// Connections that stand idle for so long are closed: before the target does.
+    pub idle_limit: Ms,
+    /// After a request to end, the platform waits for so long and a little more.
+    pub closing_time: Ms,
+    pub log_level: slog::Level,
+}
+
+/// Reads the file that `PROXY_CONFIG` names; the other `PROXY_*` variables go before what it says.
+pub fn told(variable: impl Fn(&str) -> Option<String>) -> Plain<Told> {
+    let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG: is not set")?;
+    let bytes = std::fs::read(&path).map_err(|e| format!("PROXY_CONFIG: {path} cannot be read: {e}"))?;
+    let root: Value = serde_json::from_slice(&bytes).map_err(|e| format!("{path}: not JSON: {e}"))?;
+    let root = root.as_object().ok_or_else(|| format!("{path}: not an object"))?;
+    read_told(root, variable).map_err(|e| format!("{path}: {e}"))
+}
+
+fn read_told(root: &Object, variable: impl Fn(&str) -> Option<String>) -> Plain<Told> {
+    let either = |name: &str, field: &str| -> Plain<(String, String)> {
+        match variable(name) {
+            Some(value) => Ok((name.to_owned(), value)),
+            None => Ok((field.to_owned(), text(root, field)?.to_owned())),
+        }
+    };
+    let address = |(name, value): (String, String)| -> Plain<SocketAddr> {
+        value.parse().map_err(|_| format!("{name}: {value:?} is not an address with a port"))
+    };
+    let seed = text(root, "seed")?;
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?;
+    let limits = object(root, "limits")?;
+    let limit = |field: &str, least: f64| -> Plain<f64> {
+        let value = number(limits, field).map_err(|e| format!("limits.{e}"))?;
+        Some(value).filter(|v| *v >= least).ok_or(format!("limits.{field}: {value} is under {least}"))
+    };
+    let settings = object(root, "settings")?;
+    let allowed = object(settings, "allowed").map_err(|e| format!("settings.{e}"))?;
+    let span = |field: &str, default: Ms| -> Plain<Ms> {
+        let given = present(allowed, field).map(|_| time(allowed, field)).transpose();
+        Ok(given.map_err(|e| format!("settings.allowed.{e}"))?.unwrap_or(default))
+    };
+    let (terms, names) = terms(settings, "settings", seed)?;
+    Ok(Told {
+        name: either("PROXY_NAME", "name")?.1,
+        listen: address(either("PROXY_LISTEN", "listen")?)?,
+        discovery: address(either("PROXY_DISCOVERY", "discovery")?)?,
+        state: variable("PROXY_STATE").ok_or("PROXY_STATE: is not set")?.into(),
+        memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
+        sockets: limit("sockets", 32.0)? as usize,
+        disk: (limit("disk_mb", 0.25)? * 1e6) as u64,
+        known: present(root, "known").cloned().unwrap_or_default(),
+        terms,
+        names,
+        connect_time_out: span("connectTimeoutUs", 1500.0)?,
+        idle_limit: 0.9 * span("keepaliveUs", 15_000.0)?,
+        closing_time: 3_400.0,
+        log_level: match variable("PROXY_LOG") {
+            None => slog::Level::Info,
+            Some(word) => word.parse().map_err(|()| format!("PROXY_LOG: {word:?} is not a log level"))?,
+        },
+    })
+}
+
+/// The terms of the decisions out of the settings, which stand at `path`.
+pub fn terms(env: &Object, path: &str, seed: u64) -> Plain<(Terms, Names)> {
+    read_terms(env, seed).map_err(|e| format!("{path}.{e}"))
+}
+
+fn read_terms(env: &Object, seed: u64) -> Plain<(Terms, Names)> {
+    let within = |what: &'static str| move |e: String| format!("{what}.{e}");
+    let allowed = object(env, "allowed").map_err(within("allowed"))?;
+    let rules = object(env, "rules").map_err(within("rules"))?;
+    let family = object(env, "familyInfo").map_err(within("familyInfo"))?;
+    let names_of = |field: &str| -> Plain<Vec<String>> {
+        let names = list(env, field)?;
+        names
+            .iter()
+            .map(|n| Ok(n.as_str().ok_or(format!("{field}: a name is no text"))?.to_owned()))
+            .collect()
+    };
+    let mut names = Names { traffic: Vec::new(), kinds: names_of("shapes")?, zones: names_of("zones")? };
+    let mut traffic = Vec::new();
+    for (at, profile) in list(env, "profiles")?.iter().enumerate() {
+        let within = |e: String| format!("profiles[{at}].{e}");
+        let profile = profile.as_object().ok_or_else(|| within("not an object".into()))?;
+        let (name, kind) = traffic_type(profile).map_err(within)?;
+        names.traffic.push(name);
+        traffic.push(kind);
+    }
+    let apart = family.get("kindApart").and_then(Value::as_array);
+    let per_call = family.get("perCall").and_then(Value::as_array);
+    let kinds = (0..names.kinds.len())
+        .map(|k| DestinationKind {
+            routes_apart: apart.and_then(|a| a.get(k)).and_then(Value::as_bool).unwrap_or(false),
+            events_per_call: per_call.and_then(|p| p.get(k)).and_then(Value::as_u64).unwrap_or(1) as usize,
+        })
+        .collect();
+    let flag = |field: &str| allowed.get(field) == Some(&Value::Bool(true));
+    let terms = Terms {
+        seed,
+        instance: whole(env, "me")?,
+        forwarders: number(env, "balancers")?,
+        traffic,
+        kinds,
+        zone: ZoneId(optional_text(env, "zone")?.map_or(Ok(0), |zone| place(&names.zones, zone, "zone"))?),
+        crossing_fee: match present(env, "prices") {
+            Some(_) => optional_number(object(env, "prices")?, "crossZone")?,
+            None => 0.0,
+        },
+        route_fees: match present(family, "carriage") {
+            Some(_) => list(family, "carriage")?.iter().map(|fee| fee.as_f64().unwrap_or(0.0)).collect(),
+            None => Vec::new(),
+        },
+        slots: whole(family, "slots").map_err(within("familyInfo"))? as usize,
+        room: whole(allowed, "maxOpen").map_err(within("allowed"))? as usize,
+        sends_cap: whole(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
+        pings_allowed: flag("probes"),
+        longest_advice: flag("retryAfter").then(|| optional_time(allowed, "maxRetryAfterUs")).transpose()?,
+        cold_share: number(rules, "coldFrom").map_err(within("rules"))?,
+        warm_after: time(rules, "coldUs").map_err(within("rules"))?,
+        tip_multiple: number(rules, "tipMultiple").map_err(within("rules"))?,
+        key_rest: optional_time(rules, "keyQuietUs")?,
+    };
+    Ok((terms, names))
+}
+
+fn traffic_type(profile: &Object) -> Plain<(String, TrafficType)> {
+    let effect = match text(profile, "semantics")? {
+        "pure" => Effect::Retriable,
+        "token" => Effect::Fingerprinted {
+            window: time(profile, "windowUs")?,
+            one_zone: optional_text(profile, "dedupScope")?.is_some_and(|scope| scope != "all"),
+        },
+        "side_effect" => Effect::Binding,
+        other => return Err(format!("semantics: unknown word {other:?}")),
+    };
+    let traffic = TrafficType {
+        effect,
+        soft_limit: time(profile, "aimUs")?,
+        patience: time(profile, "deadlineUs")?,
+        payoff: number(profile, "credit")?,
+        payoff_at_end: number(profile, "lateWorth")?,
+        ordered: profile.get("serialByKey") == Some(&Value::Bool(true)),
+    };
+    Ok((text(profile, "name")?.to_owned(), traffic))
+}
+
+/// The key of ordered events, as the wires write it.
+pub fn order_key(digits: &str) -> Plain<OrderKey> {
+    u64::from_str_radix(digits, 16).map(OrderKey).map_err(|_| format!("{digits:?} is not a hexadecimal key"))
+}
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -77,7 +77,7 @@
     pub fn at(&mut self, now: Ms, came_in: impl FnOnce(&mut Forwarder)) -> Vec<String> {
         self.now = now;
         let mut told = Told(Vec::new());
-        let hand_over = |forwarder: &mut Forwarder| {
+        let hand_over = |forwarder: &mut Forwarder, _: &mut Told| {
             forwarder.woken();
             came_in(forwarder);
             Ok::<(), Unknown>(())
@@ -145,12 +145,14 @@
         assert!(time_out > 0.0);
         self.0.push(format!("send {} to {}", event.0, target.0));
     }
-    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) {
+    fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
         let _ = come_back_after;
         self.0.push(format!("dismiss {}", event.0));
+        false
     }
-    fn write_off(&mut self, event: &EventId) {
+    fn write_off(&mut self, event: &EventId) -> bool {
         self.0.push(format!("write off {}", event.0));
+        false
     }
     fn ping(&mut self, target: &TargetId) {
         self.0.push(format!("ping {}", target.0));
