--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -24,6 +24,11 @@
 /// An answer that is not read within that time is given up.
 const WRITING: Duration = Duration::from_secs(5);
 
+/// What a refused client still sends is read for so long.
+const LINGERING: Duration = Duration::from_secs(1);
+
+const TOO_LONG: Refusal = Refusal(413, "the body is too long");
+
 /// A refusal that is no decision on an event: what is wrong with the request.
 struct Refusal(u16, &'static str);
 
@@ -94,49 +99,57 @@
     _counted: Counted,
 }
 
-/// What is left in a buffer of the next request.
-struct Unread {
+/// A buffer with the beginning of the next request.
+struct Begun {
     buffer: Buffer,
     filled: usize,
 }
 
+/// A request that was read whole.
+struct Request {
+    asked: Asked,
+    buffer: Buffer,
+    body: Range<usize>,
+    closes: bool,
+    next: Option<Begun>,
+}
+
 impl Client {
     async fn run(mut self) {
-        let mut unread = None;
+        let mut begun = None;
         loop {
-            if unread.is_none() && !self.has_more().await {
+            if begun.is_none() && !self.has_more().await {
                 return;
             }
-            let began = Instant::now();
-            let refused = match unread.take().or_else(|| self.fresh()) {
-                Some(next) => match until(began + READING, self.request(next)).await {
-                    Some(Ok(rest)) => {
-                        unread = match rest {
-                            Some(rest) => rest,
-                            None => return,
-                        };
-                        continue;
-                    }
-                    Some(Err(refusal)) => refusal,
-                    None => Refusal(408, "the request took too long"),
-                },
-                None => {
-                    self.respond(503, &[("Retry-After", &1)], "no memory for more requests", true).await;
-                    return;
+            let Some(now) = begun.take().or_else(|| self.fresh()) else {
+                return self.refuse(Refusal(503, "no memory for more requests")).await;
+            };
+            let request = match until(Instant::now() + READING, self.read(now)).await {
+                Some(Ok(Some(request))) => request,
+                Some(Ok(None)) => return,
+                Some(Err(refusal)) => return self.refuse(refusal).await,
+                None => return self.refuse(Refusal(408, "the request took too long")).await,
+            };
+            let closes = request.closes || self.full || self.closing.is_closed();
+            begun = request.next;
+            let answered = match request.asked {
+                Asked::Up if self.closing.is_closed() => self.respond(503, &[], "", true).await,
+                Asked::Up => self.respond(200, &[], "", closes).await,
+                Asked::Event(event) => {
+                    self.event(event, Body::new(request.buffer, request.body), closes).await
                 }
             };
-            info!(self.common.log, "a request is refused"; "status" => refused.0, "why" => refused.1);
-            let allow: [(&str, &dyn std::fmt::Display); 1] = [("Allow", &"GET, POST")];
-            self.respond(refused.0, &allow[..(refused.0 == 405) as usize], refused.1, true).await;
-            return;
+            if closes || !answered {
+                return;
+            }
         }
     }
 
-    fn fresh(&self) -> Option<Unread> {
-        self.common.pool.take().map(|buffer| Unread { buffer, filled: 0 })
+    fn fresh(&self) -> Option<Begun> {
+        self.common.pool.take().map(|buffer| Begun { buffer, filled: 0 })
     }
 
-    /// Waits for the next request without a buffer; false if the client is gone or the connection closes.
+    /// Waits for the next request without a buffer; false if the connection has nothing more to serve.
     async fn has_more(&mut self) -> bool {
         let closes = async {
             let _ = self.closing.recv().await;
@@ -145,92 +158,80 @@
             let _ = self.stream.readable().await;
         };
         future::or(readable, closes).await;
-        // What has been read by then is still answered.
+        // What has come by then is still answered.
         !self.closing.is_closed() || !is_quiet(&self.stream)
     }
 
-    /// Reads one request and answers it. Returns what follows it, or None if the connection is over.
-    async fn request(&mut self, next: Unread) -> Result<Option<Option<Unread>>, Refusal> {
-        let Unread { mut buffer, mut filled } = next;
+    /// Reads one request; None if the client ends the connection instead.
+    async fn read(&mut self, begun: Begun) -> Result<Option<Request>, Refusal> {
+        let Begun { mut buffer, mut filled } = begun;
         let mut search = HeadSearch::default();
         let end = loop {
-            let blank = buffer[..filled].starts_with(b"\r\n");
-            if blank {
+            if buffer[..filled].starts_with(b"\r\n") {
+                // An empty line before a request is passed over.
                 buffer.copy_within(2..filled, 0);
                 filled -= 2;
                 search = HeadSearch::default();
                 continue;
             }
-            if let Some(end) = search.end(&buffer[..filled]) {
-                break end;
-            }
-            if filled > LONGEST_HEAD {
+            let end = search.end(&buffer[..filled]);
+            if end.unwrap_or(filled) > LONGEST_HEAD {
                 return Err(Refusal(400, "the head is too long"));
             }
-            if !self.more(&mut buffer, &mut filled).await {
-                return Ok(None);
+            match end {
+                Some(end) => break end,
+                None if self.more(&mut buffer, &mut filled).await => (),
+                None => return Ok(None),
             }
         };
-        if end > LONGEST_HEAD {
-            return Err(Refusal(400, "the head is too long"));
-        }
         let head = RequestHead::read(&buffer[..end])?;
-        let (body, closes) = (head.body, head.closes || self.full);
+        let asked = read_fields(&head, &self.common.told)?;
+        let (body, closes) = (head.body, head.closes);
+        if matches!(body, http1::Body::Length(length) if length > LONGEST_BODY as u64) {
+            return Err(TOO_LONG);
+        }
         if head.expects_continue && filled == end {
             let mut told = Vec::new();
             http1::response(&mut told, 100, &[], 0);
             let _ = self.stream.write_all(&told).await;
         }
-        let asked = read_fields(&head, &self.common.told);
-        let (data, rest) = match body {
-            http1::Body::Chunked => {
-                let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
-                while !chunks.decode(&mut buffer, &mut read, &mut write, filled)? {
-                    if write - end > LONGEST_BODY || filled == buffer.len() {
-                        return Err(Refusal(413, "the body is too long"));
+        let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
+        loop {
+            match body {
+                http1::Body::Length(length) => {
+                    write = end + length as usize;
+                    read = write;
+                    if filled >= write {
+                        break;
                     }
+                }
+                _ if chunks.decode(&mut buffer, &mut read, &mut write, filled)? => break,
+                _ => {
                     // What was decoded makes room.
                     buffer.copy_within(read..filled, write);
                     (filled, read) = (filled - (read - write), write);
-                    if !self.more(&mut buffer, &mut filled).await {
-                        return Ok(None);
-                    }
                 }
-                (end..write, read)
             }
-            http1::Body::Length(length) if length <= LONGEST_BODY as u64 => {
-                let whole = end + length as usize;
-                while filled < whole {
-                    if !self.more(&mut buffer, &mut filled).await {
-                        return Ok(None);
-                    }
-                }
-                (end..whole, whole)
+            if write - end > LONGEST_BODY || filled == buffer.len() {
+                return Err(TOO_LONG);
+            }
+            if !self.more(&mut buffer, &mut filled).await {
+                return Ok(None);
             }
-            _ => return Err(Refusal(413, "the body is too long")),
-        };
-        if data.len() > LONGEST_BODY {
-            return Err(Refusal(413, "the body is too long"));
         }
-        let asked = asked?;
-        let unread = match filled > rest {
+        if write - end > LONGEST_BODY {
+            return Err(TOO_LONG);
+        }
+        let next = match filled > read {
             true => {
                 let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
-                next.buffer[..filled - rest].copy_from_slice(&buffer[rest..filled]);
-                next.filled = filled - rest;
+                next.filled = filled - read;
+                next.buffer[..next.filled].copy_from_slice(&buffer[read..filled]);
                 Some(next)
             }
             false => None,
         };
-        let closes = closes || self.closing.is_closed();
-        let stays = match asked {
-            Asked::Up => {
-                let up = !self.closing.is_closed();
-                self.respond(if up { 200 } else { 503 }, &[], "", closes).await
-            }
-            Asked::Event(event) => self.event(event, buffer, data, closes, unread.is_some()).await,
-        };
-        Ok((stays && !closes).then_some(unread))
+        Ok(Some(Request { asked, buffer, body: end..write, closes, next }))
     }
 
     async fn more(&mut self, buffer: &mut Buffer, filled: &mut usize) -> bool {
@@ -239,66 +240,81 @@
         read > 0
     }
 
-    async fn event(
-        &mut self,
-        asked: Event,
-        buffer: Buffer,
-        data: Range<usize>,
-        closes: bool,
-        more: bool,
-    ) -> bool {
-        // A client that has already gone is not served: after a stall many have.
-        if !more && !is_quiet(&self.stream) && self.is_gone() {
+    /// Hands an event to the decisions and answers the client. A client that goes before it has its answer
+    /// takes the event back.
+    async fn event(&mut self, asked: Event, body: Body, closes: bool) -> bool {
+        // After a stall many have gone already.
+        if self.is_gone() {
             return false;
         }
+        if self.full || self.closing.is_closed() {
+            let wait = self.common.told.terms.longest_advice.filter(|_| self.full);
+            return self.tell(Verdict::Refused(wait), closes).await;
+        }
         let (answer, verdict) = async_channel::bounded(1);
         let id = asked.id.clone();
-        let refusing = self.full || self.closing.is_closed();
-        let verdict = if refusing {
-            Some(Verdict::Refused(self.common.told.terms.longest_advice))
-        } else {
-            let handed = Handed {
-                id: asked.id,
-                destination: asked.destination,
-                traffic: asked.traffic,
-                patience_ends: self.common.clock.now() + asked.patience,
-                key: asked.key,
-                fingerprint: asked.fingerprint,
-                body: Body::new(buffer, data),
-                answer,
-            };
-            if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
-                return false;
+        let handed = Handed {
+            id: asked.id,
+            destination: asked.destination,
+            traffic: asked.traffic,
+            patience_ends: self.common.clock.now() + asked.patience,
+            key: asked.key,
+            fingerprint: asked.fingerprint,
+            body,
+            answer,
+        };
+        if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
+            return self.tell(Verdict::Refused(None), true).await;
+        }
+        let gone = async {
+            let _ = self.stream.readable().await;
+            if !self.is_gone() {
+                future::pending::<()>().await;
             }
-            let answered = async { verdict.recv().await.ok() };
-            let gone = async {
-                loop {
-                    let _ = self.stream.readable().await;
-                    if more || !self.is_gone() {
-                        future::pending::<()>().await;
-                    }
-                    return None;
-                }
-            };
-            future::or(answered, gone).await
+            None
         };
+        let verdict = future::or(async { verdict.recv().await.ok() }, gone).await;
         let told = match verdict {
-            Some(Verdict::TakenOn) => self.respond(202, &[], "", closes).await,
-            Some(Verdict::Refused(wait)) => {
-                let wait = wait.map(|wait| format!("{:.3}", wait / 1000.0));
-                let field = wait.as_ref().map(|wait| ("Retry-After", wait as &dyn std::fmt::Display));
-                return self.respond(503, field.as_slice(), "", closes).await;
-            }
-            Some(Verdict::Failed) => return self.respond(500, &[], "", closes).await,
+            Some(verdict) => self.tell(verdict, closes).await,
             None => false,
         };
-        if !told {
+        if !told && matches!(verdict, Some(Verdict::TakenOn) | None) {
             debug!(self.common.log, "a client left before its answer"; "event" => &*id.0);
             let _ = self.to_rounds.send(CameIn::Withdrawn(id)).await;
         }
         told
     }
 
+    async fn tell(&mut self, verdict: Verdict, closes: bool) -> bool {
+        match verdict {
+            Verdict::TakenOn => self.respond(202, &[], "", closes).await,
+            Verdict::Failed => self.respond(500, &[], "", closes).await,
+            Verdict::Refused(None) => self.respond(503, &[], "", closes).await,
+            Verdict::Refused(Some(wait)) => {
+                let seconds = format!("{:.3}", wait / 1000.0);
+                self.respond(503, &[("Retry-After", &seconds)], "", closes).await
+            }
+        }
+    }
+
+    /// Answers a request that is none and ends the connection, without breaking off what is still coming.
+    async fn refuse(&mut self, Refusal(status, why): Refusal) {
+        info!(self.common.log, "a request is refused"; "status" => status, "why" => why);
+        let field: [(&str, &dyn std::fmt::Display); 2] = [("Allow", &"GET, POST"), ("Retry-After", &1)];
+        let fields = match status {
+            405 => &field[..1],
+            503 => &field[1..],
+            _ => &[],
+        };
+        if !self.respond(status, fields, why, true).await {
+            return;
+        }
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+        let Some(Begun { mut buffer, .. }) = self.fresh() else { return };
+        let rest = async { while matches!(self.stream.read(&mut buffer).await, Ok(read) if read > 0) {} };
+        until(Instant::now() + LINGERING, rest).await;
+    }
+
     /// Whether the client has closed its side or broken off.
     fn is_gone(&self) -> bool {
         let mut byte = [0];
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -10,12 +10,12 @@
 mod targets;
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::StreamExt;
 use plankhill_buffers::Pool;
 use plankhill_ledger::Ledger;
 use plankhill_terms::{fields::Plain, Told};
@@ -70,12 +70,13 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int])
         .map_err(|e| format!("signals cannot be waited for: {e}"))?;
     let (log, executor) = (common.log.clone(), common.executor.clone());
-    info!(log, "starts"; "listen" => %common.told.listen, "owed" => owed.len());
+    info!(log, "starts"; "listen" => %listener.get_ref().local_addr().unwrap_or(common.told.listen), "owed" => owed.len());
     let (to_rounds, came_in) = async_channel::bounded(rounds::MAILBOX);
     let (to_notices, owed_notices) = async_channel::bounded(notices::MAILBOX);
     let (closing, closes) = async_channel::bounded::<()>(1);
-    let decisions = rounds::Rounds::new(common.clone(), ledger, to_notices, to_rounds.clone());
-    let rounds = executor.spawn(decisions.run(owed, came_in));
+    let mut decisions = rounds::Rounds::new(common.clone(), ledger, to_notices, to_rounds.clone());
+    decisions.restore(owed);
+    let rounds = executor.spawn(decisions.run(came_in));
     let _notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
     let _list = executor.spawn(list::run(common.clone(), to_rounds.clone()));
     let _clients = executor.spawn(clients::listen(common.clone(), listener, to_rounds.clone(), closes));
@@ -84,11 +85,17 @@
     info!(log, "closes");
     drop(closing);
     let _ = to_rounds.send(rounds::CameIn::Closing).await;
-    let most = Duration::from_secs_f64(common.told.closing_time / 1000.0);
-    future::or(rounds, async {
-        Timer::after(most).await;
-    })
-    .await;
+    // Requests still come for a moment; each of them is answered.
+    let (least, most) = (Timer::after(millis(common.told.closing_least)), millis(common.told.closing_time));
+    let all_ended = async {
+        rounds.await;
+        least.await;
+    };
+    exchange::until(Instant::now() + most, all_ended).await;
     info!(log, "ends");
     Ok(())
 }
+
+fn millis(span: plankhill::interface::Ms) -> Duration {
+    Duration::from_secs_f64(span / 1000.0)
+}
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -125,8 +125,7 @@
     }
 
     /// Serves until it is closing and nothing is held or unheard.
-    pub async fn run(mut self, owed: Vec<Owed>, mailbox: Receiver<CameIn>) {
-        self.restore(owed);
+    pub async fn run(mut self, mailbox: Receiver<CameIn>) {
         while !(self.closing && self.hands.held.is_empty() && self.hands.unheard == 0) {
             let first = match self.hands.wake_at {
                 Some(at) => until(self.hands.common.clock.instant(at), mailbox.recv()).await,
@@ -145,7 +144,7 @@
     }
 
     /// The first round: the list as it was last known, and what an earlier process still owes.
-    fn restore(&mut self, owed: Vec<Owed>) {
+    pub fn restore(&mut self, owed: Vec<Owed>) {
         let hands = &mut self.hands;
         let names = &hands.common.told.clone().names;
         let zone = |name: &str| ZoneId(names.zones.iter().position(|z| z == name).unwrap_or(0));
@@ -187,7 +186,7 @@
         for what in came_in {
             if let CameIn::Event(handed) = &what {
                 if self.closing || !self.hands.takes(handed) {
-                    let wait = self.hands.common.told.terms.longest_advice;
+                    let wait = self.hands.common.told.terms.longest_advice.filter(|_| !self.closing);
                     let _ = handed.answer.try_send(Verdict::Refused(wait));
                     continue;
                 }
@@ -224,7 +223,6 @@
             hands.wake_at = None;
         }
         let hand_over = |forwarder: &mut Forwarder, hands: &mut Hands| -> Result<(), Unknown> {
-            forwarder.woken();
             came_in(forwarder, hands);
             Ok(())
         };
@@ -296,7 +294,7 @@
                     to.heard(&id);
                 }
             }
-            CameIn::Closing => (),
+            CameIn::Closing => to.closing(self.now + self.common.told.closing_time),
         }
     }
 
@@ -421,6 +419,9 @@
     fn close_idle(&mut self, target: &TargetId) {
         self.outbox.push((target.clone(), ToTarget::CloseIdle));
     }
+    fn take_back(&mut self, target: &TargetId) {
+        self.outbox.push((target.clone(), ToTarget::TakeBack));
+    }
     fn wake_after(&mut self, pause: Ms) {
         // A little more, so that rounding does not wake it before it is due.
         self.wake_at = Some(self.now + pause + 0.01);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,7 @@
 /// A host named something that it never introduced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unknown(pub &'static str);
+pub type Known = Result<(), Unknown>;
 
 /// Takes the decisions of one round, in the order in which they are to run.
 pub trait Decisions {
@@ -113,5 +114,7 @@
     fn ping(&mut self, target: &TargetId);
     /// Closes the connections to the target that no call uses.
     fn close_idle(&mut self, target: &TargetId);
+    /// Calls to the target of which nothing is written yet are not to be written: they end as not sent.
+    fn take_back(&mut self, target: &TargetId);
     fn wake_after(&mut self, pause: Ms);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,13 @@
     pub(crate) unconnected_at: Ms,
 }
 
+impl Target {
+    pub(crate) fn new(id: TargetId, zone: ZoneId, listing: Listing) -> Self {
+        let (shunned_until, unconnected_at, idle_since) = (0.0, f64::NEG_INFINITY, None);
+        Target { id, zone, listing, failures: 0, shunned_until, out: 0, idle_since, unconnected_at }
+    }
+}
+
 /// What shares one limit, one health and one wait: a destination, or one of its routes where they are apart.
 #[derive(Default)]
 pub(crate) struct Lane {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -34,7 +34,9 @@
     pub connect_time_out: Ms,
     /// Connections that stand idle for so long are closed: before the target does.
     pub idle_limit: Ms,
-    /// After a request to end, the platform waits for so long and a little more.
+    /// After a request to end, clients still come for less than `closing_least`, and the platform waits for
+    /// a little more than `closing_time`.
+    pub closing_least: Ms,
     pub closing_time: Ms,
     pub log_level: slog::Level,
 }
@@ -85,6 +87,7 @@
         names,
         connect_time_out: span("connectTimeoutUs", 1500.0)?,
         idle_limit: 0.9 * span("keepaliveUs", 15_000.0)?,
+        closing_least: 1_000.0,
         closing_time: 3_400.0,
         log_level: match variable("PROXY_LOG") {
             None => slog::Level::Info,
