--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -31,9 +31,11 @@
     let mut since = common.told.known.get("revision").and_then(Value::as_u64);
     let mut bytes = vec![0; LONGEST];
     let mut stream = None;
+    let mut trouble = String::new();
     loop {
         match watch(&common, since, &mut stream, &mut bytes).await {
             Ok(page) => {
+                trouble.clear();
                 let whole = page.get("complete") == Some(&Value::Bool(true));
                 let revision = page.get("revision").and_then(Value::as_u64);
                 debug!(common.log, "list"; "revision" => revision, "whole" => whole);
@@ -44,7 +46,10 @@
             }
             Err(e) => {
                 stream = None;
-                warn!(common.log, "discovery cannot be asked"; "error" => %e);
+                // Told once, not with each try.
+                if std::mem::replace(&mut trouble, e.to_string()) != trouble {
+                    warn!(common.log, "discovery cannot be asked"; "error" => %e);
+                }
                 Timer::after(PAUSE).await;
             }
         }
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -3,7 +3,7 @@
 //! taken on or sent is in the ledger before a client or target can know of it.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -84,6 +84,8 @@
     ledger: Ledger,
     now: Ms,
     held: HashMap<EventId, Held>,
+    /// Events with a send out, also those that are over: an id is not taken again before that has ended.
+    out: HashSet<EventId>,
     targets: HashMap<TargetId, Target>,
     outbox: Vec<(TargetId, ToTarget)>,
     notices: Vec<Notice>,
@@ -115,6 +117,7 @@
             ledger,
             now,
             held: HashMap::new(),
+            out: HashSet::new(),
             targets: HashMap::new(),
             outbox: Vec::new(),
             notices: Vec::new(),
@@ -145,37 +148,10 @@
 
     /// The first round: the list as it was last known, and what an earlier process still owes.
     pub fn restore(&mut self, owed: Vec<Owed>) {
-        let hands = &mut self.hands;
-        let names = &hands.common.told.clone().names;
-        let zone = |name: &str| ZoneId(names.zones.iter().position(|z| z == name).unwrap_or(0));
-        let mut events = Vec::new();
-        for Owed { taken, sends, may_have_run, was_out, ended } in owed {
-            let id = EventId(taken.id.as_ref().into());
-            let traffic = names.traffic.iter().position(|t| *t == taken.traffic).map(TrafficId);
-            let buffer = hands.common.pool.take().filter(|buffer| taken.body.len() <= buffer.len());
-            let (None, Some(traffic), Some(mut buffer)) = (ended, traffic, buffer) else {
-                let (outcome, come_back_after) = ended.unwrap_or((Outcome::WrittenOff, None));
-                hands.ledger.ended(&id.0, outcome, come_back_after);
-                hands.notices.push(Notice { event: id, outcome, come_back_after });
-                continue;
-            };
-            let length = taken.body.len();
-            buffer[..length].copy_from_slice(&taken.body);
-            let body = Body::new(buffer, 0..length);
-            let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
-            hands.held.insert(id.clone(), Held { fingerprint, body, answer: None });
-            let out = was_out.is_some();
-            let ran = may_have_run.or(was_out).map(|(at, name)| (at, zone(&name)));
-            events.push((id, taken.destination, traffic, taken.patience_ends, taken.key, sends, ran, out));
-        }
-        let known = hands.common.told.known.clone();
+        let told = self.hands.common.told.clone();
         self.decide(|forwarder, hands| {
-            hands.listed(forwarder, &known);
-            for (id, destination, traffic, ends, key, sends, ran, out) in events {
-                let key = key.map(OrderKey);
-                forwarder.taken(id.clone(), DestinationId(destination), traffic, ends, key);
-                forwarder.restored(&id, sends, ran, out);
-            }
+            hands.listed(forwarder, &told.known);
+            owed.into_iter().for_each(|event| hands.restore(forwarder, event));
         });
     }
 
@@ -237,11 +213,40 @@
 }
 
 impl Hands {
+    fn restore(&mut self, to: &mut Forwarder, owed: Owed) {
+        let Owed { taken, sends, may_have_run, was_out, ended } = owed;
+        let told = self.common.told.clone();
+        let zone = |name: &str| ZoneId(told.names.zones.iter().position(|z| z == name).unwrap_or(0));
+        let id = EventId(taken.id.as_ref().into());
+        let traffic = told.names.traffic.iter().position(|name| *name == taken.traffic).map(TrafficId);
+        if let Some(traffic) = traffic {
+            let (destination, key) = (DestinationId(taken.destination), taken.key.map(OrderKey));
+            to.taken(id.clone(), destination, traffic, taken.patience_ends, key);
+        }
+        let length = taken.body.len();
+        let buffer = self.common.pool.take().filter(|buffer| length <= buffer.len());
+        let (None, Some(_), Some(mut buffer)) = (ended, traffic, buffer) else {
+            // It has ended, or can't be sent any more.
+            let (outcome, come_back_after) = ended.unwrap_or((Outcome::WrittenOff, None));
+            to.ended_before(&id);
+            self.ended(&id, outcome, come_back_after);
+            return;
+        };
+        buffer[..length].copy_from_slice(&taken.body);
+        let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
+        let held = Held { fingerprint, body: Body::new(buffer, 0..length), answer: None };
+        self.held.insert(id.clone(), held);
+        let out = was_out.is_some();
+        let ran = may_have_run.or(was_out).map(|(at, name)| (at, zone(&name)));
+        to.restored(&id, sends, ran, out);
+    }
+
     /// Enters an event in the ledger if there is room for it.
     fn takes(&mut self, handed: &Handed) -> bool {
         let room = self.common.told.terms.room;
         let full = self.held.len() >= room || self.unheard + self.held.len() + 1 >= notices::MAILBOX;
-        if full || self.ledger.holds(&handed.id.0) || !self.ledger.has_room_for(handed.body.len()) {
+        let known = self.ledger.holds(&handed.id.0) || self.out.contains(&handed.id);
+        if full || known || !self.ledger.has_room_for(handed.body.len()) {
             return false;
         }
         self.ledger.taken(Taken {
@@ -271,6 +276,7 @@
                 }
             }
             CameIn::SendEnded { event, fate, took, over, wait } => {
+                self.out.remove(&event);
                 if over {
                     self.ledger.over(&event.0);
                     self.held.remove(&event);
@@ -305,7 +311,7 @@
         if whole {
             to.list_replaced();
         }
-        let mut named = std::collections::HashSet::new();
+        let mut named = HashSet::new();
         let mut gone = Vec::new();
         list::hand_over(
             page,
@@ -403,6 +409,7 @@
         let Some(held) = self.held.get(event) else { return };
         let zone = self.targets.get(target).map_or(ZoneId(0), |target| target.zone);
         self.ledger.sent(&event.0, self.now, &self.common.told.names.zones[zone.0]);
+        self.out.insert(event.clone());
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let send = Sending { event: event.clone(), fingerprint, body, time_out };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
--- /dev/null
+++ b/forwarder/tests/sockets.rs
@@ -0,0 +1,451 @@
+//! The forwarder as its peers meet it: real sockets, with stand-ins for target, discovery and client.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::{json, Value};
+
+const LONG: Duration = Duration::from_secs(30);
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const ERROR: &str = "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n";
+
+/// Ends a reply after which the connection breaks off.
+const BREAK: char = '\0';
+
+/// A request as a stand-in got it. What is sent to `reply` is written back.
+struct Asked {
+    head: String,
+    body: Vec<u8>,
+    reply: Sender<String>,
+}
+
+impl Asked {
+    fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+    fn id(&self) -> &str {
+        self.field("Req-Id").expect("every call has one")
+    }
+    fn answer(self, text: &str) {
+        self.reply.send(text.to_owned()).expect("the connection stands");
+    }
+}
+
+fn read_message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a number"))];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// Listens, and hands over each request that comes in.
+fn stand_in() -> (SocketAddr, Receiver<Asked>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (asked, all) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, asked) = (stream.expect("accepts"), asked.clone());
+            thread::spawn(move || {
+                let mut from = BufReader::new(stream);
+                while let Some((head, body)) = read_message(&mut from) {
+                    let (reply, replies) = channel();
+                    let _ = asked.send(Asked { head, body, reply });
+                    match replies.recv() {
+                        Ok(text) => {
+                            let _ = from.get_mut().write_all(text.trim_end_matches(BREAK).as_bytes());
+                            if text.ends_with(BREAK) {
+                                return;
+                            }
+                        }
+                        Err(_) => return,
+                    }
+                }
+            });
+        }
+    });
+    (address, all)
+}
+
+/// Discovery: the watches are the story's; notices are heard at once, but for the first `deaf` of them.
+fn discovery(deaf: usize) -> (SocketAddr, Receiver<Asked>, Receiver<Value>) {
+    let (address, asked) = stand_in();
+    let (watch, watches) = channel();
+    let (notice, notices) = channel();
+    let left = AtomicUsize::new(deaf);
+    thread::spawn(move || {
+        for request in asked {
+            if request.head.starts_with("GET /discovery/hosts") {
+                let _ = watch.send(request);
+                continue;
+            }
+            assert!(request.head.starts_with("POST /status "));
+            for line in String::from_utf8_lossy(&request.body).lines() {
+                let _ = notice.send(serde_json::from_str(line).expect("one JSON value a line"));
+            }
+            let dull = left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok();
+            request.answer(if dull { ERROR } else { "HTTP/1.1 204 Fine\r\n\r\n" });
+        }
+    });
+    (address, watches, notices)
+}
+
+struct Forwarder {
+    child: Child,
+    address: SocketAddr,
+    folder: PathBuf,
+    log: Arc<Mutex<String>>,
+}
+
+fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "z", "flavor": "k", "cell": 1, "phase": phase})
+}
+
+fn config(discovery: SocketAddr, target: SocketAddr) -> Value {
+    let traffic = |name, semantics, ordered| {
+        json!({"name": name, "semantics": semantics, "aimUs": 1000000, "deadlineUs": 60000000, "credit": 1,
+            "lateWorth": 0.1, "dedupScope": "all", "windowUs": 30000000, "serialByKey": ordered})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
+        "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+        "known": {"revision": 41, "complete": true, "members": [member("t", target, "up")]},
+        "settings": {"me": 0, "balancers": 1, "shapes": ["k"], "zones": ["z"], "zone": "z",
+            "allowed": {"attemptsCap": 6, "maxOpen": 20, "probes": true, "retryAfter": true,
+                "maxRetryAfterUs": 2000000},
+            "familyInfo": {"slots": 4},
+            "profiles": [traffic("job", "pure", false), traffic("order", "token", false),
+                traffic("charge", "side_effect", true)],
+            "rules": {"coldFrom": 0.2, "coldUs": 9000000, "tipMultiple": 2}}})
+}
+
+impl Forwarder {
+    fn start(config: &Value) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("plankhill-sockets-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for the test");
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("written");
+        let (child, address, log) = Self::launch(&folder);
+        Forwarder { child, address, folder, log }
+    }
+
+    fn launch(folder: &PathBuf) -> (Child, SocketAddr, Arc<Mutex<String>>) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder"))
+            .env("PROXY_CONFIG", folder.join("config.json"))
+            .env("PROXY_STATE", folder)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let first = lines.next().expect("tells where it listens").expect("UTF-8");
+        let address = first.split("listen: ").nth(1).expect("there").split(',').next().unwrap().parse();
+        let log = Arc::new(Mutex::new(String::new()));
+        let kept = log.clone();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|l| *kept.lock().unwrap() += &(l + "\n")));
+        (child, address.expect("an address"), log)
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("runs").success());
+    }
+
+    fn restart(&mut self, signal: &str) {
+        self.signal(signal);
+        self.child.wait().expect("ends");
+        (self.child, self.address, self.log) = Self::launch(&self.folder);
+    }
+
+    fn ask(&self, request: &[u8]) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.address).expect("listens");
+        stream.write_all(request).expect("takes it");
+        answer(&mut stream)
+    }
+
+    fn take(&self, id: &str, traffic: &str, more: &str) {
+        assert_eq!(self.ask(&event(id, traffic, more)).0, 202);
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("{}", self.log.lock().unwrap());
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn answer(stream: &mut TcpStream) -> (u16, String) {
+    stream.set_read_timeout(Some(LONG)).expect("a socket");
+    let (head, _) = read_message(&mut BufReader::new(stream)).expect("an answer");
+    (head[9..12].parse().expect("a status"), head)
+}
+
+fn event(id: &str, traffic: &str, more: &str) -> Vec<u8> {
+    format!(
+        "POST /{traffic} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {id}\r\nReq-Deadline: 60\r\n\
+         X-Envelope: dest=1\r\nIdempotency-Key: f-{id}\r\n{more}Content-Length: 4\r\n\r\nbody"
+    )
+    .into_bytes()
+}
+
+/// Target, discovery's notices and watches, and a forwarder between them.
+fn all(
+    deaf: usize,
+    change: impl FnOnce(&mut Value),
+) -> (Forwarder, Receiver<Asked>, Receiver<Value>, Receiver<Asked>) {
+    let (target, calls) = stand_in();
+    let (discovery, watches, notices) = discovery(deaf);
+    let mut config = config(discovery, target);
+    change(&mut config);
+    (Forwarder::start(&config), calls, notices, watches)
+}
+
+fn next<T>(from: &Receiver<T>) -> T {
+    from.recv_timeout(LONG).expect("comes in time")
+}
+
+fn given_up(id: &str) -> Value {
+    json!({"message": id, "outcome": "given_up"})
+}
+
+#[rstest]
+fn an_event_reaches_its_target_unchanged_over_one_connection() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let mut stream = TcpStream::connect(forwarder.address).expect("listens");
+    for id in ["a", "b"] {
+        stream.write_all(&event(id, "order", "")).expect("takes it");
+        assert_eq!(answer(&mut stream).0, 202);
+        let call = next(&calls);
+        assert!(call.head.starts_with("POST /receive HTTP/1.1\r\n"));
+        assert_eq!((call.id(), &call.body[..]), (id, &b"body"[..]));
+        assert_eq!(call.field("Idempotency-Key"), Some(&*format!("f-{id}")));
+        call.answer(OK);
+    }
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let whole = String::from_utf8(event("c", "order", "")).unwrap();
+    stream.write_all(whole.replace("Content-Length: 4\r\n\r\nbody", chunked).as_bytes()).expect("takes it");
+    assert_eq!(answer(&mut stream).0, 202);
+    assert_eq!(next(&calls).body, b"abcde");
+    assert_eq!(forwarder.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").0, 200);
+}
+
+#[rstest]
+#[case("job", true)]
+#[case("order", true)]
+#[case("charge", false)]
+fn a_killed_forwarder_still_owes_what_it_took(#[case] traffic: &str, #[case] again: bool) {
+    let (mut forwarder, calls, notices, _) = all(0, |_| ());
+    forwarder.take("a", traffic, "Cookie: about=5\r\n");
+    let out = next(&calls);
+    if !again {
+        forwarder.take("b", traffic, "Cookie: about=5\r\n");
+    }
+    forwarder.restart("-KILL");
+    drop(out);
+    if !again {
+        assert_eq!(next(&notices), given_up("a"), "it may have run");
+    }
+    let call = next(&calls);
+    assert_eq!((call.id(), &call.body[..]), (if again { "a" } else { "b" }, &b"body"[..]));
+    call.answer(OK);
+    forwarder.take("c", "job", "");
+    assert_eq!(next(&calls).id(), "c", "nothing else was owed");
+}
+
+#[rstest]
+fn a_notice_is_told_until_it_is_heard_also_across_a_restart() {
+    let (mut forwarder, calls, notices, _) = all(usize::MAX, |_| ());
+    forwarder.take("a", "charge", "Cookie: about=5\r\n");
+    next(&calls).answer(ERROR);
+    for _ in 0..3 {
+        assert_eq!(next(&notices), given_up("a"));
+    }
+    forwarder.take("b", "charge", "Cookie: about=5\r\n");
+    forwarder.restart("-KILL");
+    while notices.try_recv().is_ok() {}
+    assert_eq!(next(&notices), given_up("a"));
+    assert!(calls.try_recv().is_err(), "b is behind a, whose end nobody has heard");
+}
+
+#[rstest]
+#[case("charge", "", &[])]
+#[case("charge", "HTTP/1.1 nonsense\r\n\r\n", &[])]
+#[case("charge", "HTTP/1.1 200 OK\r\nContent-Le", &["delivered"])]
+#[case("charge", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", &["delivered"])]
+#[case("charge", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", &["again"])]
+#[case("job", "", &["again"])]
+#[case("order", "HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nshort", &["again"])]
+fn answers_good_and_bad(#[case] traffic: &str, #[case] said: &str, #[case] then: &[&str]) {
+    let (forwarder, calls, notices, _) = all(0, |_| ());
+    forwarder.take("a", traffic, "Cookie: about=5\r\n");
+    next(&calls).answer(&format!("{said}{BREAK}"));
+    match then {
+        [] => assert_eq!(next(&notices), given_up("a")),
+        ["again"] => assert_eq!(next(&calls).id(), "a"),
+        _ => {
+            // It is over: the next of its key goes, and no notice does.
+            forwarder.take("b", "charge", "Cookie: about=5\r\n");
+            assert_eq!(next(&calls).id(), "b");
+            assert!(notices.try_recv().is_err());
+        }
+    }
+}
+
+#[rstest]
+fn a_target_that_is_not_there_gets_the_event_once_it_is() {
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let (discovery, watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, free));
+    forwarder.take("a", "charge", "Cookie: about=5\r\n");
+    let (target, calls) = stand_in();
+    let moved =
+        json!({"revision": 42, "complete": false, "members": [member("t", target, "up")]}).to_string();
+    let watch = next(&watches);
+    assert!(watch.head.starts_with("GET /discovery/hosts?since=41&timeout_ms="));
+    watch.answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{moved}", moved.len()));
+    let call = std::iter::repeat_with(|| next(&calls)).find(|call| !call.head.starts_with("GET /alive"));
+    assert_eq!(call.expect("endless").id(), "a");
+    assert!(next(&watches).head.contains("since=42"));
+}
+
+#[rstest]
+#[case("draining")]
+#[case("removed")]
+fn nothing_new_goes_to_a_target_that_leaves(#[case] phase: &str) {
+    let (old, old_calls) = stand_in();
+    let (new, new_calls) = stand_in();
+    let (discovery, watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, old));
+    forwarder.take("a", "job", "");
+    next(&old_calls).answer(OK);
+    let page = json!({"revision": 42, "complete": false,
+        "members": [member("t", old, phase), member("u", new, "up"), {"id": "odd"}]});
+    let page = page.to_string();
+    next(&watches).answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}", page.len()));
+    next(&watches); // the next watch comes once the page was handed on
+    for id in ["b", "c", "d", "e"] {
+        forwarder.take(id, "job", "");
+        let call = next(&new_calls);
+        assert_eq!(call.id(), id);
+        call.answer(OK);
+    }
+    assert!(old_calls.try_recv().is_err());
+}
+
+#[rstest]
+fn a_connection_that_the_target_closed_is_not_used_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (discovery, _watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, listener.local_addr().unwrap()));
+    for id in ["a", "b"] {
+        forwarder.take(id, "charge", "");
+        let (mut stream, _) = listener.accept().expect("a connection of its own");
+        read_message(&mut BufReader::new(&mut stream)).expect("a call");
+        stream.write_all(OK.as_bytes()).expect("takes it");
+        stream.shutdown(std::net::Shutdown::Both).expect("closes");
+        // Its end of the connection closes once it has seen ours close.
+        while !matches!(stream.read(&mut [0; 64]), Ok(0) | Err(_)) {}
+    }
+}
+
+#[rstest]
+#[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 1\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case("POST /job HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400)]
+#[case("nonsense\r\n\r\n", 400)]
+#[case("POST /other HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404)]
+#[case("GET /job HTTP/1.1\r\nHost: x\r\n\r\n", 405)]
+#[case("POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405)]
+#[case(
+    "POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 1\r\nX-Envelope: dest=1\r\nContent-Length: 65537\r\n\r\n",
+    413
+)]
+fn bad_input_is_refused_and_harms_nobody_else(#[case] request: &str, #[case] status: u16) {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    assert_eq!(forwarder.ask(request.as_bytes()).0, status);
+    forwarder.take("good", "job", "");
+    assert_eq!(next(&calls).id(), "good");
+}
+
+#[rstest]
+fn a_client_that_left_before_its_answer_took_its_event_back() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let mut stream = TcpStream::connect(forwarder.address).expect("listens");
+    stream.write_all(&event("warm", "job", "")).expect("takes it");
+    assert_eq!(answer(&mut stream).0, 202);
+    next(&calls).answer(OK);
+    forwarder.signal("-STOP");
+    stream.write_all(&event("left", "job", "")).expect("the kernel takes it");
+    drop(stream);
+    forwarder.signal("-CONT");
+    forwarder.take("stays", "job", "");
+    assert_eq!(next(&calls).id(), "stays");
+}
+
+#[rstest]
+fn what_does_not_fit_is_refused_with_a_time_to_come_back() {
+    let (forwarder, calls, _notices, _) =
+        all(0, |config| config["settings"]["allowed"]["maxOpen"] = json!(2));
+    forwarder.take("a", "charge", "Cookie: about=5\r\n");
+    let out = next(&calls);
+    let (status, head) = (0..3)
+        .map(|number| forwarder.ask(&event(&format!("b{number}"), "charge", "Cookie: about=5\r\n")))
+        .find(|(status, _)| *status != 202)
+        .expect("room for two");
+    assert_eq!(status, 503);
+    assert!(head.contains("Retry-After: 2.000\r\n"), "{head}");
+    out.answer(OK);
+}
+
+#[rstest]
+fn asked_to_end_it_closes_idle_connections_answers_what_comes_and_ends() {
+    let (mut forwarder, calls, _notices, _) = all(0, |_| ());
+    let mut idle = TcpStream::connect(forwarder.address).expect("listens");
+    forwarder.take("a", "job", "");
+    forwarder.signal("-TERM");
+    assert_eq!(idle.read(&mut [0]).expect("closed in order"), 0);
+    let late = forwarder.ask(&event("b", "job", ""));
+    assert!(late.0 == 503 && late.1.contains("Connection: close\r\n"), "{late:?}");
+    next(&calls).answer(OK);
+    assert!(forwarder.child.wait().expect("ends").success());
+    assert!(calls.try_recv().is_err());
+}
+
+#[rstest]
+#[case("/listen", json!("nowhere"), "listen: \"nowhere\" is not an address")]
+#[case("/settings/familyInfo/slots", Value::Null, "settings.familyInfo.slots: is missing")]
+fn a_bad_configuration_ends_it_with_one_plain_line(
+    #[case] at: &str,
+    #[case] value: Value,
+    #[case] said: &str,
+) {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut config = config(nobody, nobody);
+    *config.pointer_mut(at).expect("stands there") = value;
+    let file = format!("plankhill-bad-{}{}.json", std::process::id(), at.replace('/', "-"));
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, config.to_string()).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder"));
+    let out = command.env("PROXY_CONFIG", &path).env("PROXY_STATE", "/tmp").output().expect("runs");
+    std::fs::remove_file(&path).expect("written above");
+    let told = String::from_utf8(out.stderr).expect("UTF-8");
+    assert!(!out.status.success() && told.contains(said) && told.lines().count() == 1, "{told}");
+}
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod frame;
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
@@ -104,16 +105,7 @@
             self.keep(id.to_string(), frame);
             return;
         }
-        let known = self.places.get(&**id).copied();
-        let Some(place) = known.or_else(|| {
-            // Written anew, an ended event is its end alone.
-            matches!(mark, Mark::Ended { .. }).then(|| {
-                owed.insert(self.next, Owed::new(Taken { id: id.to_string().into(), ..Taken::default() }));
-                self.keep(id.to_string(), &[])
-            })
-        }) else {
-            return;
-        };
+        let Some(&place) = self.places.get(&**id) else { return };
         let event = owed.get_mut(&place).expect("kept with its frames");
         match mark {
             Mark::Sent { at, zone, .. } => {
@@ -153,12 +145,15 @@
         let from = self.pending.len();
         mark.write(&mut self.pending);
         if let Mark::Ended { .. } = mark {
-            // Nothing but the end is needed from now on.
+            // Its body and sends are not needed any more; its place among those of its key is.
             let kept = self.events.get_mut(&place).expect("kept");
-            kept.frames.clear();
-            self.live -= kept.reserved;
-            kept.reserved = MARKS;
-            self.live += kept.reserved;
+            if let Some((Mark::Taken(taken), _)) = Reader::new(&kept.frames).next() {
+                let mut short = Vec::new();
+                Mark::Taken(Taken { body: Cow::default(), fingerprint: None, ..taken }).write(&mut short);
+                self.live -= kept.reserved;
+                (kept.reserved, kept.frames) = (short.len() + MARKS, short);
+                self.live += kept.reserved;
+            }
         }
         let frame = self.pending[from..].to_vec();
         self.follow(place, &frame, still);
--- /dev/null
+++ b/ledger/tests/lives.rs
@@ -0,0 +1,150 @@
+//! What one process writes, the next one reads.
+
+use std::fs;
+use std::path::PathBuf;
+
+use plankhill_ledger::*;
+use rstest::rstest;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("plankhill-ledger-{}-{name}", std::process::id()));
+        fs::create_dir_all(&path).expect("a folder for the test");
+        Folder(path)
+    }
+    fn open(&self) -> (Ledger, Vec<Owed>) {
+        Ledger::open(&self.0, 1_000_000).expect("opens")
+    }
+    fn size(&self) -> u64 {
+        fs::read_dir(&self.0).expect("there").map(|file| file.unwrap().metadata().unwrap().len()).sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn event(id: &str, body: &'static [u8]) -> Taken<'static> {
+    Taken {
+        id: id.to_owned().into(),
+        destination: 7,
+        traffic: "t".into(),
+        patience_ends: 1.5,
+        key: Some(9),
+        fingerprint: Some("f".into()),
+        body: body.into(),
+    }
+}
+
+fn ids(owed: &[Owed]) -> Vec<&str> {
+    owed.iter().map(|owed| &*owed.taken.id).collect()
+}
+
+#[rstest]
+fn what_is_owed_comes_back_in_order_with_its_sends() {
+    let folder = Folder::new("order");
+    let (mut ledger, owed) = folder.open();
+    assert!(owed.is_empty());
+    ["a", "b", "c", "d", "e"].into_iter().for_each(|id| ledger.taken(event(id, b"body")));
+    for id in ["a", "a", "b", "c", "d"] {
+        ledger.sent(id, 10.0, "z");
+    }
+    ledger.unrun("b");
+    ledger.over("c");
+    ledger.ended("d", Outcome::Dismissed, Some(500.0));
+    ledger.commit().expect("writes");
+    ledger.taken(event("lost", b"never committed"));
+    drop(ledger);
+    let (_, owed) = folder.open();
+    assert_eq!(ids(&owed), ["a", "b", "d", "e"]);
+    let z = || Some((10.0, "z".to_owned()));
+    assert_eq!((owed[0].sends, &owed[0].may_have_run, &owed[0].was_out), (2, &z(), &z()));
+    assert_eq!((owed[1].sends, &owed[1].may_have_run, &owed[1].was_out), (1, &None, &None));
+    assert_eq!(owed[2].ended, Some((Outcome::Dismissed, Some(500.0))));
+    let e = &owed[3].taken;
+    assert_eq!(
+        (e.destination, e.key, e.fingerprint.as_deref(), &*e.body),
+        (7, Some(9), Some("f"), &b"body"[..])
+    );
+}
+
+#[rstest]
+fn a_tail_torn_at_any_byte_costs_only_the_torn_frame() {
+    let folder = Folder::new("torn");
+    let (mut ledger, _) = folder.open();
+    ledger.taken(event("a", b"first"));
+    ledger.commit().expect("writes");
+    let path = folder.0.join("ledger");
+    let whole = fs::metadata(&path).unwrap().len() as usize;
+    ledger.taken(event("b", b"second"));
+    ledger.commit().expect("writes");
+    drop(ledger);
+    let bytes = fs::read(&path).unwrap();
+    for cut in whole..bytes.len() {
+        fs::write(&path, &bytes[..cut]).unwrap();
+        let (mut ledger, owed) = folder.open();
+        assert_eq!(ids(&owed), ["a"], "cut at {cut}");
+        ledger.taken(event("c", b"after"));
+        ledger.commit().expect("writes");
+        assert_eq!(ids(&folder.open().1), ["a", "c"], "what follows a torn frame is read");
+    }
+    let mut flipped = bytes.clone();
+    *flipped.last_mut().unwrap() ^= 1;
+    fs::write(&path, &flipped).unwrap();
+    assert_eq!(ids(&folder.open().1), ["a"], "a frame that does not fit its checksum is not read");
+}
+
+#[rstest]
+fn the_disk_is_never_filled_and_what_is_live_outlasts_being_written_anew() {
+    let folder = Folder::new("anew");
+    let (mut ledger, _) = folder.open();
+    ledger.taken(event("live", b"kept"));
+    ledger.sent("live", 3.0, "z");
+    ledger.taken(event("told", b"gone"));
+    ledger.ended("told", Outcome::WrittenOff, None);
+    let body: &'static [u8] = &[5; 20_000];
+    let mut most = 0;
+    for number in 0..200 {
+        let id = format!("n{number}");
+        assert!(ledger.has_room_for(body.len()));
+        ledger.taken(event(&id, body));
+        ledger.commit().expect("writes");
+        ledger.over(&id);
+        most = most.max(folder.size());
+    }
+    ledger.commit().expect("writes");
+    assert!(most < 600_000, "{most} bytes on a disk of a million");
+    let (mut ledger, owed) = folder.open();
+    assert_eq!((ids(&owed), owed[0].sends, owed[1].ended.is_some()), (vec!["live", "told"], 1, true));
+    let mut taken = 0;
+    while ledger.has_room_for(body.len()) {
+        taken += 1;
+        ledger.taken(event(&format!("m{taken}"), body));
+        ledger.commit().expect("writes");
+        assert!(folder.size() < 1_000_000);
+    }
+    assert!(taken > 10, "room for {taken} only");
+}
+
+#[rstest]
+fn a_rewrite_cut_short_leaves_the_old_record() {
+    let folder = Folder::new("short");
+    let (mut ledger, _) = folder.open();
+    ledger.taken(event("a", b"body"));
+    ledger.commit().expect("writes");
+    fs::write(folder.0.join("ledger.new"), b"half").unwrap();
+    assert_eq!(ids(&folder.open().1), ["a"]);
+    assert!(!folder.0.join("ledger.new").exists());
+}
+
+#[rstest]
+fn another_file_in_its_place_is_not_overwritten() {
+    let folder = Folder::new("other");
+    fs::write(folder.0.join("ledger"), b"something else altogether").unwrap();
+    let error = Ledger::open(&folder.0, 1_000_000).map(|_| ()).expect_err("is no ledger");
+    assert!(error.to_string().contains("not a ledger"));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -119,8 +119,8 @@
 
     pub fn left(&mut self, id: &TargetId) {
         let Some(&of) = self.homes.get(id) else { return };
-        let home = self.destinations.get_mut(&of).expect("a home");
-        home.target_mut(id).expect("at home").listing = Listing::Gone;
+        let target = self.destinations.get_mut(&of).and_then(|home| home.target_mut(id));
+        target.expect("at home").listing = Listing::Gone;
         self.changed.insert(of);
     }
 
@@ -162,6 +162,11 @@
         self.settle(id, |event| event.unheard = false);
     }
 
+    /// The event ended in an earlier process, and its notice may not have been heard.
+    pub fn ended_before(&mut self, id: &EventId) {
+        self.settle(id, |event| (event.over, event.unheard) = (true, true));
+    }
+
     fn settle(&mut self, id: &EventId, change: impl FnOnce(&mut Event)) {
         let Some(&(of, place)) = self.places.get(id) else { return };
         let events = &mut self.destinations.get_mut(&of).expect("placed").events;
@@ -197,11 +202,10 @@
 
     pub fn send_ended(&mut self, id: &EventId, fate: Fate, took: Ms, over: bool, wait: Ms) -> Known {
         let &(of, place) = self.places.get(id).ok_or(Unknown("the event"))?;
-        let here = &mut self.here;
-        let now = here.now;
+        let (now, here) = (self.here.now, &mut self.here);
         let to = self.destinations.get_mut(&of).expect("placed");
-        let event = to.events.get_mut(&place).expect("placed");
-        let number = event.call.take().ok_or(Unknown("the send"))?;
+        let call = to.events.get_mut(&place).and_then(|event| event.call.take());
+        let number = call.ok_or(Unknown("the send"))?;
         let call = to.calls.get_mut(&number).expect("a call has members");
         call.members -= 1;
         let (sent, reuses, target) = (call.sent, call.reuses, call.target.clone());
@@ -361,8 +365,7 @@
 
     /// One call to the destination whose turn it is, with as many heads aboard as it takes.
     fn send_next(&mut self, id: DestinationId, out: &mut impl Decisions) {
-        let to = self.destinations.get_mut(&id).expect("ready");
-        let here = &mut self.here;
+        let (to, here) = (self.destinations.get_mut(&id).expect("ready"), &mut self.here);
         let (heads, open, _) = to.prospects(here, &self.keys);
         let Some(first) = heads.first() else { return };
         let (at, target) = to.pick(here, &to.events[first], &open);
--- /dev/null
+++ b/terms/tests/told.rs
@@ -0,0 +1,63 @@
+//! What a forwarder is told at its start, right and wrong: a message names the faulty key.
+
+use plankhill_terms::told;
+use rstest::rstest;
+use serde_json::{json, Value};
+
+fn config() -> Value {
+    json!({"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "known": {"revision": 1, "complete": true, "members": []},
+        "settings": {"me": 0, "balancers": 2, "shapes": ["k"], "zones": ["z"], "zone": "z",
+            "allowed": {"attemptsCap": 6, "maxOpen": 20, "probes": true, "connectTimeoutUs": 1000000},
+            "familyInfo": {"slots": 4},
+            "profiles": [{"name": "p", "semantics": "pure", "aimUs": 1, "deadlineUs": 2, "credit": 1,
+                "lateWorth": 0.1}],
+            "rules": {"coldFrom": 0.2, "coldUs": 9000000, "tipMultiple": 2}}})
+}
+
+fn read(name: &str, config: &Value) -> Result<plankhill_terms::Told, String> {
+    let path = std::env::temp_dir().join(format!("plankhill-terms-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).expect("a file for the test");
+    let told = told(|variable| match variable {
+        "PROXY_CONFIG" => Some(path.display().to_string()),
+        "PROXY_STATE" => Some("/state".into()),
+        "PROXY_NAME" => Some("n4".into()),
+        _ => None,
+    });
+    std::fs::remove_file(&path).expect("written above");
+    told
+}
+
+#[rstest]
+fn all_is_read_once_and_a_variable_goes_before_the_file() {
+    let told = read("right", &config()).expect("right");
+    assert_eq!((told.name.as_str(), told.sockets, told.disk), ("n4", 1024, 3_000_000));
+    assert_eq!((told.connect_time_out, told.idle_limit, told.terms.slots), (1000.0, 13_500.0, 4));
+    assert_eq!(told.terms.seed, 0x8c1f30d27a5be964);
+}
+
+#[rstest]
+#[case("/listen", json!("here"), "listen: \"here\" is not an address")]
+#[case("/seed", json!("xyz"), "seed: \"xyz\" is not hexadecimal")]
+#[case("/limits/disk_mb", json!(0), "limits.disk_mb: 0 is under")]
+#[case("/limits/sockets", json!("many"), "limits.sockets: a number is missing")]
+#[case("/settings/allowed/maxOpen", json!(-1), "settings.allowed.maxOpen: not a whole number")]
+#[case("/settings/rules/coldFrom", Value::Null, "settings.rules.coldFrom: a number is missing")]
+#[case("/settings/profiles/0/semantics", json!("odd"), "settings.profiles[0].semantics: unknown word")]
+#[case("/settings/zone", json!("nowhere"), "settings.zone: \"nowhere\" is not in the settings")]
+fn the_faulty_key_is_named(#[case] at: &str, #[case] value: Value, #[case] message: &str) {
+    let mut config = config();
+    *config.pointer_mut(at).expect("stands there") = value;
+    let name = at.replace('/', "-");
+    let said = read(&name, &config).map(|_| ()).expect_err("is wrong");
+    assert!(said.contains(message), "{said}");
+}
+
+#[rstest]
+fn a_file_that_is_missing_or_no_json_is_named() {
+    let said = told(|_| None).map(|_| ()).expect_err("nothing is set");
+    assert!(said.contains("PROXY_CONFIG: is not set"), "{said}");
+    let said = told(|_| Some("/nowhere/config.json".into())).map(|_| ()).expect_err("is not there");
+    assert!(said.contains("PROXY_CONFIG: /nowhere/config.json cannot be read"), "{said}");
+}
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -10,6 +10,7 @@
 pub struct Host {
     pub forwarder: Forwarder,
     pub now: Ms,
+    pub notices: bool, // ends of events go as notices
 }
 
 /// One forwarder of two, with 8 slots and room for 40; kind 0 shares a limit, kind 1 has routes apart and
@@ -64,7 +65,7 @@
     pub fn new(change: impl FnOnce(&mut Terms)) -> Self {
         let mut terms = terms();
         change(&mut terms);
-        let mut host = Host { forwarder: Forwarder::start(terms, 0.0), now: 0.0 };
+        let mut host = Host { forwarder: Forwarder::start(terms, 0.0), now: 0.0, notices: false };
         host.at(0.0, |f| {
             for (name, of, kind) in [("t", 1, 0), ("u", 2, 0), ("v", 3, 1), ("w", 3, 1)] {
                 f.listed(target(name), DestinationId(of), KindId(kind), ZoneId(0), Listing::Running);
@@ -76,7 +77,7 @@
     /// A round at `now`; wake-ups are left out of what it returns.
     pub fn at(&mut self, now: Ms, came_in: impl FnOnce(&mut Forwarder)) -> Vec<String> {
         self.now = now;
-        let mut told = Told(Vec::new());
+        let mut told = Told(Vec::new(), self.notices);
         let hand_over = |forwarder: &mut Forwarder, _: &mut Told| {
             came_in(forwarder);
             Ok::<(), Unknown>(())
@@ -137,7 +138,7 @@
     told.iter().filter(|word| word.starts_with("send")).count()
 }
 
-struct Told(Vec<String>);
+struct Told(Vec<String>, bool);
 
 impl Decisions for Told {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
@@ -147,11 +148,11 @@
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
         let _ = come_back_after;
         self.0.push(format!("dismiss {}", event.0));
-        false
+        self.1
     }
     fn write_off(&mut self, event: &EventId) -> bool {
         self.0.push(format!("write off {}", event.0));
-        false
+        self.1
     }
     fn ping(&mut self, target: &TargetId) {
         self.0.push(format!("ping {}", target.0));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -471,3 +471,88 @@
     sent += (0..20).map(|step| sends(&host.idle(45_050.0 + 50.0 * step as f64))).sum::<usize>();
     assert!(sent <= 6, "{sent} in a second");
 }
+
+/// Guards key order on sockets, where an event that ends by a notice is over only once that is answered.
+#[rstest]
+fn the_next_of_a_key_goes_once_the_notice_was_heard() {
+    let mut host = plain();
+    host.notices = true;
+    host.take(1.0, "a", BINDING, 1, Some(5));
+    host.take(1.0, "b", BINDING, 2, Some(5));
+    assert_eq!(host.ends(10.0, "a", Fate::Error), ["write off a"]);
+    assert!(host.idle(500.0).is_empty());
+    assert_eq!(host.at(501.0, |f| f.heard(&event("a"))), ["send b to u"]);
+}
+
+#[rstest]
+#[case(BINDING, &["write off a", "send b to t"])]
+#[case(FINGERPRINTED, &["send a to t", "send b to t"])]
+#[case(RETRIABLE, &["send a to t", "send b to t"])]
+fn a_send_out_when_the_process_ended_may_have_run(#[case] traffic: TrafficId, #[case] then: &[&str]) {
+    let mut host = Host::new(|terms| terms.key_rest = 0.0);
+    let told = host.at(1.0, |f| {
+        f.taken(event("a"), DestinationId(1), traffic, 9000.0, Some(OrderKey(5)));
+        f.restored(&event("a"), 1, Some((0.5, ZoneId(0))), true);
+        f.taken(event("b"), DestinationId(1), BINDING, 9000.0, Some(OrderKey(5)));
+        f.restored(&event("b"), 0, None, false);
+    });
+    assert_eq!(told, then);
+}
+
+#[rstest]
+fn a_key_rests_after_a_restart_behind_a_send_that_was_out() {
+    let mut host = plain();
+    let told = host.at(1.0, |f| {
+        f.taken(event("a"), DestinationId(1), BINDING, 9000.0, Some(OrderKey(5)));
+        f.restored(&event("a"), 1, Some((0.5, ZoneId(0))), true);
+        f.taken(event("b"), DestinationId(1), BINDING, 9000.0, Some(OrderKey(5)));
+    });
+    assert_eq!(told, ["write off a"]);
+    assert!(host.idle(300.0).is_empty());
+    assert_eq!(host.idle(301.0), ["send b to t"]);
+}
+
+/// Guards a destination that comes back while a forwarder restarts with a backlog for it.
+#[rstest]
+#[case(2, 1)]
+#[case(0, 8)]
+fn a_backlog_restored_after_bad_signs_is_not_pushed_over_at_once(#[case] made: u32, #[case] at_once: usize) {
+    let mut host = plain();
+    let told = host.at(1.0, |f| {
+        for number in 0..10 {
+            let id = event(&format!("e{number}"));
+            f.taken(id.clone(), DestinationId(1), RETRIABLE, 9000.0, None);
+            f.restored(&id, made, None, false);
+        }
+    });
+    assert_eq!(sends(&told), at_once);
+}
+
+#[rstest]
+fn nothing_is_sent_in_the_last_moments_of_a_process() {
+    let mut host = plain();
+    host.at(0.0, |f| f.closing(3400.0));
+    assert_eq!(host.take(1000.0, "a", BINDING, 1, None), ["send a to t"]);
+    assert!(host.take(2000.0, "b", BINDING, 1, None).is_empty(), "it might be out at the end");
+}
+
+/// On sockets a connection can come up long after the call was decided.
+#[rstest]
+fn calls_not_yet_written_are_taken_back_when_a_wait_is_told() {
+    let mut host = plain();
+    host.take(1.0, "a", RETRIABLE, 1, None);
+    host.take(1.0, "b", RETRIABLE, 1, None);
+    assert_eq!(host.ends_with(2.0, "a", Fate::Full, 500.0), ["take back t"]);
+}
+
+#[rstest]
+fn an_end_that_an_earlier_process_told_still_holds_back_its_key() {
+    let mut host = plain();
+    let told = host.at(1.0, |f| {
+        f.taken(event("a"), DestinationId(1), BINDING, 9000.0, Some(OrderKey(5)));
+        f.ended_before(&event("a"));
+        f.taken(event("b"), DestinationId(1), BINDING, 9000.0, Some(OrderKey(5)));
+    });
+    assert!(told.is_empty(), "{told:?}");
+    assert_eq!(host.at(2.0, |f| f.heard(&event("a"))), ["send b to t"]);
+}
