--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -15,6 +15,7 @@
 use plankhill_terms::Told;
 use slog::{debug, info, warn};
 
+use crate::counted::Counted;
 use crate::exchange::{is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
 use crate::rounds::{CameIn, Handed, Verdict};
 use crate::Common;
@@ -24,6 +25,8 @@
 /// An answer that is not read within that time is given up.
 const WRITING: Duration = Duration::from_secs(5);
 
+/// Between looks while no more connections are accepted.
+const PAUSE: Duration = Duration::from_millis(20);
 /// What a refused client still sends is read for so long.
 const LINGERING: Duration = Duration::from_secs(1);
 
@@ -38,22 +41,6 @@
     }
 }
 
-/// One of the connections open.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 pub async fn listen(
     common: Common,
     listener: Async<TcpListener>,
@@ -64,11 +51,15 @@
     // Half of the sockets are the clients', and an eighth is for telling more of them that it is full.
     let (most, at_all) = (common.told.sockets / 2, common.told.sockets * 5 / 8);
     let mut incoming = Box::pin(listener.incoming());
-    while let Some(stream) = incoming.next().await {
-        match stream {
-            Ok(stream) => {
+    loop {
+        let Some(counted) = Counted::new(&open, at_all) else {
+            Timer::after(PAUSE).await;
+            continue;
+        };
+        match incoming.next().await {
+            None => return,
+            Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                let counted = Counted::new(&open);
                 let client = Client {
                     common: common.clone(),
                     to_rounds: to_rounds.clone(),
@@ -79,14 +70,11 @@
                 };
                 common.executor.spawn(client.run()).detach();
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 warn!(common.log, "a connection cannot be accepted"; "error" => %e);
-                Timer::after(Duration::from_millis(20)).await;
+                Timer::after(PAUSE).await;
             }
         }
-        while open.get() >= at_all {
-            Timer::after(Duration::from_millis(20)).await;
-        }
     }
 }
 
--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use plankhill_buffers::Buffer;
 use plankhill_http1::{self as http1, Chunks, HeadSearch, ResponseHead};
 
@@ -67,6 +67,23 @@
     pub reusable: bool,
 }
 
+/// Asks over the connection kept, or a new one, and keeps it if it may serve again.
+pub async fn ask(
+    kept: &mut Option<Stream>,
+    to: SocketAddr,
+    request: &[u8],
+    bytes: &mut [u8],
+) -> io::Result<Answer> {
+    let mut stream = match kept.take().filter(is_quiet) {
+        Some(stream) => stream,
+        None => connect(to).await?,
+    };
+    stream.write_all(request).await?;
+    let answer = answer(&mut stream, bytes, &mut 0).await?;
+    *kept = answer.reusable.then_some(stream);
+    Ok(answer)
+}
+
 /// Reads one answer. `filled` says how far the buffer is filled, also if the reading is given up.
 pub async fn answer(stream: &mut Stream, bytes: &mut [u8], filled: &mut usize) -> io::Result<Answer> {
     let broken = |e: http1::Malformed| io::Error::new(io::ErrorKind::InvalidData, e.0);
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -6,7 +6,6 @@
 
 use async_channel::Sender;
 use async_io::Timer;
-use futures_lite::AsyncWriteExt;
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
 use plankhill_terms::fields::*;
@@ -14,7 +13,7 @@
 use serde_json::Value;
 use slog::{debug, warn};
 
-use crate::exchange::{answer, connect, is_quiet, until, Stream};
+use crate::exchange::{ask, until, Stream};
 use crate::rounds::CameIn;
 use crate::Common;
 
@@ -70,19 +69,12 @@
     let mut request = Vec::new();
     plankhill_http1::request(&mut request, "GET", &path, &[("Host", &common.told.discovery)], 0);
     let exchange = async {
-        let mut stream = match kept.take().filter(is_quiet) {
-            Some(stream) => stream,
-            None => connect(common.told.discovery).await?,
-        };
-        stream.write_all(&request).await?;
-        let mut filled = 0;
-        let answer = answer(&mut stream, bytes, &mut filled).await?;
+        let answer = ask(kept, common.told.discovery, &request, bytes).await?;
         let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
         let head = &bytes[answer.head.clone()];
         if plankhill_http1::ResponseHead::read(head).map_err(|e| bad(e.to_string()))?.status != 200 {
             return Err(bad(String::from_utf8_lossy(head).lines().next().unwrap_or_default().to_owned()));
         }
-        *kept = answer.reusable.then_some(stream);
         serde_json::from_slice(&bytes[answer.body]).map_err(|e| bad(format!("the list is not JSON: {e}")))
     };
     until(until_silent, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod clock;
+mod counted;
 mod exchange;
 mod list;
 mod notices;
--- a/forwarder/src/notices.rs
+++ b/forwarder/src/notices.rs
@@ -5,13 +5,12 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::AsyncWriteExt;
 use plankhill::interface::*;
 use plankhill_ledger::Outcome;
 use serde_json::json;
 use slog::warn;
 
-use crate::exchange::{answer, connect, is_quiet, until, Stream, LONGEST_HEAD};
+use crate::exchange::{ask, until, Stream, LONGEST_HEAD};
 use crate::rounds::CameIn;
 use crate::Common;
 
@@ -65,19 +64,13 @@
     plankhill_http1::request(&mut request, "POST", "/status", &[("Host", &to)], lines.len());
     request.extend_from_slice(lines);
     let exchange = async {
-        let mut stream = match kept.take().filter(is_quiet) {
-            Some(stream) => stream,
-            None => connect(to).await?,
-        };
-        stream.write_all(&request).await?;
-        let (mut bytes, mut filled) = ([0; LONGEST_HEAD], 0);
-        let answer = answer(&mut stream, &mut bytes, &mut filled).await?;
+        let mut bytes = [0; LONGEST_HEAD];
+        let answer = ask(kept, to, &request, &mut bytes).await?;
         let status = plankhill_http1::ResponseHead::status_in(&bytes[answer.head]);
         if status != Some(204) {
             let what = format!("answered with {}", status.unwrap_or_default());
             return Err(io::Error::new(io::ErrorKind::InvalidData, what));
         }
-        *kept = answer.reusable.then_some(stream);
         Ok(())
     };
     until(Instant::now() + PATIENCE, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -11,6 +11,7 @@
 use plankhill_http1::ResponseHead;
 use slog::debug;
 
+use crate::counted::Counted;
 use crate::exchange::{answer, connect, is_quiet, until, Body, Stream};
 use crate::rounds::CameIn;
 use crate::Common;
@@ -49,25 +50,6 @@
     _counted: Counted,
 }
 
-/// One of the connections that stand idle at all targets.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn new(count: &Rc<Cell<usize>>, most: usize) -> Option<Self> {
-        let free = count.get() < most;
-        free.then(|| {
-            count.set(count.get() + 1);
-            Counted(count.clone())
-        })
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 pub async fn run(
     reach: Reach,
     id: TargetId,
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -164,6 +164,15 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("runs").success());
     }
 
+    /// Stands still once this returns.
+    fn stop(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).expect("runs").contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
     fn restart(&mut self, signal: &str) {
         self.signal(signal);
         self.child.wait().expect("ends");
@@ -392,7 +401,7 @@
     stream.write_all(&event("warm", "job", "")).expect("takes it");
     assert_eq!(answer(&mut stream).0, 202);
     next(&calls).answer(OK);
-    forwarder.signal("-STOP");
+    forwarder.stop();
     stream.write_all(&event("left", "job", "")).expect("the kernel takes it");
     drop(stream);
     forwarder.signal("-CONT");
--- a/http1/src/head.rs
+++ b/http1/src/head.rs
@@ -67,7 +67,7 @@
         if method.is_empty() || !method.bytes().all(is_token) {
             return Err(Malformed("the method is not a word"));
         }
-        if !target.starts_with('/') && target != "*" {
+        if !target.starts_with('/') && !target.starts_with("http://") && target != "*" {
             return Err(Malformed("the request's target is not a path"));
         }
         let old = is_old(version)?;
@@ -82,8 +82,13 @@
         Ok(RequestHead { method, target, body, closes: fields.closes(old), expects_continue, fields })
     }
 
+    /// The path, without an address before it or a query behind it.
     pub fn path(&self) -> &'a str {
-        self.target.split(['?', '#']).next().unwrap_or_default()
+        let after = match self.target.strip_prefix("http://") {
+            Some(rest) => rest.find('/').map_or("/", |at| &rest[at..]),
+            None => self.target,
+        };
+        after.split(['?', '#']).next().unwrap_or_default()
     }
 }
 
--- a/http1/tests/messages.rs
+++ b/http1/tests/messages.rs
@@ -37,6 +37,15 @@
     assert!(RequestHead::read(head.as_bytes()).is_err());
 }
 
+#[rstest]
+#[case("/a?b", "/a")]
+#[case("http://host:1/a/b#c", "/a/b")]
+#[case("http://host", "/")]
+fn a_target_may_come_with_its_address(#[case] target: &str, #[case] path: &str) {
+    let head = format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(RequestHead::read(head.as_bytes()).expect("good").path(), path);
+}
+
 #[rstest]
 #[case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", 200, Body::Length(2), false)]
 #[case("HTTP/1.1 204 No Content\r\n\r\n", 204, Body::Length(0), false)]
