--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -35,24 +35,28 @@
 pub async fn at_start(common: &Common) -> Value {
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
     let asked = until(Instant::now() + AT_START, watch(common, None, &mut stream, &mut bytes)).await;
-    if let Some(Ok(page)) = asked {
-        return page;
+    match asked {
+        Some(Ok(page)) if is_whole(&page) => return page,
+        Some(Err(e)) => warn!(common.log, "discovery cannot be asked at the start"; "error" => %e),
+        _ => warn!(common.log, "discovery is silent at the start"),
     }
-    warn!(common.log, "discovery is silent at the start");
     let kept = std::fs::read(common.told.state.join(KEPT)).ok();
     let kept = kept.and_then(|kept| serde_json::from_slice::<Value>(&kept).ok());
     kept.filter(|kept| revision(kept) >= revision(&common.told.known)).unwrap_or(common.told.known.clone())
 }
 
+pub fn is_whole(page: &Value) -> bool {
+    page.get("complete") == Some(&Value::Bool(true))
+}
+
 fn revision(page: &Value) -> Option<u64> {
     page.get("revision").and_then(Value::as_u64)
 }
 
 /// Brings the list up to date with a page and keeps it for the next process.
 fn keep(common: &Common, list: &mut Value, page: &Value) {
-    let whole = page.get("complete") == Some(&Value::Bool(true));
     let members = |page: &Value| page.get("members").and_then(Value::as_array).cloned().unwrap_or_default();
-    let (changed, mut all) = (members(page), if whole { Vec::new() } else { members(list) });
+    let (changed, mut all) = (members(page), if is_whole(page) { Vec::new() } else { members(list) });
     all.retain(|old| changed.iter().all(|new| new.get("id") != old.get("id")));
     all.extend(changed.into_iter().filter(|new| new.get("phase") != Some(&Value::from("removed"))));
     *list = json!({"revision": revision(page), "complete": true, "members": all});
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -308,7 +308,7 @@
 
     fn listed(&mut self, to: &mut Forwarder, page: &Value) {
         let (told, log) = (self.common.told.clone(), self.common.log.clone());
-        let whole = page.get("complete") == Some(&Value::Bool(true));
+        let whole = list::is_whole(page);
         let mut named = HashSet::new();
         let mut gone = Vec::new();
         if whole {
