--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -181,9 +181,7 @@
             return Err(TOO_LONG);
         }
         if head.expects_continue && filled == end {
-            let mut told = Vec::new();
-            http1::response(&mut told, 100, &[], 0);
-            let _ = self.stream.write_all(&told).await;
+            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
         let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
         loop {
@@ -327,7 +325,9 @@
             fields.push(("Connection", &"close"));
         }
         let mut message = Vec::with_capacity(128);
-        http1::response(&mut message, status, &fields, text.len());
+        if http1::response(&mut message, status, &fields, text.len()).is_err() {
+            return false;
+        }
         message.extend_from_slice(text.as_bytes());
         let written = until(Instant::now() + WRITING, self.stream.write_all(&message)).await;
         matches!(written, Some(Ok(())))
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -111,7 +111,7 @@
         None => "/discovery/hosts".into(),
     };
     let mut request = Vec::new();
-    plankhill_http1::request(&mut request, "GET", &path, &[("Host", &common.told.discovery)], 0);
+    plankhill_http1::request(&mut request, "GET", &path, &[("Host", &common.told.discovery)], 0)?;
     let exchange = async {
         let answer = ask(kept, common.told.discovery, &request, bytes).await?;
         let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
--- a/forwarder/src/notices.rs
+++ b/forwarder/src/notices.rs
@@ -61,7 +61,7 @@
 async fn tell(common: &Common, lines: &[u8], kept: &mut Option<Stream>) -> io::Result<()> {
     let mut request = Vec::new();
     let to = common.told.discovery;
-    plankhill_http1::request(&mut request, "POST", "/status", &[("Host", &to)], lines.len());
+    plankhill_http1::request(&mut request, "POST", "/status", &[("Host", &to)], lines.len())?;
     request.extend_from_slice(lines);
     let exchange = async {
         let mut bytes = [0; LONGEST_HEAD];
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// The first round: the list, what an earlier process noted of its targets, and what an earlier process still owes.
+    /// The first round: the list, and what an earlier process noted of its targets and still owes.
     pub fn restore(&mut self, list: &Value, owed: Vec<Owed>) {
         self.decide(|forwarder, hands| {
             hands.listed(forwarder, list);
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -1,6 +1,7 @@
 //! One target: its actor owns the connections to it, lends one to each call and takes it back.
 
 use std::cell::Cell;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,7 +9,7 @@
 use async_channel::{Receiver, Sender, WeakSender};
 use futures_lite::{future, AsyncWriteExt};
 use plankhill::interface::*;
-use plankhill_http1::ResponseHead;
+use plankhill_http1::{self as http1, ResponseHead};
 use slog::debug;
 
 use crate::counted::Counted;
@@ -175,25 +176,11 @@
         if self.taken_back.is_closed() {
             return End::plain(Fate::NotSent);
         }
-        let mut message = Vec::new();
-        let left = ends.saturating_duration_since(Instant::now()).as_secs_f64();
-        let deadline = format!("{left:.3}");
-        match send {
-            Some(send) => {
-                let (id, key) = (&*send.event.0, send.fingerprint.as_deref());
-                let mut fields: Vec<(&str, &dyn std::fmt::Display)> =
-                    vec![("Host", &self.address), ("Req-Id", &id), ("Req-Deadline", &deadline)];
-                key.iter().for_each(|key| fields.push(("Idempotency-Key", key)));
-                plankhill_http1::request(&mut message, "POST", "/receive", &fields, send.body.len());
-                message.extend_from_slice(&send.body);
-            }
-            None => plankhill_http1::request(&mut message, "GET", "/alive", &[("Host", &self.address)], 0),
-        }
-        match until(ends, stream.write_all(&message)).await {
+        let Ok(length) = self.write(&mut buffer, ends, send) else { return End::plain(Fate::NotSent) };
+        match until(ends, stream.write_all(&buffer[..length])).await {
             Some(Ok(())) => (),
             _ => return End::plain(Fate::NoConnection),
         }
-        drop(message);
         let mut filled = 0;
         let answered = until(ends, answer(&mut stream, &mut buffer, &mut filled)).await;
         let whole = match answered {
@@ -218,6 +205,26 @@
         }
         end
     }
+
+    /// Writes the call, or ping, into a buffer; it is an error if it does not fit.
+    fn write(&self, buffer: &mut [u8], ends: Instant, send: Option<&Sending>) -> io::Result<usize> {
+        let size = buffer.len();
+        let mut rest = buffer;
+        let Some(send) = send else {
+            http1::request(&mut rest, "GET", "/alive", &[("Host", &self.address)], 0)?;
+            return Ok(size - rest.len());
+        };
+        let left = ends.saturating_duration_since(Instant::now()).as_secs_f64();
+        let (id, deadline) = (&*send.event.0, format!("{left:.3}"));
+        let mut fields: Vec<(&str, &dyn std::fmt::Display)> =
+            vec![("Host", &self.address), ("Req-Id", &id), ("Req-Deadline", &deadline)];
+        if let Some(key) = &send.fingerprint {
+            fields.push(("Idempotency-Key", key));
+        }
+        http1::request(&mut rest, "POST", "/receive", &fields, send.body.len())?;
+        rest.write_all(&send.body)?;
+        Ok(size - rest.len())
+    }
 }
 
 /// What the wire's statuses mean. An answer to a ping says no more than that.
--- a/http1/src/write.rs
+++ b/http1/src/write.rs
@@ -1,34 +1,44 @@
 //! Writes heads; a body follows as it is.
 
 use std::fmt::Display;
-use std::io::Write;
+use std::io::{Result, Write};
 
-/// Appends the head of a request with a body of that length.
-pub fn request(out: &mut Vec<u8>, method: &str, target: &str, fields: &[(&str, &dyn Display)], body: usize) {
-    fields_after(out, format_args!("{method} {target} HTTP/1.1"), fields, Some(body));
+/// Writes the head of a request with a body of that length.
+pub fn request(
+    out: &mut impl Write,
+    method: &str,
+    target: &str,
+    fields: &[(&str, &dyn Display)],
+    body: usize,
+) -> Result<()> {
+    head(out, format_args!("{method} {target} HTTP/1.1"), fields, Some(body))
 }
 
-/// Appends the head of a response with a body of that length; a 204 and any under 200 have none.
-pub fn response(out: &mut Vec<u8>, status: u16, fields: &[(&str, &dyn Display)], body: usize) {
+/// Writes the head of a response with a body of that length; a 204 and any under 200 have none.
+pub fn response(
+    out: &mut impl Write,
+    status: u16,
+    fields: &[(&str, &dyn Display)],
+    body: usize,
+) -> Result<()> {
     let length = (status >= 200 && status != 204).then_some(body);
-    fields_after(out, format_args!("HTTP/1.1 {status} {}", reason(status)), fields, length);
+    head(out, format_args!("HTTP/1.1 {status} {}", reason(status)), fields, length)
 }
 
-fn fields_after(
-    out: &mut Vec<u8>,
+fn head(
+    out: &mut impl Write,
     first: impl Display,
     fields: &[(&str, &dyn Display)],
     body: Option<usize>,
-) {
-    let fits = "memory takes every write";
-    write!(out, "{first}\r\n").expect(fits);
+) -> Result<()> {
+    write!(out, "{first}\r\n")?;
     for (name, value) in fields {
-        write!(out, "{name}: {value}\r\n").expect(fits);
+        write!(out, "{name}: {value}\r\n")?;
     }
     if let Some(length) = body {
-        write!(out, "Content-Length: {length}\r\n").expect(fits);
+        write!(out, "Content-Length: {length}\r\n")?;
     }
-    out.extend_from_slice(b"\r\n");
+    out.write_all(b"\r\n")
 }
 
 fn reason(status: u16) -> &'static str {
--- a/http1/tests/messages.rs
+++ b/http1/tests/messages.rs
@@ -94,10 +94,10 @@
 #[rstest]
 fn what_is_written_can_be_read() {
     let mut out = Vec::new();
-    request(&mut out, "POST", "/receive", &[("Host", &"h"), ("Req-Id", &7)], 5);
+    request(&mut out, "POST", "/receive", &[("Host", &"h"), ("Req-Id", &7)], 5).expect("fits");
     let head = RequestHead::read(&out).expect("good");
     assert_eq!((head.body, head.fields.one("req-id")), (Body::Length(5), Ok(Some("7"))));
     out.clear();
-    response(&mut out, 503, &[("Retry-After", &"1.5")], 0);
+    response(&mut out, 503, &[("Retry-After", &"1.5")], 0).expect("fits");
     assert_eq!(ResponseHead::read(&out).expect("good").fields.one("Retry-After"), Ok(Some("1.5")));
 }
--- a/terms/src/fields.rs
+++ b/terms/src/fields.rs
@@ -22,6 +22,11 @@
     present(from, field).and_then(Value::as_array).ok_or_else(|| format!("{field}: a list is missing"))
 }
 
+/// A list that is not empty.
+pub fn some<'a>(from: &'a Object, field: &str) -> Plain<&'a Vec<Value>> {
+    Some(list(from, field)?).filter(|all| !all.is_empty()).ok_or_else(|| format!("{field}: is empty"))
+}
+
 pub fn optional_text<'a>(from: &'a Object, field: &str) -> Plain<Option<&'a str>> {
     present(from, field).map(|v| v.as_str().ok_or_else(|| format!("{field}: not a text"))).transpose()
 }
@@ -38,6 +43,11 @@
     optional_whole(from, field)?.ok_or_else(|| format!("{field}: is missing"))
 }
 
+/// A whole number of one or more.
+pub fn count(from: &Object, field: &str) -> Plain<u64> {
+    Some(whole(from, field)?).filter(|number| *number > 0).ok_or_else(|| format!("{field}: is 0"))
+}
+
 pub fn number(from: &Object, field: &str) -> Plain<f64> {
     present(from, field).and_then(Value::as_f64).ok_or_else(|| format!("{field}: a number is missing"))
 }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -107,7 +107,7 @@
     let rules = object(env, "rules").map_err(within("rules"))?;
     let family = object(env, "familyInfo").map_err(within("familyInfo"))?;
     let names_of = |field: &str| -> Plain<Vec<String>> {
-        let names = list(env, field)?;
+        let names = some(env, field)?;
         names
             .iter()
             .map(|n| Ok(n.as_str().ok_or(format!("{field}: a name is no text"))?.to_owned()))
@@ -115,7 +115,7 @@
     };
     let mut names = Names { traffic: Vec::new(), kinds: names_of("shapes")?, zones: names_of("zones")? };
     let mut traffic = Vec::new();
-    for (at, profile) in list(env, "profiles")?.iter().enumerate() {
+    for (at, profile) in some(env, "profiles")?.iter().enumerate() {
         let within = |e: String| format!("profiles[{at}].{e}");
         let profile = profile.as_object().ok_or_else(|| within("not an object".into()))?;
         let (name, kind) = traffic_type(profile).map_err(within)?;
@@ -146,9 +146,9 @@
             Some(_) => list(family, "carriage")?.iter().map(|fee| fee.as_f64().unwrap_or(0.0)).collect(),
             None => Vec::new(),
         },
-        slots: whole(family, "slots").map_err(within("familyInfo"))? as usize,
-        room: whole(allowed, "maxOpen").map_err(within("allowed"))? as usize,
-        sends_cap: whole(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
+        slots: count(family, "slots").map_err(within("familyInfo"))? as usize,
+        room: count(allowed, "maxOpen").map_err(within("allowed"))? as usize,
+        sends_cap: count(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
         pings_allowed: flag("probes"),
         longest_advice: flag("retryAfter").then(|| optional_time(allowed, "maxRetryAfterUs")).transpose()?,
         cold_share: number(rules, "coldFrom").map_err(within("rules"))?,
--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -43,6 +43,8 @@
 #[case("/limits/disk_mb", json!(0), "limits.disk_mb: 0 is under")]
 #[case("/limits/sockets", json!("many"), "limits.sockets: a number is missing")]
 #[case("/settings/allowed/maxOpen", json!(-1), "settings.allowed.maxOpen: not a whole number")]
+#[case("/settings/allowed/attemptsCap", json!(0), "settings.allowed.attemptsCap: is 0")]
+#[case("/settings/shapes", json!([]), "settings.shapes: is empty")]
 #[case("/settings/rules/coldFrom", Value::Null, "settings.rules.coldFrom: a number is missing")]
 #[case("/settings/profiles/0/semantics", json!("odd"), "settings.profiles[0].semantics: unknown word")]
 #[case("/settings/zone", json!("nowhere"), "settings.zone: \"nowhere\" is not in the settings")]
