Client connections that ask for nothing make room while connections are many

Half of the sockets were the clients'; sixty idle connections with a limit of 64 shut everybody else out (story in sockets.rs, seen to fail with the defence taken out).

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -18,12 +18,17 @@
 use crate::counted::Counted;
 use crate::exchange::{is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
 use crate::rounds::{CameIn, Handed, Verdict};
+use crate::targets::most_idle;
 use crate::Common;
 
 /// A request whose first byte has come has to be whole within that time.
 const READING: Duration = Duration::from_secs(10);
 /// A connection that asks for nothing for so long makes room for others.
 const IDLE: Duration = Duration::from_secs(120);
+/// While connections are many, one that was idle for so long makes room already.
+const LOOK: Duration = Duration::from_secs(2);
+/// Descriptors for discovery, the ledger, the log and the reactor.
+const FILES: usize = 24;
 /// An answer that is not read within that time is given up.
 const WRITING: Duration = Duration::from_secs(5);
 
@@ -50,8 +55,10 @@
     closing: Receiver<()>,
 ) {
     let open = Rc::new(Cell::new(0));
-    // Half of the sockets are the clients', and an eighth is for telling more of them that it is full.
-    let (most, at_all) = (common.told.sockets / 2, common.told.sockets * 5 / 8);
+    // What the targets, discovery and the files do not need; the last of them are told that it is full.
+    let others = most_idle(&common.told) + common.told.terms.slots + FILES;
+    let at_all = common.told.sockets.saturating_sub(others).max(1);
+    let (most, crowded) = (at_all - at_all / 16, at_all - at_all / 4);
     let mut incoming = Box::pin(listener.incoming());
     loop {
         let Some(counted) = Counted::new(&open, at_all) else {
@@ -68,6 +75,8 @@
                     closing: closing.clone(),
                     stream,
                     full: open.get() > most,
+                    open: open.clone(),
+                    crowded,
                     _counted: counted,
                 };
                 common.executor.spawn(client.run()).detach();
@@ -85,7 +94,11 @@
     to_rounds: Sender<CameIn>,
     closing: Receiver<()>,
     stream: Stream,
+    /// There are too many connections: this one is told so.
     full: bool,
+    open: Rc<Cell<usize>>,
+    /// With more open than that, idle ones make room.
+    crowded: usize,
     _counted: Counted,
 }
 
@@ -147,7 +160,12 @@
         let readable = async {
             let _ = self.stream.readable().await;
         };
-        let too_long = until(Instant::now() + IDLE, future::or(readable, closes)).await.is_none();
+        let mut waited = Box::pin(future::or(readable, closes));
+        let began = Instant::now();
+        let mut too_long = false;
+        while !too_long && until(Instant::now() + LOOK, &mut waited).await.is_none() {
+            too_long = began.elapsed() > IDLE || self.open.get() > self.crowded;
+        }
         // What has come by then is still answered.
         !too_long && !self.closing.is_closed() || !is_quiet(&self.stream)
     }
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -109,8 +109,7 @@
     ) -> Self {
         let now = common.clock.now();
         let forwarder = Forwarder::start(common.told.terms.clone(), now);
-        let most_idle = common.told.sockets / 4;
-        let reach = Reach { common: common.clone(), to_rounds, idle: Rc::new(Cell::new(0)), most_idle };
+        let reach = Reach { common: common.clone(), to_rounds, idle: Rc::new(Cell::new(0)) };
         let hands = Hands {
             common,
             reach,
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -10,6 +10,7 @@
 use futures_lite::{future, AsyncWriteExt};
 use plankhill::interface::*;
 use plankhill_http1::{self as http1, ResponseHead};
+use plankhill_terms::Told;
 use slog::debug;
 
 use crate::counted::Counted;
@@ -40,9 +41,13 @@
 pub struct Reach {
     pub common: Common,
     pub to_rounds: Sender<CameIn>,
-    /// Connections that stand idle at all targets, and how many may.
+    /// Connections that stand idle at all targets.
     pub idle: Rc<Cell<usize>>,
-    pub most_idle: usize,
+}
+
+/// As many connections stand idle at all targets at most.
+pub fn most_idle(told: &Told) -> usize {
+    told.sockets / 8
 }
 
 struct Idle {
@@ -92,7 +97,7 @@
                 continue;
             }
             ToTarget::Returned(stream) => {
-                if let Some(_counted) = Counted::new(&reach.idle, reach.most_idle) {
+                if let Some(_counted) = Counted::new(&reach.idle, most_idle(&reach.common.told)) {
                     idle.push(Idle { stream, since: Instant::now(), _counted });
                 }
                 continue;
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -493,6 +493,18 @@
     out.answer(OK);
 }
 
+#[rstest]
+fn connections_that_ask_for_nothing_make_room() {
+    let (forwarder, calls, _notices, _) = all(0, |config| config["limits"]["sockets"] = json!(64));
+    let idle: Vec<_> = (0..60).map(|_| TcpStream::connect(forwarder.address).expect("listens")).collect();
+    let by = Instant::now() + LONG;
+    while forwarder.ask(&event("a", "job", "")).0 != 202 {
+        assert!(Instant::now() < by, "{} connections that do nothing shut it", idle.len());
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(next(&calls).id(), "a");
+}
+
 #[rstest]
 fn asked_to_end_it_closes_idle_connections_answers_what_comes_and_ends() {
     let (mut forwarder, calls, _notices, _) = all(0, |_| ());
