A notice that the platform cannot read no longer holds up the others

Told again and again for a 400, one odd client id would have kept every other end from being heard (notices.rs, the loop around tell). A batch with a 400 is halved until the odd one stands alone; that one is logged and let go.

--- a/forwarder/src/notices.rs
+++ b/forwarder/src/notices.rs
@@ -8,7 +8,7 @@
 use plankhill::interface::*;
 use plankhill_ledger::Outcome;
 use serde_json::json;
-use slog::warn;
+use slog::{error, warn};
 
 use crate::exchange::{ask, until, Stream, LONGEST_HEAD};
 use crate::rounds::CameIn;
@@ -34,44 +34,67 @@
         while let Some(next) = (batch.len() < TOGETHER).then(|| owed.try_recv().ok()).flatten() {
             batch.push(next);
         }
-        let mut lines = Vec::new();
-        for Notice { event, outcome, come_back_after } in &batch {
-            let line = match (outcome, come_back_after) {
-                (Outcome::WrittenOff, _) => json!({"message": &*event.0, "outcome": "given_up"}),
-                (Outcome::Dismissed, None) => json!({"message": &*event.0, "outcome": "handed_back"}),
-                (Outcome::Dismissed, Some(wait)) => {
-                    json!({"message": &*event.0, "outcome": "handed_back", "retry_in_ms": wait.ceil() as u64})
+        let mut left = vec![batch];
+        while let Some(mut part) = left.pop() {
+            match tell(&common, &part, &mut stream).await {
+                Ok(Heard::No) if part.len() > 1 => {
+                    // One that can't be read must not hold up the others.
+                    let rest = part.split_off(part.len() / 2);
+                    left.extend([rest, part]);
+                    continue;
                 }
-            };
-            lines.extend_from_slice(line.to_string().as_bytes());
-            lines.push(b'\n');
-        }
-        while let Err(e) = tell(&common, &lines, &mut stream).await {
-            stream = None;
-            warn!(common.log, "notices are not heard"; "number" => batch.len(), "error" => %e);
-            Timer::after(PAUSE).await;
-        }
-        let heard = batch.into_iter().map(|notice| notice.event).collect();
-        if to_rounds.send(CameIn::Heard(heard)).await.is_err() {
-            return;
+                Ok(Heard::No) => {
+                    error!(common.log, "a notice cannot be read there"; "event" => &*part[0].event.0);
+                }
+                Ok(Heard::Yes) => (),
+                Err(e) => {
+                    stream = None;
+                    warn!(common.log, "notices are not heard"; "number" => part.len(), "error" => %e);
+                    left.push(part);
+                    Timer::after(PAUSE).await;
+                    continue;
+                }
+            }
+            let heard = part.into_iter().map(|notice| notice.event).collect();
+            if to_rounds.send(CameIn::Heard(heard)).await.is_err() {
+                return;
+            }
         }
     }
 }
 
-async fn tell(common: &Common, lines: &[u8], kept: &mut Option<Stream>) -> io::Result<()> {
+enum Heard {
+    Yes,
+    /// The platform can't read it, now or later.
+    No,
+}
+
+async fn tell(common: &Common, notices: &[Notice], kept: &mut Option<Stream>) -> io::Result<Heard> {
+    let lines: String = notices.iter().map(line).collect();
     let mut request = Vec::new();
     let to = common.told.discovery;
     plankhill_http1::request(&mut request, "POST", "/status", &[("Host", &to)], lines.len())?;
-    request.extend_from_slice(lines);
+    request.extend_from_slice(lines.as_bytes());
     let exchange = async {
         let mut bytes = [0; LONGEST_HEAD];
         let answer = ask(kept, to, &request, &mut bytes).await?;
-        let status = plankhill_http1::ResponseHead::status_in(&bytes[answer.head]);
-        if status != Some(204) {
-            let what = format!("answered with {}", status.unwrap_or_default());
-            return Err(io::Error::new(io::ErrorKind::InvalidData, what));
+        match plankhill_http1::ResponseHead::status_in(&bytes[answer.head]) {
+            Some(204) => Ok(Heard::Yes),
+            Some(400) => Ok(Heard::No),
+            other => Err(io::Error::other(format!("answered with {}", other.unwrap_or_default()))),
         }
-        Ok(())
     };
     until(Instant::now() + PATIENCE, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
+
+fn line(Notice { event, outcome, come_back_after }: &Notice) -> String {
+    let id = &*event.0;
+    let value = match (outcome, come_back_after) {
+        (Outcome::WrittenOff, _) => json!({"message": id, "outcome": "given_up"}),
+        (Outcome::Dismissed, None) => json!({"message": id, "outcome": "handed_back"}),
+        (Outcome::Dismissed, Some(wait)) => {
+            json!({"message": id, "outcome": "handed_back", "retry_in_ms": wait.ceil() as u64})
+        }
+    };
+    format!("{value}\n")
+}
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -102,7 +102,12 @@
                 let _ = notice.send(serde_json::from_str(line).expect("one JSON value a line"));
             }
             let dull = left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok();
-            request.answer(if dull { ERROR } else { "HTTP/1.1 204 Fine\r\n\r\n" });
+            let odd = String::from_utf8_lossy(&request.body).contains("unreadable");
+            request.answer(match (dull, odd) {
+                (true, _) => ERROR,
+                (_, true) => "HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n",
+                _ => "HTTP/1.1 204 Fine\r\n\r\n",
+            });
         }
     });
     (address, watches, notices)
@@ -344,6 +349,18 @@
     assert!(calls.try_recv().is_err(), "b is behind a, whose end nobody has heard");
 }
 
+/// Guards the others' notices from an id that the platform does not take.
+#[rstest]
+fn a_notice_that_cannot_be_read_holds_up_no_other() {
+    let (forwarder, calls, notices, _) = all(0, |_| ());
+    for id in ["unreadable", "a"] {
+        forwarder.take(id, "charge", "Cookie: about=5\r\n");
+        next(&calls).answer(ERROR);
+    }
+    assert_eq!(next(&notices), given_up("unreadable"));
+    assert_eq!(next(&notices), given_up("a"));
+}
+
 #[rstest]
 #[case("charge", "", &[])]
 #[case("charge", "HTTP/1.1 nonsense\r\n\r\n", &[])]
