--- a/forwarder/src/clock.rs
+++ b/forwarder/src/clock.rs
@@ -22,7 +22,11 @@
     }
 
     pub fn instant(&self, at: Ms) -> Instant {
-        let after = ((at - self.unix) / 1000.0).clamp(0.0, 1e9);
-        self.started + Duration::from_secs_f64(after)
+        self.started + millis(at - self.unix)
     }
 }
+
+/// A span for the timers: none ends before it begins, and none is longer than a year.
+pub fn millis(span: Ms) -> Duration {
+    Duration::from_secs_f64((span / 1000.0).clamp(0.0, 365.0 * 86_400.0))
+}
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -11,7 +11,7 @@
 mod targets;
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -22,7 +22,7 @@
 use plankhill_terms::{fields::Plain, Told};
 use slog::{info, o, Drain, Logger};
 
-use crate::clock::Clock;
+use crate::clock::{millis, Clock};
 
 /// What every actor is given.
 #[derive(Clone)]
@@ -97,7 +97,3 @@
     info!(log, "ends");
     Ok(())
 }
-
-fn millis(span: plankhill::interface::Ms) -> Duration {
-    Duration::from_secs_f64(span / 1000.0)
-}
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender, WeakSender};
 use futures_lite::{future, AsyncWriteExt};
@@ -13,6 +13,7 @@
 use plankhill_terms::Told;
 use slog::debug;
 
+use crate::clock::millis;
 use crate::counted::Counted;
 use crate::exchange::{answer, connect, is_quiet, until, Body, Stream};
 use crate::rounds::CameIn;
@@ -65,7 +66,7 @@
 ) {
     let mut idle: Vec<Idle> = Vec::new(); // the one used last is last
     let (mut unwritten, mut taken_back) = async_channel::bounded::<()>(1);
-    let limit = Duration::from_secs_f64(reach.common.told.idle_limit / 1000.0);
+    let limit = millis(reach.common.told.idle_limit);
     loop {
         let oldest = idle.first().map(|idle| idle.since + limit);
         let next = match oldest {
@@ -160,12 +161,12 @@
 
     async fn exchange(&mut self, began: Instant, time_out: Ms, send: Option<&Sending>) -> End {
         let told = &self.reach.common.told;
-        let ends = began + Duration::from_secs_f64(time_out / 1000.0);
+        let ends = began + millis(time_out);
         let Some(mut buffer) = self.reach.common.pool.take() else { return End::plain(Fate::NotSent) };
         let mut stream = match self.kept.take() {
             Some(stream) => stream,
             None => {
-                let up_by = began + Duration::from_secs_f64(told.connect_time_out / 1000.0);
+                let up_by = began + millis(told.connect_time_out);
                 let taken_back = async {
                     let _ = self.taken_back.recv().await;
                     None
@@ -194,9 +195,9 @@
                 // An answer that broke off after its first line is an answer.
                 let fate = match (ResponseHead::status_in(&buffer[..filled]), cut_short) {
                     (Some(200), _) => Fate::Delivered,
-                    (Some(100..=199) | None, None) => Fate::TimedOut,
-                    (Some(100..=199) | None, _) if filled == 0 => Fate::Reset,
-                    _ => Fate::Error,
+                    (_, None) => Fate::TimedOut,
+                    (_, Some(Err(e))) if e.kind() == io::ErrorKind::InvalidData => Fate::Error,
+                    _ => Fate::Reset,
                 };
                 return End::plain(fate);
             }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -80,7 +80,7 @@
         discovery: address(either("PROXY_DISCOVERY", "discovery")?)?,
         state: variable("PROXY_STATE").ok_or("PROXY_STATE: is not set")?.into(),
         memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
-        sockets: limit("sockets", 32.0)? as usize,
+        sockets: limit("sockets", 64.0)? as usize,
         disk: (limit("disk_mb", 0.25)? * 1e6) as u64,
         known: present(root, "known").cloned().unwrap_or_default(),
         terms,
