--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -259,6 +259,8 @@
             fingerprint: handed.fingerprint.as_deref().map(Into::into),
             body: (&*handed.body).into(),
         });
+        debug!(self.common.log, "taken"; "event" => &*handed.id.0, "traffic" => handed.traffic.0,
+            "destination" => handed.destination.0);
         let answer = Some(handed.answer.clone());
         let held = Held { fingerprint: handed.fingerprint.clone(), body: handed.body.clone(), answer };
         self.held.insert(handed.id.clone(), held);
@@ -413,6 +415,7 @@
         let zone = self.targets.get(target).map_or(ZoneId(0), |target| target.zone);
         self.ledger.sent(&event.0, self.now, &self.common.told.names.zones[zone.0]);
         self.out.insert(event.clone());
+        debug!(self.common.log, "sends"; "event" => &*event.0, "target" => &*target.0, "time_out" => time_out);
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let send = Sending { event: event.clone(), fingerprint, body, time_out };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
