A target that refuses connections is shunned for two seconds, not half of one

Checked with the debug log of taken and sent events; the other destinations had no such waits, which rules out slots and the forwarder that died. Guards what refuses connections at one endpoint of several; harmful, by load on the others, where the refusal was brief.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -409,8 +409,8 @@
     #[allow(clippy::too_many_arguments)]
     fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, fate: Fate, sent: Ms, wait: Ms, took: Ms) {
         let (now, chance) = (here.now, here.draw(1));
-        let shut = self.rate(here, at).filter(|_| wait > 2.0 * PING);
-        let cold_spacing = shut.map_or(0.0, |rate| 1000.0 / rate);
+        let cold_spacing =
+            self.rate(here, at).filter(|_| wait > 2.0 * PING).map_or(0.0, |rate| 1000.0 / rate);
         let lane = &mut self.lanes[at];
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
@@ -451,8 +451,10 @@
                 lane.trust = 1.0;
                 target.failures += 1;
                 target.unconnected_at = if fate == Fate::NoConnection { now } else { f64::NEG_INFINITY };
-                let pause = 500.0 * f64::powi(2.0, target.failures.min(5) - 1);
-                target.shunned_until = now + pause * jitter(chance);
+                // Refused connections last: past the pause of a head that met one; half a second met it again.
+                let base = if fate == Fate::NoConnection { 2000.0 } else { 500.0 };
+                let shunned = base * f64::powi(2.0, target.failures.min(5) - 1) * jitter(chance);
+                target.shunned_until = now + shunned;
                 lane.failures += 1;
                 if fate == Fate::TimedOut && lane.answered_at < sent {
                     // Slow: it gets more time. Lost, if others were answered meanwhile: that would pin slots.
@@ -482,8 +484,7 @@
         let now = here.now;
         let (closes, wanted) = (here.closes(self.kind), self.held() > 0);
         for lane in &mut self.lanes {
-            let news =
-                lane.cold_since.filter(|since| std::mem::replace(&mut lane.noted_cold, *since) < *since);
+            let news = lane.cold_since.filter(|at| std::mem::replace(&mut lane.noted_cold, *at) < *at);
             for target in &mut lane.targets {
                 news.into_iter().for_each(|since| out.note_cold(&target.id, since));
                 if target.idle_since.take_if(|since| closes && *since + BRIEF <= now).is_some() {
@@ -497,8 +498,8 @@
             if here.ping_due(lane, wanted) > now {
                 continue;
             }
-            let drawn = here.draw(2) * lane.running().count() as f64;
-            let target = lane.running().nth(drawn as usize).expect("some run");
+            let drawn = (here.draw(2) * lane.running().count() as f64) as usize;
+            let target = lane.running().nth(drawn).expect("some run");
             out.ping(&target.id);
             lane.ping_out = true;
         }
@@ -553,8 +554,7 @@
     fn opens_at(&self, here: &Here, at: usize) -> Ms {
         let lane = &self.lanes[at];
         if lane.offline {
-            let called = lane.targets.iter().any(|target| target.out > 0);
-            let trial = !here.terms.pings_allowed && !called;
+            let trial = !here.terms.pings_allowed && lane.targets.iter().all(|target| target.out == 0);
             return if trial { lane.ping_at.max(lane.closed_until) } else { f64::INFINITY };
         }
         let rested = lane.closed_until.max(lane.held_until);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -561,3 +561,25 @@
     assert!(told.is_empty(), "{told:?}");
     assert_eq!(host.at(2.0, |f| f.heard(&event("a"))), ["send b to t"]);
 }
+
+/// Met on sockets: the retry met the dead endpoint of two again, and its destination was parked and cold.
+#[rstest]
+fn one_dead_endpoint_of_two_does_not_park_its_destination() {
+    for seed in 0..40 {
+        let mut host = Host::new(|terms| terms.seed = seed);
+        host.at(0.0, |f| {
+            f.listed(target("dead"), DestinationId(1), KindId(0), ZoneId(0), Listing::Running);
+        });
+        let mut told = host.take(1.0, "a", RETRIABLE, 1, None);
+        if told == ["send a to dead"] {
+            host.ends(2.0, "a", Fate::NoConnection);
+            let mut at = 2.0;
+            told = Vec::new();
+            while sends(&told) == 0 {
+                at += 10.0;
+                told = host.idle(at);
+            }
+        }
+        assert_eq!(told, ["send a to t"], "seed {seed}");
+    }
+}
