--- a/src/decide.rs
+++ b/src/decide.rs
@@ -451,7 +451,7 @@
                 lane.trust = 1.0;
                 target.failures += 1;
                 target.unconnected_at = if fate == Fate::NoConnection { now } else { f64::NEG_INFINITY };
-                // Refused connections last: past the pause of a head that met one; half a second met it again.
+                // Refused connections last: past the pause of a head that met one; half a second did not do.
                 let base = if fate == Fate::NoConnection { 2000.0 } else { 500.0 };
                 let shunned = base * f64::powi(2.0, target.failures.min(5) - 1) * jitter(chance);
                 target.shunned_until = now + shunned;
