--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -387,7 +387,9 @@
 
 #[rstest]
 fn a_target_that_is_not_there_gets_the_event_once_it_is() {
-    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    // The port is ours, and nobody listens there on the other address.
+    let ours = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let free = SocketAddr::from(([127, 0, 0, 2], ours.local_addr().expect("bound").port()));
     let (discovery, watches, _notices) = discovery(0);
     let forwarder = Forwarder::start(&config(discovery, free));
     forwarder.take("a", "charge", "Cookie: about=5\r\n");
