One piece for what stood twice: fates that may have run, looks at a peer, ledger marks

From a reading of the whole change; behaviour stays. - Fate::may_have_run serves the module and the ledger, which listed the fates each for itself. - Ledger::follow does what a mark does to an event's frames, when it is made and when it is replayed (an end shortened them only when made); keep takes its frame instead of copying it, its unused result is gone. - The list's revision is read from the list, not kept beside it; merging and storing are apart, the first page is no longer copied. An entry is read whole before its target gets an actor. - is_quiet and is_gone share one look at the socket; an event's fields are handed on instead of copied one by one; the length of a body is checked in one place; closing is refused by the rounds alone; only the rounds compare a target's address.

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -16,8 +16,8 @@
 use slog::{debug, info, warn};
 
 use crate::counted::Counted;
-use crate::exchange::{is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
-use crate::rounds::{CameIn, Handed, Verdict};
+use crate::exchange::{is_gone, is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
+use crate::rounds::{CameIn, Event, Handed, Verdict};
 use crate::targets::most_idle;
 use crate::Common;
 
@@ -203,31 +203,31 @@
         }
         let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
         loop {
-            match body {
+            let whole = match body {
                 http1::Body::Length(length) => {
-                    write = end + length as usize;
-                    read = write;
-                    if filled >= write {
-                        break;
-                    }
-                }
-                _ if chunks.decode(&mut buffer, &mut read, &mut write, filled)? => break,
-                _ => {
-                    // What was decoded makes room.
-                    buffer.copy_within(read..filled, write);
-                    (filled, read) = (filled - (read - write), write);
+                    (read, write) = (end + length as usize, end + length as usize);
+                    filled >= write
                 }
+                _ => chunks.decode(&mut buffer, &mut read, &mut write, filled)?,
+            };
+            if write - end > LONGEST_BODY {
+                return Err(TOO_LONG);
+            }
+            if whole {
+                break;
             }
-            if write - end > LONGEST_BODY || filled == buffer.len() {
+            if body == http1::Body::Chunked {
+                // What was decoded makes room.
+                buffer.copy_within(read..filled, write);
+                (filled, read) = (filled - (read - write), write);
+            }
+            if filled == buffer.len() {
                 return Err(TOO_LONG);
             }
             if !self.more(&mut buffer, &mut filled).await {
                 return Ok(None);
             }
         }
-        if write - end > LONGEST_BODY {
-            return Err(TOO_LONG);
-        }
         let next = match filled > read {
             true => {
                 let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
@@ -248,33 +248,25 @@
 
     /// Hands an event to the decisions and answers the client. A client that goes before it has its answer
     /// takes the event back.
-    async fn event(&mut self, asked: Event, body: Body, closes: bool) -> bool {
+    async fn event(&mut self, event: Event, body: Body, closes: bool) -> bool {
         // After a stall many have gone already.
-        if self.is_gone() {
+        if is_gone(&self.stream) {
             return false;
         }
-        if self.full || self.closing.is_closed() {
-            let wait = self.common.told.terms.longest_advice.filter(|_| self.full);
+        if self.full {
+            let wait = self.common.told.terms.longest_advice;
             return self.tell(Verdict::Refused(wait), closes).await;
         }
         let (answer, verdict) = async_channel::bounded(1);
-        let id = asked.id.clone();
-        let handed = Handed {
-            id: asked.id,
-            destination: asked.destination,
-            traffic: asked.traffic,
-            patience_ends: self.common.clock.now() + asked.patience,
-            key: asked.key,
-            fingerprint: asked.fingerprint,
-            body,
-            answer,
-        };
+        let id = event.id.clone();
+        let patience_ends = self.common.clock.now() + event.patience;
+        let handed = Handed { event, patience_ends, body, answer };
         if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
             return self.tell(Verdict::Refused(None), true).await;
         }
         let gone = async {
             let _ = self.stream.readable().await;
-            if !self.is_gone() {
+            if !is_gone(&self.stream) {
                 future::pending::<()>().await;
             }
             None
@@ -321,15 +313,6 @@
         until(Instant::now() + LINGERING, rest).await;
     }
 
-    /// Whether the client has closed its side or broken off.
-    fn is_gone(&self) -> bool {
-        let mut byte = [0];
-        match self.stream.get_ref().peek(&mut byte) {
-            Ok(read) => read == 0,
-            Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
-        }
-    }
-
     /// Whether the answer was written.
     async fn respond(
         &mut self,
@@ -357,16 +340,6 @@
     Event(Event),
 }
 
-/// What the head of a request says of its event.
-struct Event {
-    id: EventId,
-    destination: DestinationId,
-    traffic: TrafficId,
-    patience: Ms,
-    key: Option<OrderKey>,
-    fingerprint: Option<Rc<str>>,
-}
-
 fn read_fields(head: &RequestHead, told: &Told) -> Result<Asked, Refusal> {
     if head.path() == "/up" {
         return if head.method == "GET" {
--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -53,10 +53,22 @@
     .await
 }
 
+/// What lies in the socket: None if nothing does, 0 bytes if the peer has closed its side or broken off.
+fn lies_ready(stream: &Stream) -> Option<usize> {
+    match stream.get_ref().peek(&mut [0]) {
+        Ok(read) => Some(read),
+        Err(e) => (e.kind() != io::ErrorKind::WouldBlock).then_some(0),
+    }
+}
+
 /// Whether a connection that stands idle is still open and has nothing to say.
 pub fn is_quiet(stream: &Stream) -> bool {
-    let mut byte = [0];
-    matches!(stream.get_ref().peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    lies_ready(stream).is_none()
+}
+
+/// Whether the peer has closed its side or broken off.
+pub fn is_gone(stream: &Stream) -> bool {
+    lies_ready(stream) == Some(0)
 }
 
 /// Where an answer's parts stand in the buffer that it was read into.
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -53,13 +53,17 @@
     page.get("revision").and_then(Value::as_u64)
 }
 
-/// Brings the list up to date with a page and keeps it for the next process.
-fn keep(common: &Common, list: &mut Value, page: &Value) {
+/// The whole list after a page of it.
+fn merged(list: &Value, page: &Value) -> Value {
     let members = |page: &Value| page.get("members").and_then(Value::as_array).cloned().unwrap_or_default();
     let (changed, mut all) = (members(page), if is_whole(page) { Vec::new() } else { members(list) });
     all.retain(|old| changed.iter().all(|new| new.get("id") != old.get("id")));
     all.extend(changed.into_iter().filter(|new| new.get("phase") != Some(&Value::from("removed"))));
-    *list = json!({"revision": revision(page), "complete": true, "members": all});
+    json!({"revision": revision(page).or(revision(list)), "complete": true, "members": all})
+}
+
+/// Keeps the list for the next process.
+fn keep(common: &Common, list: &Value) {
     let (path, new) = (common.told.state.join(KEPT), common.told.state.join("list.new"));
     let bytes = list.to_string().into_bytes();
     // It has a small part of the disk; a list too long for that is not kept.
@@ -70,19 +74,18 @@
     }
 }
 
-pub async fn run(common: Common, mut list: Value, to_rounds: Sender<CameIn>) {
-    let mut since = revision(&list);
+pub async fn run(common: Common, known: Value, to_rounds: Sender<CameIn>) {
+    let mut list = merged(&Value::Null, &known);
+    keep(&common, &list);
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
-    let page = list.clone();
-    keep(&common, &mut list, &page);
     let mut trouble = String::new();
     loop {
-        match watch(&common, since, &mut stream, &mut bytes).await {
+        match watch(&common, revision(&list), &mut stream, &mut bytes).await {
             Ok(page) => {
                 trouble.clear();
                 debug!(common.log, "list"; "revision" => revision(&page));
-                since = revision(&page).or(since);
-                keep(&common, &mut list, &page);
+                list = merged(&list, &page);
+                keep(&common, &list);
                 if to_rounds.send(CameIn::List(page)).await.is_err() {
                     return;
                 }
@@ -153,8 +156,9 @@
             let address = address.parse().map_err(|_| format!("host_port: {address:?} is no address"))?;
             let kind = KindId(self::place(&names.kinds, text(entry, "flavor")?, "flavor")?);
             let zone = ZoneId(self::place(&names.zones, text(entry, "locality")?, "locality")?);
+            let destination = DestinationId(whole(entry, "cell")?);
             place(&target, address, zone);
-            to.listed(target, DestinationId(whole(entry, "cell")?), kind, zone, listing);
+            to.listed(target, destination, kind, zone, listing);
             Ok(())
         };
         if let Err(what) = read() {
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -42,14 +42,20 @@
     Closing,
 }
 
-/// An event that a client hands in.
-pub struct Handed {
+/// What the head of a request says of its event.
+pub struct Event {
     pub id: EventId,
     pub destination: DestinationId,
     pub traffic: TrafficId,
-    pub patience_ends: Ms,
+    pub patience: Ms,
     pub key: Option<OrderKey>,
     pub fingerprint: Option<Rc<str>>,
+}
+
+/// An event that a client hands in.
+pub struct Handed {
+    pub event: Event,
+    pub patience_ends: Ms,
     pub body: Body,
     pub answer: Sender<Verdict>,
 }
@@ -167,7 +173,7 @@
                     let _ = handed.answer.try_send(Verdict::Refused(wait));
                     continue;
                 }
-                fresh.push(handed.id.clone());
+                fresh.push(handed.event.id.clone());
             }
             accepted.push(what);
         }
@@ -244,33 +250,34 @@
 
     /// Enters an event in the ledger if there is room for it.
     fn takes(&mut self, handed: &Handed) -> bool {
+        let event = &handed.event;
         let room = self.common.told.terms.room;
         let full = self.held.len() >= room || self.unheard + self.held.len() + 1 >= notices::MAILBOX;
-        let known = self.ledger.holds(&handed.id.0) || self.out.contains(&handed.id);
+        let known = self.ledger.holds(&event.id.0) || self.out.contains(&event.id);
         if full || known || !self.ledger.has_room_for(handed.body.len()) {
             return false;
         }
         self.ledger.taken(Taken {
-            id: (&*handed.id.0).into(),
-            destination: handed.destination.0,
-            traffic: self.common.told.names.traffic[handed.traffic.0].as_str().into(),
+            id: (&*event.id.0).into(),
+            destination: event.destination.0,
+            traffic: self.common.told.names.traffic[event.traffic.0].as_str().into(),
             patience_ends: handed.patience_ends,
-            key: handed.key.map(|key| key.0),
-            fingerprint: handed.fingerprint.as_deref().map(Into::into),
+            key: event.key.map(|key| key.0),
+            fingerprint: event.fingerprint.as_deref().map(Into::into),
             body: (&*handed.body).into(),
         });
-        debug!(self.common.log, "taken"; "event" => &*handed.id.0, "traffic" => handed.traffic.0,
-            "destination" => handed.destination.0);
+        debug!(self.common.log, "taken"; "event" => &*event.id.0, "traffic" => event.traffic.0,
+            "destination" => event.destination.0);
         let answer = Some(handed.answer.clone());
-        let held = Held { fingerprint: handed.fingerprint.clone(), body: handed.body.clone(), answer };
-        self.held.insert(handed.id.clone(), held);
+        let held = Held { fingerprint: event.fingerprint.clone(), body: handed.body.clone(), answer };
+        self.held.insert(event.id.clone(), held);
         true
     }
 
     fn hand_over(&mut self, to: &mut Forwarder, what: CameIn) {
         match what {
-            CameIn::Event(event) => {
-                to.taken(event.id, event.destination, event.traffic, event.patience_ends, event.key);
+            CameIn::Event(Handed { event, patience_ends, .. }) => {
+                to.taken(event.id, event.destination, event.traffic, patience_ends, event.key);
             }
             CameIn::Withdrawn(id) => {
                 if self.held.remove(&id).is_some() {
@@ -283,7 +290,7 @@
                 if over {
                     self.ledger.over(&event.0);
                     self.held.remove(&event);
-                } else if matches!(fate, Fate::Full | Fate::NoConnection | Fate::NotSent) {
+                } else if !fate.may_have_run() {
                     self.ledger.unrun(&event.0);
                 }
                 if let Err(Unknown(what)) = to.send_ended(&event, fate, took, over, wait) {
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -91,10 +91,8 @@
                 continue;
             }
             ToTarget::Moved(to) => {
-                if to != address {
-                    address = to;
-                    idle.clear();
-                }
+                address = to;
+                idle.clear();
                 continue;
             }
             ToTarget::Returned(stream) => {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -102,15 +102,14 @@
     fn replay(&mut self, mark: Mark, frame: &[u8], owed: &mut BTreeMap<u64, Owed>) {
         let id = match &mark {
             Mark::Cold { target, since } => return self.keep_cold(target, *since),
-            Mark::Taken(taken) => &taken.id,
+            Mark::Taken(taken) => {
+                owed.insert(self.next, Owed::new(taken.clone().into_owned()));
+                return self.keep(taken.id.to_string(), frame.to_vec());
+            }
             Mark::Sent { id, .. } | Mark::Unrun { id } | Mark::Ended { id, .. } | Mark::Over { id } => id,
         };
-        if let Mark::Taken(taken) = &mark {
-            owed.insert(self.next, Owed::new(taken.clone().into_owned()));
-            self.keep(id.to_string(), frame);
-            return;
-        }
         let Some(&place) = self.places.get(&**id) else { return };
+        self.follow(place, &mark, frame);
         let event = owed.get_mut(&place).expect("kept with its frames");
         match mark {
             Mark::Sent { at, zone, .. } => {
@@ -123,17 +122,14 @@
             Mark::Over { .. } => drop(owed.remove(&place)),
             Mark::Taken(_) | Mark::Cold { .. } => (), // seen above
         }
-        self.follow(place, frame, owed.contains_key(&place));
     }
 
-    fn keep(&mut self, id: String, frame: &[u8]) -> u64 {
-        let place = self.next;
-        self.next += 1;
-        let reserved = frame.len() + MARKS;
+    fn keep(&mut self, id: String, frames: Vec<u8>) {
+        let reserved = frames.len() + MARKS;
         self.live += reserved;
-        self.places.insert(id.clone(), place);
-        self.events.insert(place, Kept { id, frames: frame.to_vec(), reserved });
-        place
+        self.places.insert(id.clone(), self.next);
+        self.events.insert(self.next, Kept { id, frames, reserved });
+        self.next += 1;
     }
 
     fn keep_cold(&mut self, target: &str, since: f64) {
@@ -142,32 +138,32 @@
         }
     }
 
-    fn follow(&mut self, place: u64, frame: &[u8], still: bool) {
-        if still {
-            self.events.get_mut(&place).expect("kept").frames.extend_from_slice(frame);
-        } else if let Some(kept) = self.events.remove(&place) {
-            self.live -= kept.reserved;
+    /// What a mark of an event does to its frames.
+    fn follow(&mut self, place: u64, mark: &Mark, frame: &[u8]) {
+        let kept = self.events.get_mut(&place).expect("kept with its place");
+        self.live -= kept.reserved;
+        if let Mark::Over { .. } = mark {
             self.places.remove(&kept.id);
+            self.events.remove(&place);
+            return;
         }
+        if let (Mark::Ended { .. }, Some((Mark::Taken(taken), _))) = (mark, Reader::new(&kept.frames).next())
+        {
+            // Its body and sends are not needed any more; its place among those of its key is.
+            let mut short = Vec::new();
+            Mark::Taken(Taken { body: Cow::default(), fingerprint: None, ..taken }).write(&mut short);
+            (kept.reserved, kept.frames) = (short.len() + MARKS, short);
+        }
+        self.live += kept.reserved;
+        kept.frames.extend_from_slice(frame);
     }
 
-    fn mark(&mut self, id: &str, mark: Mark, still: bool) {
+    fn mark(&mut self, id: &str, mark: Mark) {
         let Some(&place) = self.places.get(id) else { return };
-        let from = self.pending.len();
-        mark.write(&mut self.pending);
-        if let Mark::Ended { .. } = mark {
-            // Its body and sends are not needed any more; its place among those of its key is.
-            let kept = self.events.get_mut(&place).expect("kept");
-            if let Some((Mark::Taken(taken), _)) = Reader::new(&kept.frames).next() {
-                let mut short = Vec::new();
-                Mark::Taken(Taken { body: Cow::default(), fingerprint: None, ..taken }).write(&mut short);
-                self.live -= kept.reserved;
-                (kept.reserved, kept.frames) = (short.len() + MARKS, short);
-                self.live += kept.reserved;
-            }
-        }
-        let frame = self.pending[from..].to_vec();
-        self.follow(place, &frame, still);
+        let mut frame = Vec::new();
+        mark.write(&mut frame);
+        self.pending.extend_from_slice(&frame);
+        self.follow(place, &mark, &frame);
     }
 
     /// Whether an event with that body still fits.
@@ -180,30 +176,30 @@
     }
 
     pub fn taken(&mut self, taken: Taken) {
-        let from = self.pending.len();
         let id = taken.id.to_string();
-        Mark::Taken(taken).write(&mut self.pending);
-        let frame = self.pending[from..].to_vec();
-        self.keep(id, &frame);
+        let mut frame = Vec::new();
+        Mark::Taken(taken).write(&mut frame);
+        self.pending.extend_from_slice(&frame);
+        self.keep(id, frame);
     }
 
     pub fn sent(&mut self, id: &str, at: f64, zone: &str) {
-        self.mark(id, Mark::Sent { id: id.into(), at, zone: zone.into() }, true);
+        self.mark(id, Mark::Sent { id: id.into(), at, zone: zone.into() });
     }
 
     /// The last send surely did not run.
     pub fn unrun(&mut self, id: &str) {
-        self.mark(id, Mark::Unrun { id: id.into() }, true);
+        self.mark(id, Mark::Unrun { id: id.into() });
     }
 
     /// A notice is owed from now on, and nothing else.
     pub fn ended(&mut self, id: &str, outcome: Outcome, come_back_after: Option<f64>) {
-        self.mark(id, Mark::Ended { id: id.into(), outcome, come_back_after }, true);
+        self.mark(id, Mark::Ended { id: id.into(), outcome, come_back_after });
     }
 
     /// Nothing more is owed.
     pub fn over(&mut self, id: &str) {
-        self.mark(id, Mark::Over { id: id.into() }, false);
+        self.mark(id, Mark::Over { id: id.into() });
     }
 
     pub fn note_cold(&mut self, target: &str, since: f64) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -243,7 +243,7 @@
         // Half a second, doubling with its sends, jittered.
         let pause = 500.0 * f64::powi(2.0, event.sends.min(6) as i32 - 1) * jitter(here.draw(place));
         event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
-        if matches!(fate, Fate::Error | Fate::TimedOut | Fate::Reset | Fate::Cancelled) {
+        if fate.may_have_run() {
             event.may_have_run.get_or_insert((sent, zone));
         }
         if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (event.key, fate) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -99,6 +99,13 @@
     NotSent,
 }
 
+impl Fate {
+    /// Whether a send that ended so, undelivered, may have had its effect.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Fate::Error | Fate::TimedOut | Fate::Reset | Fate::Cancelled)
+    }
+}
+
 /// A host named something that it never introduced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unknown(pub &'static str);
