A held event keeps its body in as many bytes as it has, and no buffer of the pool

Wrong lines: Body::new in clients.rs and Hands::restore kept the whole buffer that a request was read into until the event ended, 72 KB for some hundred bytes. Now the body is copied out and the buffer goes back at once; a restored event needs none at all, so that a restart cannot write off what does not find a buffer.

Story: 200 short events are held at 16 MB.

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -139,7 +139,10 @@
                 Asked::Up if self.closing.is_closed() => self.respond(503, &[], "", true).await,
                 Asked::Up => self.respond(200, &[], "", closes).await,
                 Asked::Event(event) => {
-                    self.event(event, Body::new(request.buffer, request.body), closes).await
+                    // The buffer goes back: an event may be held for long, and most bodies are short.
+                    let body = Body::from(&request.buffer[request.body]);
+                    drop(request.buffer);
+                    self.event(event, body, closes).await
                 }
             };
             if closes || !answered {
--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -2,13 +2,12 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::ops::{Deref, Range};
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use plankhill_buffers::Buffer;
 use plankhill_http1::{self as http1, Chunks, HeadSearch, ResponseHead};
 
 pub type Stream = Async<TcpStream>;
@@ -18,25 +17,8 @@
 pub const LONGEST_BODY: usize = 64 * 1024;
 pub const LONGEST_HEAD: usize = 8 * 1024;
 
-/// The body of an event, in the buffer that it came in; calls share it with the event.
-#[derive(Clone)]
-pub struct Body {
-    buffer: Rc<Buffer>,
-    at: Range<usize>,
-}
-
-impl Body {
-    pub fn new(buffer: Buffer, at: Range<usize>) -> Self {
-        Body { buffer: Rc::new(buffer), at }
-    }
-}
-
-impl Deref for Body {
-    type Target = [u8];
-    fn deref(&self) -> &[u8] {
-        &self.buffer[self.at.clone()]
-    }
-}
+/// The body of an event, in as many bytes as it has; calls share it with the event.
+pub type Body = Rc<[u8]>;
 
 pub async fn connect(to: SocketAddr) -> io::Result<Stream> {
     let stream = Stream::connect(to).await?;
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -230,18 +230,15 @@
             let (destination, key) = (DestinationId(taken.destination), taken.key.map(OrderKey));
             to.taken(id.clone(), destination, traffic, taken.patience_ends, key);
         }
-        let length = taken.body.len();
-        let buffer = self.common.pool.take().filter(|buffer| length <= buffer.len());
-        let (None, Some(_), Some(mut buffer)) = (ended, traffic, buffer) else {
+        let (None, Some(_)) = (ended, traffic) else {
             // It has ended, or can't be sent any more.
             let (outcome, come_back_after) = ended.unwrap_or((Outcome::WrittenOff, None));
             to.ended_before(&id);
             self.ended(&id, outcome, come_back_after);
             return;
         };
-        buffer[..length].copy_from_slice(&taken.body);
         let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
-        let held = Held { fingerprint, body: Body::new(buffer, 0..length), answer: None };
+        let held = Held { fingerprint, body: taken.body.as_ref().into(), answer: None };
         self.held.insert(id.clone(), held);
         let out = was_out.is_some();
         let ran = may_have_run.or(was_out).map(|(at, name)| (at, zone(&name)));
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -512,6 +512,17 @@
     out.answer(OK);
 }
 
+/// Guards the memory: an event held for long holds no buffer, which others need to be read at all.
+#[rstest]
+fn short_events_are_held_while_there_is_room_however_small_the_memory() {
+    let (forwarder, calls, _notices, _) = all(0, |config| {
+        config["limits"]["memory_mb"] = json!(16);
+        config["settings"]["allowed"]["maxOpen"] = json!(300);
+    });
+    (0..200).for_each(|number| forwarder.take(&format!("e{number}"), "job", ""));
+    assert_eq!(next(&calls).body, b"body");
+}
+
 #[rstest]
 fn connections_that_ask_for_nothing_make_room() {
     let (forwarder, calls, _notices, _) = all(0, |config| config["limits"]["sockets"] = json!(64));
