On SIGHUP the file is read again; list, watch and notices move to its discovery

Wrong lines: serve() in main.rs waited for SIGTERM and SIGINT only, and the address of discovery was fixed in Told. Now the file is read again whole; a faulty one is logged and all stays; a discovery elsewhere is watched from the revision we have, at once, its watch at the old address given up; notices are told there, again if the old address did not hear them; any other key that changed is logged as waiting for a new start. PROXY_DISCOVERY goes before the file at the start only: a process cannot be given it anew.

--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -61,14 +61,15 @@
     pub reusable: bool,
 }
 
-/// Asks over the connection kept, or a new one, and keeps it if it may serve again.
+/// Asks over the connection kept, if it goes there, or a new one, and keeps it if it may serve again.
 pub async fn ask(
     kept: &mut Option<Stream>,
     to: SocketAddr,
     request: &[u8],
     bytes: &mut [u8],
 ) -> io::Result<Answer> {
-    let mut stream = match kept.take().filter(is_quiet) {
+    let goes_there = |stream: &Stream| stream.get_ref().peer_addr().is_ok_and(|peer| peer == to);
+    let mut stream = match kept.take().filter(|stream| goes_there(stream) && is_quiet(stream)) {
         Some(stream) => stream,
         None => connect(to).await?,
     };
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future;
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
 use plankhill_terms::fields::*;
@@ -74,14 +75,23 @@
     }
 }
 
-pub async fn run(common: Common, known: Value, to_rounds: Sender<CameIn>) {
+/// Watches until the rounds end. When discovery moves, the watch goes on at its new address.
+pub async fn run(common: Common, known: Value, to_rounds: Sender<CameIn>, moved: Receiver<()>) {
     let mut list = merged(&Value::Null, &known);
     keep(&common, &list);
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
     let mut trouble = String::new();
     loop {
-        match watch(&common, revision(&list), &mut stream, &mut bytes).await {
-            Ok(page) => {
+        let moves = async {
+            if moved.recv().await.is_err() {
+                future::pending::<()>().await;
+            }
+            None
+        };
+        let page = async { Some(watch(&common, revision(&list), &mut stream, &mut bytes).await) };
+        match future::or(moves, page).await {
+            None => trouble.clear(),
+            Some(Ok(page)) => {
                 trouble.clear();
                 debug!(common.log, "list"; "revision" => revision(&page));
                 list = merged(&list, &page);
@@ -90,7 +100,7 @@
                     return;
                 }
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 stream = None;
                 // Told once, not with each try.
                 if std::mem::replace(&mut trouble, e.to_string()) != trouble {
@@ -114,9 +124,10 @@
         None => "/discovery/hosts".into(),
     };
     let mut request = Vec::new();
-    plankhill_http1::request(&mut request, "GET", &path, &[("Host", &common.told.discovery)], 0)?;
+    let to = common.discovery.get();
+    plankhill_http1::request(&mut request, "GET", &path, &[("Host", &to)], 0)?;
     let exchange = async {
-        let answer = ask(kept, common.told.discovery, &request, bytes).await?;
+        let answer = ask(kept, to, &request, bytes).await?;
         let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
         let head = &bytes[answer.head.clone()];
         if plankhill_http1::ResponseHead::read(head).map_err(|e| bad(e.to_string()))?.status != 200 {
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -10,9 +10,12 @@
 mod rounds;
 mod targets;
 
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -20,7 +23,7 @@
 use plankhill_buffers::Pool;
 use plankhill_ledger::Ledger;
 use plankhill_terms::{fields::Plain, Told};
-use slog::{info, o, Drain, Logger};
+use slog::{info, o, warn, Drain, Logger};
 
 use crate::clock::{millis, Clock};
 
@@ -32,6 +35,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub told: Rc<Told>,
+    /// Where discovery is: the file of the configuration may name another address while we run.
+    pub discovery: Rc<Cell<SocketAddr>>,
 }
 
 fn main() {
@@ -56,6 +61,7 @@
         pool: Pool::new(exchange::MESSAGE, (told.memory / 2) as usize / exchange::MESSAGE),
         clock: Clock::start(),
         log,
+        discovery: Rc::new(Cell::new(told.discovery)),
         told,
     };
     let executor = common.executor.clone();
@@ -68,7 +74,7 @@
     owed: Vec<plankhill_ledger::Owed>,
     listener: Async<std::net::TcpListener>,
 ) -> Plain<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("signals cannot be waited for: {e}"))?;
     let (log, executor) = (common.log.clone(), common.executor.clone());
     info!(log, "starts"; "listen" => %listener.get_ref().local_addr().unwrap_or(common.told.listen), "owed" => owed.len());
@@ -80,10 +86,13 @@
     decisions.restore(&known, owed);
     let rounds = executor.spawn(decisions.run(came_in));
     let _notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
-    let _list = executor.spawn(list::run(common.clone(), known, to_rounds.clone()));
+    let (moves, moved) = async_channel::bounded(1);
+    let _list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
     let _clients = executor.spawn(clients::listen(common.clone(), listener, to_rounds.clone(), closes));
 
-    signals.next().await;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        read_again(&common, &moves);
+    }
     info!(log, "closes");
     drop(closing);
     let _ = to_rounds.send(rounds::CameIn::Closing).await;
@@ -97,3 +106,19 @@
     info!(log, "ends");
     Ok(())
 }
+
+/// What the file of the configuration says now: discovery may have moved, the rest waits for a new start.
+fn read_again(common: &Common, moves: &Sender<()>) {
+    let told = match plankhill_terms::told_again(|name| std::env::var(name).ok()) {
+        Ok(told) => told,
+        Err(trouble) => return warn!(common.log, "all stays as it was"; "trouble" => trouble),
+    };
+    for key in told.needs_restart(&common.told) {
+        warn!(common.log, "takes effect only with a new start"; "key" => key);
+    }
+    if common.discovery.replace(told.discovery) != told.discovery {
+        info!(common.log, "discovery moves"; "to" => %told.discovery);
+        // One word in the mailbox is enough: the address is read when it is taken out.
+        let _ = moves.try_send(());
+    }
+}
--- a/forwarder/src/notices.rs
+++ b/forwarder/src/notices.rs
@@ -72,7 +72,7 @@
 async fn tell(common: &Common, notices: &[Notice], kept: &mut Option<Stream>) -> io::Result<Heard> {
     let lines: String = notices.iter().map(line).collect();
     let mut request = Vec::new();
-    let to = common.told.discovery;
+    let to = common.discovery.get();
     plankhill_http1::request(&mut request, "POST", "/status", &[("Host", &to)], lines.len())?;
     request.extend_from_slice(lines.as_bytes());
     let exchange = async {
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -426,6 +426,45 @@
     assert!(old_calls.try_recv().is_err());
 }
 
+/// Guards the list and the notices when the file names another discovery under load; a faulty file is no end.
+#[rstest]
+fn on_sighup_list_watch_and_notices_move_and_nothing_is_lost() {
+    let (target, calls) = stand_in();
+    let (old, old_watches, old_notices) = discovery(0);
+    let (new, watches, notices) = discovery(0);
+    let mut told = config(old, target);
+    let forwarder = Forwarder::start(&told);
+    let _held = next(&old_watches);
+    let file = forwarder.folder.join("config.json");
+    let logged = |what: &str| {
+        let by = Instant::now() + LONG;
+        while !forwarder.log.lock().unwrap().contains(what) {
+            assert!(Instant::now() < by, "{what:?} is not logged");
+            thread::sleep(Duration::from_millis(5));
+        }
+    };
+    std::fs::write(&file, "{").expect("written");
+    forwarder.signal("-HUP");
+    logged("all stays as it was");
+    forwarder.take("a", "charge", "");
+    let out = next(&calls);
+    told["discovery"] = json!(new.to_string());
+    told["limits"]["sockets"] = json!(128);
+    std::fs::write(&file, told.to_string()).expect("written");
+    forwarder.signal("-HUP");
+    logged("takes effect only with a new start, key: limits");
+    out.answer(ERROR);
+    assert_eq!(next(&notices), given_up("a"));
+    let watch = next(&watches);
+    assert!(watch.head.contains("since=41"), "{}", watch.head);
+    let (other, other_calls) = stand_in();
+    watch.answer(&page(&[member("t", target, "removed"), member("u", other, "up")]));
+    next(&watches);
+    forwarder.take("b", "job", "");
+    assert_eq!(next(&other_calls).id(), "b");
+    assert!(old_notices.try_recv().is_err() && calls.try_recv().is_err());
+}
+
 #[rstest]
 fn a_connection_that_the_target_closed_is_not_used_again() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -39,6 +39,17 @@
     pub closing_least: Ms,
     pub closing_time: Ms,
     pub log_level: slog::Level,
+    /// What the file says that only a new start heeds.
+    fixed: Vec<(String, Value)>,
+}
+
+impl Told {
+    /// The keys of the file with another value than before that take effect only with a new start.
+    pub fn needs_restart<'a>(&'a self, before: &'a Told) -> impl Iterator<Item = &'a str> {
+        let differs = |a: &'a Told, b: &'a Told| a.fixed.iter().filter(|pair| !b.fixed.contains(pair));
+        let names = differs(self, before).chain(differs(before, self)).map(|(key, _)| key.as_str());
+        names.collect::<std::collections::BTreeSet<_>>().into_iter()
+    }
 }
 
 /// Reads the file that `PROXY_CONFIG` names; the other `PROXY_*` variables go before what it says.
@@ -50,6 +61,11 @@
     read_told(root, variable).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Reads the file anew. Its `discovery` goes before the variable now, which a process cannot be given anew.
+pub fn told_again(variable: impl Fn(&str) -> Option<String>) -> Plain<Told> {
+    told(|name| variable(name).filter(|_| name != "PROXY_DISCOVERY"))
+}
+
 fn read_told(root: &Object, variable: impl Fn(&str) -> Option<String>) -> Plain<Told> {
     let either = |name: &str, field: &str| -> Plain<(String, String)> {
         match variable(name) {
@@ -93,6 +109,11 @@
             None => slog::Level::Info,
             Some(word) => word.parse().map_err(|()| format!("PROXY_LOG: {word:?} is not a log level"))?,
         },
+        // The list goes on from what discovery said since.
+        fixed: {
+            let moving = |key: &str| matches!(key, "discovery" | "known");
+            root.iter().filter(|(key, _)| !moving(key)).map(|(k, v)| (k.clone(), v.clone())).collect()
+        },
     })
 }
 
