Spoilt answers are known at once, say what their first line says, and tell nothing of health

Now an answer whose first byte has come is whole within 250 ms or spoilt; noise is known by its first line; a 200 there is a delivery, whatever follows; any other is a call cut short that may have run (Cancelled: the key rests, the target's health is not touched, a ping counts as answered); values that can't be read spoil only what needs them.

--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
@@ -74,63 +74,106 @@
         None => connect(to).await?,
     };
     stream.write_all(request).await?;
-    let answer = answer(&mut stream, bytes, &mut 0).await?;
+    let answer = answer(&mut stream, bytes, &mut Came::default(), ANSWERING).await?;
     *kept = answer.reusable.then_some(stream);
     Ok(answer)
 }
 
-/// Reads one answer. `filled` says how far the buffer is filled, also if the reading is given up.
-pub async fn answer(stream: &mut Stream, bytes: &mut [u8], filled: &mut usize) -> io::Result<Answer> {
-    let broken = |e: http1::Malformed| io::Error::new(io::ErrorKind::InvalidData, e.0);
-    let mut start = 0;
-    let (from, body, closes) = loop {
-        let mut search = HeadSearch::default();
-        let end = loop {
-            match search.end(&bytes[start..*filled]) {
-                Some(end) => break start + end,
-                None => more(stream, bytes, filled).await?,
+/// An answer whose first byte has come is whole soon after, or never: many times what a body of 64 KiB takes.
+pub const ANSWERING: Duration = Duration::from_millis(250);
+
+/// How much came, and where in it the last answer begins: others, such as 100, may go ahead of it.
+#[derive(Default)]
+pub struct Came {
+    pub start: usize,
+    pub filled: usize,
+}
+
+/// Reads one answer; what can't be read, doesn't end or doesn't fit is invalid data. `came` says how far the
+/// buffer is filled, also if the reading is given up.
+pub async fn answer(
+    stream: &mut Stream,
+    bytes: &mut [u8],
+    came: &mut Came,
+    answering: Duration,
+) -> io::Result<Answer> {
+    loop {
+        if came.start > LONGEST_HEAD {
+            return Err(invalid("too many answers go ahead"));
+        }
+        while came.filled == came.start {
+            more(stream, bytes, &mut came.filled).await?;
+        }
+        let whole = until(Instant::now() + answering, one_answer(stream, bytes, came)).await;
+        match whole.unwrap_or_else(|| Err(invalid("the answer does not end")))? {
+            Some(answer) => return Ok(answer),
+            None => continue,
+        }
+    }
+}
+
+fn invalid(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+/// Reads what begins at `came.start`; None if it is only one that goes ahead.
+async fn one_answer(stream: &mut Stream, bytes: &mut [u8], came: &mut Came) -> io::Result<Option<Answer>> {
+    let broken = |http1::Malformed(what)| invalid(what);
+    let Came { start, filled } = came;
+    let mut search = HeadSearch::default();
+    let end = loop {
+        let seen = &bytes[*start..*filled];
+        match search.end(seen) {
+            Some(end) => break *start + end,
+            // Noise is known by its first line.
+            None if seen.contains(&b'\n') && ResponseHead::status_in(seen).is_none() => {
+                return Err(invalid("the first line is none"));
             }
-        };
-        let head = ResponseHead::read(&bytes[start..end]).map_err(broken)?;
-        if head.status >= 200 {
-            break (end, head.body, head.closes);
+            None if seen.len() > LONGEST_HEAD => return Err(invalid("the head is too long")),
+            None => more(stream, bytes, filled).await?,
         }
-        start = end;
     };
-    let head = start..from;
+    let ResponseHead { status, body, closes, .. } =
+        ResponseHead::read(&bytes[*start..end]).map_err(broken)?;
+    if status < 200 {
+        *start = end;
+        return Ok(None);
+    }
+    let (mut read, mut write) = (end, end);
     match body {
         http1::Body::Length(length) => {
-            let whole = from.saturating_add(length as usize);
-            while *filled < whole {
-                if *filled == bytes.len() {
-                    return Ok(Answer { head, body: from..*filled, reusable: false });
-                }
+            write = end.saturating_add(length as usize);
+            if write > bytes.len() {
+                return Err(invalid("the answer is too long"));
+            }
+            while *filled < write {
                 more(stream, bytes, filled).await?;
             }
-            Ok(Answer { head, body: from..whole, reusable: !closes && *filled == whole })
+            read = write;
         }
         http1::Body::Chunked => {
-            let (mut chunks, mut read, mut write) = (Chunks::default(), from, from);
+            let mut chunks = Chunks::default();
             while !chunks.decode(bytes, &mut read, &mut write, *filled).map_err(broken)? {
                 more(stream, bytes, filled).await?;
             }
-            Ok(Answer { head, body: from..write, reusable: !closes && *filled == read })
         }
-        http1::Body::UntilClose => loop {
-            match more(stream, bytes, filled).await {
-                Ok(()) => (),
-                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
-                    return Ok(Answer { head, body: from..*filled, reusable: false })
+        http1::Body::UntilClose => {
+            loop {
+                match more(stream, bytes, filled).await {
+                    Ok(()) => (),
+                    Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => break,
+                    Err(e) => return Err(e),
                 }
-                Err(e) => return Err(e),
             }
-        },
+            write = *filled;
+        }
     }
+    Ok(Some(Answer { head: *start..end, body: end..write, reusable: !closes && *filled == read }))
 }
 
 async fn more(stream: &mut Stream, bytes: &mut [u8], filled: &mut usize) -> io::Result<()> {
     if *filled == bytes.len() {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "the answer is too long"));
+        return Err(invalid("the answer is too long"));
     }
     let read = stream.read(&mut bytes[*filled..]).await?;
     *filled += read;
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::millis;
 use crate::counted::Counted;
-use crate::exchange::{answer, connect, is_quiet, until, Body, Stream};
+use crate::exchange::{answer, connect, is_quiet, until, Body, Came, Stream, ANSWERING};
 use crate::rounds::CameIn;
 use crate::Common;
 
@@ -185,16 +185,19 @@
             Some(Ok(())) => (),
             _ => return End::plain(Fate::NoConnection),
         }
-        let mut filled = 0;
-        let answered = until(ends, answer(&mut stream, &mut buffer, &mut filled)).await;
+        let mut came = Came::default();
+        let answered = until(ends, answer(&mut stream, &mut buffer, &mut came, ANSWERING)).await;
         let whole = match answered {
             Some(Ok(answer)) => answer,
             cut_short => {
-                // An answer that broke off after its first line is an answer.
-                let fate = match (ResponseHead::status_in(&buffer[..filled]), cut_short) {
+                let spoilt = matches!(&cut_short, Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData);
+                let fate = match (ResponseHead::status_in(&buffer[came.start..came.filled]), cut_short) {
+                    // What the first line says of that is true, whatever became of the rest.
                     (Some(200), _) => Fate::Delivered,
                     (_, None) => Fate::TimedOut,
-                    (_, Some(Err(e))) if e.kind() == io::ErrorKind::InvalidData => Fate::Error,
+                    // An answer, if no more: to a ping that is enough. A call has run, or may have, and is cut.
+                    (_, Some(_)) if spoilt && send.is_none() => Fate::Full,
+                    (_, Some(_)) if spoilt => Fate::Cancelled,
                     _ => Fate::Reset,
                 };
                 return End::plain(fate);
@@ -202,7 +205,7 @@
         };
         let end = match ResponseHead::read(&buffer[whole.head]) {
             Ok(head) => judge(&head, send.is_none()),
-            Err(_) => End::plain(Fate::Error),
+            Err(_) => End::plain(Fate::Cancelled),
         };
         if let Some(own) = self.own.upgrade().filter(|_| whole.reusable) {
             let _ = own.try_send(ToTarget::Returned(stream));
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -367,6 +367,11 @@
 #[case("charge", "HTTP/1.1 200 OK\r\nContent-Le", &["delivered"])]
 #[case("charge", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", &["delivered"])]
 #[case("charge", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", &["again"])]
+#[case("charge", "HTTP/1.1 200 \u{7}\r\n\r\n", &["delivered"])]
+#[case("charge", "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", &["delivered"])]
+#[case("charge", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nabc", &["delivered"])]
+#[case("charge", "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\nab", &[])]
+#[case("charge", "HTTP/1.1 503 Full\r\nSrv-Load: \u{1}\r\nContent-Length: 0\r\n\r\n", &["again"])]
 #[case("job", "", &["again"])]
 #[case("order", "HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nshort", &["again"])]
 fn answers_good_and_bad(#[case] traffic: &str, #[case] said: &str, #[case] then: &[&str]) {
@@ -385,6 +390,25 @@
     }
 }
 
+/// Guards against spoilt answers, which tell nothing of a target's health: they come at once and it is not
+/// taken offline for them, nor is the connection used again, which stays open.
+#[rstest]
+#[case("\u{7}\u{7f}noise\r\n")]
+#[case("HTTP/1.1 500 Oh\r\nContent-Length: -2\r\n\r\n")]
+#[case("HTTP/1.1 500 Oh\r\nand no end")]
+fn spoilt_answers_take_no_target_offline(#[case] said: &str) {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    forwarder.take("a", "job", "");
+    for _ in 0..3 {
+        let call = next(&calls);
+        assert!(call.head.starts_with("POST /receive "), "{}", call.head);
+        call.answer(said);
+    }
+    let call = next(&calls);
+    assert!(call.head.starts_with("POST /receive "), "{}", call.head);
+    call.answer(OK);
+}
+
 #[rstest]
 fn a_target_that_is_not_there_gets_the_event_once_it_is() {
     // The port is ours, and nobody listens there on the other address.
--- a/http1/src/head.rs
+++ b/http1/src/head.rs
@@ -28,6 +28,19 @@
     }
 }
 
+/// How many bytes of empty lines stand in front.
+pub fn empty_lines(bytes: &[u8]) -> usize {
+    2 * bytes.chunks_exact(2).take_while(|pair| *pair == b"\r\n").count()
+}
+
+/// Whether these bytes can be the beginning of a request, or nothing at all.
+pub fn may_begin(bytes: &[u8]) -> bool {
+    let mut words = bytes.splitn(2, |b| *b == b' ');
+    let (method, rest) = (words.next().unwrap_or_default(), words.next());
+    let longest = method.len() <= 16 && method.iter().all(u8::is_ascii_uppercase);
+    longest && rest.is_none_or(|rest| rest.first().is_none_or(|b| matches!(b, b'/' | b'*' | b'h')))
+}
+
 /// How long the body is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Body {
@@ -57,7 +70,7 @@
 impl<'a> RequestHead<'a> {
     /// Reads a whole head, its empty line included.
     pub fn read(head: &'a [u8]) -> Result<Self, Malformed> {
-        let (line, fields) = split(head)?;
+        let (line, fields) = split(head, None)?;
         let mut words = line.split(' ');
         let (Some(method), Some(target), Some(version), None) =
             (words.next(), words.next(), words.next(), words.next())
@@ -92,10 +105,13 @@
     }
 }
 
+/// Stands for the value of a field that can't be read. No length, coding or number reads so.
+const UNREADABLE: &str = "?";
+
 impl<'a> ResponseHead<'a> {
-    /// Reads a whole head, its empty line included.
+    /// Reads a whole head, its empty line included. A value that can't be read spoils only what needs it.
     pub fn read(head: &'a [u8]) -> Result<Self, Malformed> {
-        let (line, fields) = split(head)?;
+        let (line, fields) = split(head, Some(UNREADABLE))?;
         let status = status(line)?;
         let old = is_old(line.split(' ').next().unwrap_or_default())?;
         let body = match status {
@@ -106,10 +122,12 @@
         Ok(ResponseHead { status, body, closes, fields })
     }
 
-    /// The status, once the first line is there, whatever follows it.
+    /// The status, once the first line is there, whatever stands behind the number or follows the line.
     pub fn status_in(bytes: &[u8]) -> Option<u16> {
-        let end = bytes.windows(2).position(|w| w == b"\r\n")?;
-        status(std::str::from_utf8(&bytes[..end]).ok()?).ok()
+        let line = &bytes[..bytes.iter().position(|b| *b == b'\n')?];
+        let (start, rest) = line.split_at_checked("HTTP/1.1 200".len())?;
+        let ends = rest.first().is_none_or(|b| matches!(b, b' ' | b'\r'));
+        status(std::str::from_utf8(start).ok().filter(|_| ends)?).ok()
     }
 }
 
@@ -164,29 +182,37 @@
     }
 }
 
-fn split(head: &[u8]) -> Result<(&str, Fields<'_>), Malformed> {
-    let text = std::str::from_utf8(head).map_err(|_| Malformed("the head is not UTF-8"))?;
-    let text = text.strip_suffix("\r\n\r\n").ok_or(Malformed("the head has no end"))?;
-    let mut lines = text.split("\r\n");
-    let first = lines.next().unwrap_or_default();
+/// The first line and the fields; `unreadable` stands in for values that can't be read, if they may be there.
+fn split<'a>(head: &'a [u8], unreadable: Option<&'a str>) -> Result<(&'a str, Fields<'a>), Malformed> {
+    let head = head.strip_suffix(b"\r\n\r\n").ok_or(Malformed("the head has no end"))?;
+    let mut lines = std::iter::successors(Some(line(head)), |(_, rest)| rest.map(line)).map(|(line, _)| line);
+    let first = std::str::from_utf8(lines.next().unwrap_or_default());
+    let first = first.map_err(|_| Malformed("the first line is not UTF-8"))?;
     if first.bytes().any(|b| b < b' ' || b == 127) {
         return Err(Malformed("a control character in the first line"));
     }
     let mut fields = Vec::new();
     for line in lines {
-        let (name, value) = line.split_once(':').ok_or(Malformed("a field without a colon"))?;
+        let colon = line.iter().position(|b| *b == b':').ok_or(Malformed("a field without a colon"))?;
+        let name = std::str::from_utf8(&line[..colon]).unwrap_or_default();
         if name.is_empty() || !name.bytes().all(is_token) {
             return Err(Malformed("a field's name is not a word"));
         }
-        let value = value.trim_matches([' ', '\t']);
-        if value.bytes().any(|b| b < b' ' && b != b'\t' || b == 127) {
-            return Err(Malformed("a control character in a field"));
-        }
-        fields.push((name, value));
+        let value = std::str::from_utf8(&line[colon + 1..]).ok().map(|value| value.trim_matches([' ', '\t']));
+        let value = value.filter(|value| !value.bytes().any(|b| b < b' ' && b != b'\t' || b == 127));
+        fields.push((name, value.or(unreadable).ok_or(Malformed("a field's value cannot be read"))?));
     }
     Ok((first, Fields(fields)))
 }
 
+/// The first line of several, and what follows it.
+fn line(text: &[u8]) -> (&[u8], Option<&[u8]>) {
+    match text.windows(2).position(|w| w == b"\r\n") {
+        Some(end) => (&text[..end], Some(&text[end + 2..])),
+        None => (text, None),
+    }
+}
+
 fn status(line: &str) -> Result<u16, Malformed> {
     let mut words = line.splitn(3, ' ');
     is_old(words.next().unwrap_or_default())?;
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -6,5 +6,5 @@
 mod write;
 
 pub use chunks::Chunks;
-pub use head::{Body, HeadSearch, Malformed, RequestHead, ResponseHead};
+pub use head::{empty_lines, may_begin, Body, HeadSearch, Malformed, RequestHead, ResponseHead};
 pub use write::{request, response};
