Bad clients are answered or closed in time, make room in turn, and take no other's event

The library's queue of 128 connections overflows when hundreds connect.

Now the first request of a connection is whole two seconds after it was accepted, later ones after their first byte, or told 408; each newcomer past seven eighths has the one that waits for least make room, before anyone is told 503; what stands behind a request and can't begin another ends it, as its length is wrong; a withdrawal names its request by number; ids that are over are known for 30 s; clients leave the calls their buffers; refusals are logged once a second.

--- a/buffers/src/lib.rs
+++ b/buffers/src/lib.rs
@@ -30,6 +30,11 @@
         Some(Buffer { bytes, home: self.0.clone() })
     }
 
+    /// As many can still be taken.
+    pub fn left(&self) -> usize {
+        self.0.most - self.0.out.get()
+    }
+
     pub fn out(&self) -> usize {
         self.0.out.get()
     }
--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -1,6 +1,9 @@
 //! Client connections: each has an actor that reads requests, hands events to the decisions and answers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::Write;
 use std::net::TcpListener;
 use std::ops::Range;
 use std::rc::Rc;
@@ -21,12 +24,11 @@
 use crate::targets::most_idle;
 use crate::Common;
 
-/// A request whose first byte has come has to be whole within that time.
-const READING: Duration = Duration::from_secs(10);
-/// A connection that asks for nothing for so long makes room for others.
-const IDLE: Duration = Duration::from_secs(120);
-/// While connections are many, one that was idle for so long makes room already.
-const LOOK: Duration = Duration::from_secs(2);
+/// A request has to be whole so long after its first byte, the first one so long after it could come: a
+/// client that sends none hears so within the three seconds that it is owed.
+const READING: Duration = Duration::from_secs(2);
+/// A connection that asked before and asks for nothing for so long makes room for others.
+const IDLE: Duration = Duration::from_secs(5);
 /// Descriptors for discovery, the ledger, the log and the reactor.
 const FILES: usize = 24;
 /// An answer that is not read within that time is given up.
@@ -34,8 +36,11 @@
 
 /// Between looks while no more connections are accepted.
 const PAUSE: Duration = Duration::from_millis(20);
-/// What a refused client still sends is read for so long.
+/// What a refused client still sends is read for so long, and so much of it.
 const LINGERING: Duration = Duration::from_secs(1);
+const LEAVINGS: usize = 256 * 1024;
+/// Refusals are told to the log so often at most, with the number of those between.
+const TELLING: Duration = Duration::from_secs(1);
 
 const TOO_LONG: Refusal = Refusal(413, "the body is too long");
 
@@ -54,32 +59,34 @@
     to_rounds: Sender<CameIn>,
     closing: Receiver<()>,
 ) {
-    let open = Rc::new(Cell::new(0));
     // What the targets, discovery and the files do not need; the last of them are told that it is full.
     let others = most_idle(&common.told) + common.told.terms.slots + FILES;
     let at_all = common.told.sockets.saturating_sub(others).max(1);
-    let (most, crowded) = (at_all - at_all / 16, at_all - at_all / 4);
+    let door = Rc::new(Door { most: at_all - at_all / 8, ..Door::default() });
     let mut incoming = Box::pin(listener.incoming());
     loop {
-        let Some(counted) = Counted::new(&open, at_all) else {
-            Timer::after(PAUSE).await;
-            continue;
-        };
         match incoming.next().await {
             None => return,
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
+                let full = !door.has_room();
+                let Some(counted) = Counted::new(&door.open, at_all) else {
+                    // All of them are being served.
+                    let _ = (&mut stream.get_ref()).write(FULL);
+                    continue;
+                };
                 let client = Client {
                     common: common.clone(),
                     to_rounds: to_rounds.clone(),
                     closing: closing.clone(),
                     stream,
-                    full: open.get() > most,
-                    open: open.clone(),
-                    crowded,
+                    full,
+                    door: door.clone(),
                     _counted: counted,
                 };
                 common.executor.spawn(client.run()).detach();
+                // Those that made room end now, and what was accepted is read before more is.
+                future::yield_now().await;
             }
             Some(Err(e)) => {
                 warn!(common.log, "a connection cannot be accepted"; "error" => %e);
@@ -96,12 +103,79 @@
     stream: Stream,
     /// There are too many connections: this one is told so.
     full: bool,
-    open: Rc<Cell<usize>>,
-    /// With more open than that, idle ones make room.
-    crowded: usize,
+    door: Rc<Door>,
     _counted: Counted,
 }
 
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n\
+    Content-Length: 0\r\n\r\n";
+
+/// What a connection waits for, in the order in which they make room.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Waits {
+    /// It was refused, and still sends.
+    Lingers,
+    /// It never asked for anything.
+    Silent,
+    Idle,
+    /// Half a request has come.
+    Reads,
+}
+
+/// Why nothing came.
+enum Left {
+    TimeIsUp,
+    MadeRoom,
+}
+
+/// All connections of clients, and those that wait for something from theirs.
+#[derive(Default)]
+struct Door {
+    open: Rc<Cell<usize>>,
+    /// With as many open, others make room for each that comes.
+    most: usize,
+    entered: Cell<u64>,
+    waiting: RefCell<BTreeMap<(Waits, u64), Sender<()>>>,
+    unsaid: Cell<usize>,
+    said: Cell<Option<Instant>>,
+}
+
+impl Door {
+    /// Whether one more finds room. Those that have waited for the least, longest, stop waiting for it: as
+    /// many as are open too many, for some of them go on with what just came.
+    fn has_room(&self) -> bool {
+        let too_many = (self.open.get() + 1).saturating_sub(self.most);
+        let mut waiting = self.waiting.borrow_mut();
+        too_many == 0 || (0..too_many).filter(|_| waiting.pop_first().is_some()).count() > 0
+    }
+
+    fn number(&self) -> u64 {
+        self.entered.set(self.entered.get() + 1);
+        self.entered.get()
+    }
+
+    async fn waits<T>(&self, what: Waits, by: Instant, for_it: impl Future<Output = T>) -> Result<T, Left> {
+        let (stays, leaves) = async_channel::bounded(1);
+        let place = Place(self, (what, self.number()));
+        self.waiting.borrow_mut().insert(place.1, stays);
+        let leaves = async {
+            let _ = leaves.recv().await;
+            Err(Left::MadeRoom)
+        };
+        let came = until(by, future::or(async { Ok(for_it.await) }, leaves)).await;
+        came.unwrap_or(Err(Left::TimeIsUp))
+    }
+}
+
+/// A place among those that wait, until it is dropped.
+struct Place<'a>(&'a Door, (Waits, u64));
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.borrow_mut().remove(&self.1);
+    }
+}
+
 /// A buffer with the beginning of the next request.
 struct Begun {
     buffer: Buffer,
@@ -120,19 +194,30 @@
 impl Client {
     async fn run(mut self) {
         let mut begun = None;
+        let (mut waits, mut by) = (Waits::Silent, Instant::now() + READING);
+        let door = self.door.clone();
         loop {
-            if begun.is_none() && !self.has_more().await {
+            if begun.is_none() && !self.has_more(waits, by).await {
                 return;
             }
+            if waits == Waits::Idle {
+                by = Instant::now() + READING;
+            }
             let Some(now) = begun.take().or_else(|| self.fresh()) else {
                 return self.refuse(Refusal(503, "no memory for more requests")).await;
             };
-            let request = match until(Instant::now() + READING, self.read(now)).await {
-                Some(Ok(Some(request))) => request,
-                Some(Ok(None)) => return,
-                Some(Err(refusal)) => return self.refuse(refusal).await,
-                None => return self.refuse(Refusal(408, "the request took too long")).await,
+            let request = match door.waits(Waits::Reads, by, self.read(now)).await {
+                Ok(Ok(Some(request))) => request,
+                Ok(Ok(None)) => return,
+                Ok(Err(refusal)) => return self.refuse(refusal).await,
+                Err(Left::TimeIsUp) => return self.refuse(Refusal(408, "the request took too long")).await,
+                Err(Left::MadeRoom) => {
+                    // It has to go at once, without a look at what it still sends.
+                    self.respond(408, &[], "", true).await;
+                    return;
+                }
             };
+            (waits, by) = (Waits::Idle, Instant::now() + IDLE);
             let closes = request.closes || self.full || self.closing.is_closed();
             begun = request.next;
             let answered = match request.asked {
@@ -152,41 +237,40 @@
     }
 
     fn fresh(&self) -> Option<Begun> {
-        self.common.pool.take().map(|buffer| Begun { buffer, filled: 0 })
+        // Calls are not to want for one.
+        let spare = self.common.pool.left() > self.common.told.terms.slots;
+        self.common.pool.take().filter(|_| spare).map(|buffer| Begun { buffer, filled: 0 })
     }
 
     /// Waits for the next request without a buffer; false if the connection has nothing more to serve.
-    async fn has_more(&mut self) -> bool {
+    async fn has_more(&mut self, waits: Waits, by: Instant) -> bool {
         let closes = async {
             let _ = self.closing.recv().await;
         };
         let readable = async {
             let _ = self.stream.readable().await;
         };
-        let mut waited = Box::pin(future::or(readable, closes));
-        let began = Instant::now();
-        let mut too_long = false;
-        while !too_long && until(Instant::now() + LOOK, &mut waited).await.is_none() {
-            too_long = began.elapsed() > IDLE || self.open.get() > self.crowded;
-        }
+        let more = self.door.waits(waits, by, future::or(readable, closes)).await.is_ok();
         // What has come by then is still answered.
-        !too_long && !self.closing.is_closed() || !is_quiet(&self.stream)
+        more && !self.closing.is_closed() || !is_quiet(&self.stream)
     }
 
     /// Reads one request; None if the client ends the connection instead.
     async fn read(&mut self, begun: Begun) -> Result<Option<Request>, Refusal> {
         let Begun { mut buffer, mut filled } = begun;
         let mut search = HeadSearch::default();
+        let mut empty = 0;
         let end = loop {
-            if buffer[..filled].starts_with(b"\r\n") {
-                // An empty line before a request is passed over.
-                buffer.copy_within(2..filled, 0);
-                filled -= 2;
+            // Empty lines before a request are passed over.
+            let lines = http1::empty_lines(&buffer[..filled]);
+            if lines > 0 {
+                buffer.copy_within(lines..filled, 0);
+                filled -= lines;
+                empty += lines;
                 search = HeadSearch::default();
-                continue;
             }
             let end = search.end(&buffer[..filled]);
-            if end.unwrap_or(filled) > LONGEST_HEAD {
+            if empty + end.unwrap_or(filled) > LONGEST_HEAD {
                 return Err(Refusal(400, "the head is too long"));
             }
             match end {
@@ -231,6 +315,10 @@
                 return Ok(None);
             }
         }
+        let behind = &buffer[read..filled];
+        if !http1::may_begin(&behind[http1::empty_lines(behind)..]) {
+            return Err(Refusal(400, "the body is longer than its length"));
+        }
         let next = match filled > read {
             true => {
                 let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
@@ -263,7 +351,8 @@
         let (answer, verdict) = async_channel::bounded(1);
         let id = event.id.clone();
         let patience_ends = self.common.clock.now() + event.patience;
-        let handed = Handed { event, patience_ends, body, answer };
+        let number = self.door.number();
+        let handed = Handed { number, event, patience_ends, body, answer };
         if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
             return self.tell(Verdict::Refused(None), true).await;
         }
@@ -281,7 +370,7 @@
         };
         if !told && matches!(verdict, Some(Verdict::TakenOn) | None) {
             debug!(self.common.log, "a client left before its answer"; "event" => &*id.0);
-            let _ = self.to_rounds.send(CameIn::Withdrawn(id)).await;
+            let _ = self.to_rounds.send(CameIn::Withdrawn(id, number)).await;
         }
         told
     }
@@ -300,7 +389,7 @@
 
     /// Answers a request that is none and ends the connection, without breaking off what is still coming.
     async fn refuse(&mut self, Refusal(status, why): Refusal) {
-        info!(self.common.log, "a request is refused"; "status" => status, "why" => why);
+        self.tell_log(status, why);
         let field: [(&str, &dyn std::fmt::Display); 2] = [("Allow", &"GET, POST"), ("Retry-After", &1)];
         let fields = match status {
             405 => &field[..1],
@@ -312,8 +401,26 @@
         }
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
         let Some(Begun { mut buffer, .. }) = self.fresh() else { return };
-        let rest = async { while matches!(self.stream.read(&mut buffer).await, Ok(read) if read > 0) {} };
-        until(Instant::now() + LINGERING, rest).await;
+        let rest = async {
+            let mut left = LEAVINGS;
+            while let Ok(read) = self.stream.read(&mut buffer).await {
+                if read == 0 || read > left {
+                    return;
+                }
+                left -= read;
+            }
+        };
+        let _ = self.door.waits(Waits::Lingers, Instant::now() + LINGERING, rest).await;
+    }
+
+    fn tell_log(&self, status: u16, why: &'static str) {
+        let door = &self.door;
+        if door.said.get().is_some_and(|said| said.elapsed() < TELLING) {
+            return door.unsaid.set(door.unsaid.get() + 1);
+        }
+        door.said.set(Some(Instant::now()));
+        info!(self.common.log, "a request is refused"; "status" => status, "why" => why,
+            "others_since" => door.unsaid.take());
     }
 
     /// Whether the answer was written.
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -39,6 +39,9 @@
     pub discovery: Rc<Cell<SocketAddr>>,
 }
 
+/// As many connections wait to be accepted: several times what clients open in a burst.
+const QUEUE: i32 = 1024;
+
 fn main() {
     if let Err(trouble) = run() {
         eprintln!("plankhill-forwarder: {trouble}");
@@ -55,6 +58,8 @@
         .map_err(|e| format!("PROXY_STATE: the ledger in {}: {e}", told.state.display()))?;
     let listener = Async::<std::net::TcpListener>::bind(told.listen)
         .map_err(|e| format!("PROXY_LISTEN: {} cannot be listened on: {e}", told.listen))?;
+    // The library's queue of 128 would overflow when many connect at once, and all others wait a second.
+    rustix::net::listen(&listener, QUEUE).map_err(|e| format!("PROXY_LISTEN: {e}"))?;
     let common = Common {
         executor: Rc::new(LocalExecutor::new()),
         // Half of the memory is for bodies and messages under way.
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -3,7 +3,7 @@
 //! taken on or sent is in the ledger before a client or target can know of it.
 
 use std::cell::Cell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -24,8 +24,8 @@
 
 pub enum CameIn {
     Event(Handed),
-    /// The client went away before it had its answer.
-    Withdrawn(EventId),
+    /// The client that handed it in under that number went away before it had its answer.
+    Withdrawn(EventId, u64),
     SendEnded {
         event: EventId,
         fate: Fate,
@@ -54,6 +54,7 @@
 
 /// An event that a client hands in.
 pub struct Handed {
+    pub number: u64,
     pub event: Event,
     pub patience_ends: Ms,
     pub body: Body,
@@ -71,6 +72,8 @@
 
 /// What is kept of an event until it ends.
 struct Held {
+    /// Of the request that handed it in; another may come under the same id.
+    number: u64,
     fingerprint: Option<Rc<str>>,
     body: Body,
     /// Until the first round is done.
@@ -83,6 +86,33 @@
     zone: ZoneId,
 }
 
+/// The ids of events that are over: a copy of one, handed in by whomever, must not be taken for a new event.
+#[derive(Default)]
+struct Past {
+    ids: HashSet<EventId>,
+    by_end: VecDeque<(Ms, EventId)>,
+}
+
+/// A copy comes at about the time of its event; patience on the longest of days is less.
+const REMEMBERED: Ms = 30_000.0;
+/// Past that many the oldest go first: some megabyte.
+const MOST_PAST: usize = 8192;
+
+impl Past {
+    fn add(&mut self, event: &EventId, now: Ms) {
+        let is_old = |(at, _): &(Ms, EventId)| now - at > REMEMBERED;
+        while self.by_end.front().is_some_and(is_old) || self.by_end.len() >= MOST_PAST {
+            self.by_end.pop_front().map(|(_, id)| self.ids.remove(&id));
+        }
+        if self.ids.insert(event.clone()) {
+            self.by_end.push_back((now, event.clone()));
+        }
+    }
+    fn holds(&self, event: &EventId) -> bool {
+        self.ids.contains(event)
+    }
+}
+
 /// All that the decisions are carried out with.
 struct Hands {
     common: Common,
@@ -92,6 +122,7 @@
     held: HashMap<EventId, Held>,
     /// Events with a send out, also those that are over: an id is not taken again before that has ended.
     out: HashSet<EventId>,
+    past: Past,
     targets: HashMap<TargetId, Target>,
     outbox: Vec<(TargetId, ToTarget)>,
     notices: Vec<Notice>,
@@ -123,6 +154,7 @@
             now,
             held: HashMap::new(),
             out: HashSet::new(),
+            past: Past::default(),
             targets: HashMap::new(),
             outbox: Vec::new(),
             notices: Vec::new(),
@@ -238,7 +270,7 @@
             return;
         };
         let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
-        let held = Held { fingerprint, body: taken.body.as_ref().into(), answer: None };
+        let held = Held { number: 0, fingerprint, body: taken.body.as_ref().into(), answer: None };
         self.held.insert(id.clone(), held);
         let out = was_out.is_some();
         let ran = may_have_run.or(was_out).map(|(at, name)| (at, zone(&name)));
@@ -250,7 +282,8 @@
         let event = &handed.event;
         let room = self.common.told.terms.room;
         let full = self.held.len() >= room || self.unheard + self.held.len() + 1 >= notices::MAILBOX;
-        let known = self.ledger.holds(&event.id.0) || self.out.contains(&event.id);
+        let known =
+            self.ledger.holds(&event.id.0) || self.out.contains(&event.id) || self.past.holds(&event.id);
         if full || known || !self.ledger.has_room_for(handed.body.len()) {
             return false;
         }
@@ -266,7 +299,8 @@
         debug!(self.common.log, "taken"; "event" => &*event.id.0, "traffic" => event.traffic.0,
             "destination" => event.destination.0);
         let answer = Some(handed.answer.clone());
-        let held = Held { fingerprint: event.fingerprint.clone(), body: handed.body.clone(), answer };
+        let fingerprint = event.fingerprint.clone();
+        let held = Held { number: handed.number, fingerprint, body: handed.body.clone(), answer };
         self.held.insert(event.id.clone(), held);
         true
     }
@@ -276,16 +310,17 @@
             CameIn::Event(Handed { event, patience_ends, .. }) => {
                 to.taken(event.id, event.destination, event.traffic, patience_ends, event.key);
             }
-            CameIn::Withdrawn(id) => {
-                if self.held.remove(&id).is_some() {
-                    self.ledger.over(&id.0);
+            CameIn::Withdrawn(id, number) => {
+                if self.held.get(&id).is_some_and(|held| held.number == number) {
+                    self.held.remove(&id);
+                    self.over(&id);
                     to.withdrawn(&id);
                 }
             }
             CameIn::SendEnded { event, fate, took, over, wait } => {
                 self.out.remove(&event);
                 if over {
-                    self.ledger.over(&event.0);
+                    self.over(&event);
                     self.held.remove(&event);
                 } else if !fate.may_have_run() {
                     self.ledger.unrun(&event.0);
@@ -303,7 +338,7 @@
             CameIn::Heard(events) => {
                 self.unheard -= events.len();
                 for id in events {
-                    self.ledger.over(&id.0);
+                    self.over(&id);
                     to.heard(&id);
                 }
             }
@@ -396,6 +431,11 @@
         }
     }
 
+    fn over(&mut self, event: &EventId) {
+        self.ledger.over(&event.0);
+        self.past.add(event, self.now);
+    }
+
     /// An end for an event that was taken on; true if it goes as a notice.
     fn ended(&mut self, event: &EventId, outcome: Outcome, come_back_after: Option<Ms>) -> bool {
         let answer = self.held.remove(event).and_then(|held| held.answer);
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -509,6 +509,9 @@
 #[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n", 400)]
 #[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 1\r\nContent-Length: 0\r\n\r\n", 400)]
 #[case("POST /job HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400)]
+#[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 1\r\nX-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nbody", 400)]
+#[case("POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 1\r\nX-Envelope: dest=1\r\nContent-Length: 9\r\n\r\nbody", 408)]
+#[case("POST /job HTTP/1.1\r\nHost: x\r\n", 408)]
 #[case("nonsense\r\n\r\n", 400)]
 #[case("POST /other HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404)]
 #[case("GET /job HTTP/1.1\r\nHost: x\r\n\r\n", 405)]
@@ -586,18 +589,57 @@
     assert_eq!(next(&calls).body, b"body");
 }
 
+/// Guards the others from connections that say nothing, or half of something, in any number: they make room
+/// at once, and are closed before anyone else is turned away.
 #[rstest]
-fn connections_that_ask_for_nothing_make_room() {
+#[case("")]
+#[case("POST /job HTTP/1.1\r\n")]
+fn connections_that_ask_for_nothing_make_room(#[case] said: &str) {
     let (forwarder, calls, _notices, _) = all(0, |config| config["limits"]["sockets"] = json!(64));
-    let idle: Vec<_> = (0..60).map(|_| TcpStream::connect(forwarder.address).expect("listens")).collect();
-    let by = Instant::now() + LONG;
-    while forwarder.ask(&event("a", "job", "")).0 != 202 {
-        assert!(Instant::now() < by, "{} connections that do nothing shut it", idle.len());
-        thread::sleep(Duration::from_millis(50));
+    let mut idle: Vec<_> =
+        (0..100).map(|_| TcpStream::connect(forwarder.address).expect("listens")).collect();
+    idle.iter_mut().for_each(|stream| drop(stream.write_all(said.as_bytes())));
+    forwarder.take("a", "job", "");
+    assert_eq!(next(&calls).id(), "a");
+    for mut stream in idle {
+        stream.set_read_timeout(Some(LONG)).expect("a socket");
+        while !matches!(stream.read(&mut [0; 256]), Ok(0) | Err(_)) {}
     }
+}
+
+/// Guards the others while hundreds connect at once: nobody waits for a second try of the kernel's.
+#[rstest]
+fn hundreds_may_connect_while_it_stands_still() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    forwarder.stop();
+    let connect = |_| TcpStream::connect_timeout(&forwarder.address, Duration::from_secs(20));
+    let many: Vec<_> = (0..300).map(connect).collect::<Result<_, _>>().expect("all find a place");
+    forwarder.signal("-CONT");
+    drop(many);
+    forwarder.take("a", "job", "");
     assert_eq!(next(&calls).id(), "a");
 }
 
+/// Guards a client's event from another that uses its id: neither leaving takes it back, nor is it sent twice.
+#[rstest]
+fn an_id_that_another_uses_too_is_taken_once_and_stays_its_owners() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    forwarder.take("a", "charge", "");
+    let out = next(&calls);
+    assert_eq!(forwarder.ask(&event("a", "charge", "")).0, 503);
+    forwarder.stop();
+    let mut thief = TcpStream::connect(forwarder.address).expect("the kernel takes it");
+    thief.write_all(&event("a", "charge", "")).expect("the kernel takes it");
+    drop(thief);
+    forwarder.signal("-CONT");
+    out.answer(OK);
+    forwarder.take("b", "charge", "");
+    assert_eq!(next(&calls).id(), "b", "a is over");
+    assert_eq!(forwarder.ask(&event("a", "charge", "")).0, 503);
+    forwarder.take("c", "charge", "");
+    assert_eq!(next(&calls).id(), "c", "a does not run again");
+}
+
 #[rstest]
 fn asked_to_end_it_closes_idle_connections_answers_what_comes_and_ends() {
     let (mut forwarder, calls, _notices, _) = all(0, |_| ());
