Where calls are many, what a refusal teaches is relearned by the call; stray events refused

Checked: slots, keys and parking were not the cause (no pings, no calls out); the held events went at exactly the pace.

Now, over five calls a second, the pace grows faster by as much as there are more, toward what is asked for; over ten, it is set from the last half second; the spread narrows alike. Lanes of fewer calls are left as they were.

--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -200,7 +200,8 @@
         let mut fresh = Vec::new();
         for what in came_in {
             if let CameIn::Event(handed) = &what {
-                if self.closing || !self.hands.takes(handed) {
+                let known = self.forwarder.knows(handed.event.destination);
+                if self.closing || !known || !self.hands.takes(handed) {
                     let wait = self.hands.common.told.terms.longest_advice.filter(|_| !self.closing);
                     let _ = handed.answer.try_send(Verdict::Refused(wait));
                     continue;
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -563,6 +563,15 @@
     assert!(old_calls.try_recv().is_err());
 }
 
+#[rstest]
+fn an_event_for_a_destination_that_nobody_lists_is_not_taken_on() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let stray = String::from_utf8(event("a", "job", "")).unwrap().replace("dest=1", "dest=70000");
+    assert_eq!(forwarder.ask(stray.as_bytes()).0, 503);
+    forwarder.take("b", "job", "");
+    assert_eq!(next(&calls).id(), "b");
+}
+
 #[rstest]
 fn what_does_not_fit_is_refused_with_a_time_to_come_back() {
     let (forwarder, calls, _notices, _) =
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,8 @@
 //! Every decision of a forwarder. A host calls [`Forwarder::round`] once a round: what came in is handed
-//! over by the calls of the first block below (`taken`, `send_ended`, `listed`, ...), then the decisions go
-//! straight into the writer passed with the call. Ids, terms and the writer stand in `interface.rs`,
-//! what is kept between rounds in `state.rs`.
-//! A round looks only at destinations that something came in for or is due at. Each stands in three rosters
-//! (when something is due, whose turn it is, how much waits), filed anew when it changes; see docs/design.md.
+//! over by the calls of the first block below, then the decisions go straight into the writer passed with
+//! it. Ids, terms and the writer stand in `interface.rs`, what is kept between rounds in `state.rs`. A round
+//! looks only at destinations that something came in for or is due at. Each stands in three rosters (when
+//! something is due, whose turn it is, how much waits), filed anew when it changes; see docs/design.md.
 
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
@@ -57,6 +56,7 @@
 const TREND: Ms = 5_000.0;
 /// What was sent in the last moments, for the pace that a refusal cuts.
 const RECENT: Ms = 2_000.0;
+const BURST: Ms = 500.0;
 
 impl Forwarder {
     pub fn start(terms: Terms, now: Ms) -> Self {
@@ -79,13 +79,9 @@
         }
         while self.resting.front().is_some_and(|(until, _)| *until <= now) {
             let (_, key) = self.resting.pop_front().expect("seen");
-            if self.keys.get(&key).is_some_and(|line| line.queue.is_empty() && line.rests_until <= now) {
-                self.keys.remove(&key);
-            }
-        }
-        for id in self.changed.clone() {
-            self.tend(id, out);
+            self.forget_if_idle(key);
         }
+        self.changed.clone().into_iter().for_each(|id| self.tend(id, out));
         self.keep_room(out);
         while let Some(id) = self.changed.pop_first() {
             self.file(id);
@@ -139,6 +135,11 @@
         destination.lanes.last_mut().expect("pushed").targets.push(Target::new(id, zone, listing));
     }
 
+    /// The list names the destination, or did so lately: an event for any other could only wait for its end.
+    pub fn knows(&self, of: DestinationId) -> bool {
+        self.destinations.contains_key(&of)
+    }
+
     pub fn taken(&mut self, id: EventId, of: DestinationId, sort: TrafficId, end: Ms, key: Option<OrderKey>) {
         let key = key.filter(|_| self.here.terms.traffic[sort.0].ordered);
         self.taken += 1;
@@ -180,9 +181,7 @@
         let to = self.destinations.get_mut(&of).expect("placed");
         let event = to.events.get_mut(&place).expect("placed");
         (event.sends, event.may_have_run) = (sends, may_have_run);
-        if let Some(key) = event.key.filter(|_| was_out) {
-            self.rest(key);
-        }
+        event.key.filter(|_| was_out).into_iter().for_each(|key| self.rest(key));
     }
 
     /// What an earlier process noted: its backlog must not push over a destination that comes back.
@@ -217,9 +216,7 @@
         let at = to.lane_of(&target).expect("kept while called");
         let lane = &mut to.lanes[at];
         lane.closed_until = lane.closed_until.max(now + wait);
-        if wait > 2.0 * PING {
-            lane.chill(now);
-        }
+        (wait > 2.0 * PING).then(|| lane.chill(now));
         let zone = lane.target(&target).expect("found").zone;
         if first {
             if reuses {
@@ -332,12 +329,15 @@
             let line = self.keys.get_mut(&key).expect("queued");
             line.queue.retain(|&(p, _)| p != place);
             self.changed.extend(line.queue.front().map(|(_, next)| next));
-            if line.queue.is_empty() && line.rests_until <= self.here.now {
-                self.keys.remove(&key);
-            }
+            self.forget_if_idle(key);
         }
     }
 
+    fn forget_if_idle(&mut self, key: OrderKey) {
+        let is_idle = |line: &KeyLine| line.queue.is_empty() && line.rests_until <= self.here.now;
+        self.keys.get(&key).is_some_and(is_idle).then(|| self.keys.remove(&key));
+    }
+
     /// Enters a destination anew in the rosters, or forgets it: memory is bounded by what is held and listed.
     fn file(&mut self, id: DestinationId) {
         let Some(to) = self.destinations.get_mut(&id) else { return };
@@ -345,7 +345,9 @@
         self.due.remove(&(due, id));
         self.waiting.remove(&(held, id));
         ready.map(|turn| self.ready.remove(&(turn, id)));
-        if to.events.is_empty() && to.lanes.is_empty() {
+        let bare = to.events.is_empty() && to.lanes.is_empty();
+        to.bare_since = bare.then_some(to.bare_since.unwrap_or(self.here.now));
+        if to.bare_since.is_some_and(|since| since + USUAL <= self.here.now) {
             self.destinations.remove(&id);
             return;
         }
@@ -354,9 +356,7 @@
         let ready = (!heads.is_empty()).then_some((doubtful, to.calls.len(), to.turn));
         to.filed = (Moment(next.min(to.next_check(&self.here))), to.held(), ready);
         let (due, held, _) = to.filed;
-        if due != Moment::default() {
-            self.due.insert((due, id));
-        }
+        (due != Moment::default()).then(|| self.due.insert((due, id)));
         self.waiting.insert((held, id));
         ready.map(|turn| self.ready.insert((turn, id)));
     }
@@ -392,6 +392,7 @@
             lane.next_slot = lane.next_slot.max(here.now) + weight * 1000.0 / rate;
         }
         lane.sent.add(here.now, RECENT, 1.0);
+        lane.burst.add(here.now, BURST, 1.0);
         to.called.add(here.now, USUAL, 1.0);
         let called = &mut lane.targets[target];
         let reuses = called.idle_since.take().is_some_and(|since| since + BRIEF < here.now);
@@ -415,10 +416,8 @@
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
             Fate::Delivered => {
-                target.failures = 0;
+                (target.failures, lane.refusals, lane.delivered_at) = (0, 0, now);
                 target.connects(here, self.kind);
-                lane.delivered_at = now;
-                lane.refusals = 0;
                 lane.release(now);
                 // A cold destination that answers at its usual pace is under its limit: past that, answers
                 // slow down well before it tips.
@@ -431,14 +430,17 @@
                 lane.trust = 1.0;
                 lane.release(now);
                 if sent >= lane.refused_at {
-                    lane.refusals += 1;
-                    lane.refused_at = now;
-                    let recent = lane.sent.read(now, RECENT) * 1000.0 / RECENT;
+                    (lane.refusals, lane.refused_at) = (lane.refusals + 1, now);
+                    let went = |sum: &Fading, span| sum.read(now, span) * 1000.0 / span;
+                    // A clump is refused within less: what went at once tells more, if it is much.
+                    let burst = Some(went(&lane.burst, BURST)).filter(|rate| *rate >= 2.0 * OFTEN);
+                    let recent = went(&lane.sent, RECENT).max(burst.unwrap_or(0.3));
                     // A tenth less, 8% a second back: half and twice move the loss from lateness to refusals.
-                    lane.pace = Some((recent.max(0.3) * 0.9, now));
+                    lane.pace = Some((recent * 0.9, now));
                     // All that were refused, or told the same wait, must not come back together: the more
                     // forwarders, the wider they spread. Half and twice of it serve alike, small and large.
                     let spread = 250.0 * here.terms.forwarders.sqrt() * f64::powi(2.0, lane.refusals.min(4));
+                    let spread = spread / (recent / OFTEN).max(1.0);
                     lane.held_until = now + wait + spread.max(cold_spacing) * chance;
                 }
                 // Refused again with nothing delivered between: it may be shut, and returns cold. Guards
@@ -452,17 +454,14 @@
                 target.failures += 1;
                 target.unconnected_at = if fate == Fate::NoConnection { now } else { f64::NEG_INFINITY };
                 // Refused connections last: past the pause of a head that met one; half a second did not do.
-                let base = if fate == Fate::NoConnection { 2000.0 } else { 500.0 };
-                let shunned = base * f64::powi(2.0, target.failures.min(5) - 1) * jitter(chance);
-                target.shunned_until = now + shunned;
+                let base = jitter(chance) * if fate == Fate::NoConnection { 2000.0 } else { 500.0 };
+                target.shunned_until = now + base * f64::powi(2.0, target.failures.min(5) - 1);
                 lane.failures += 1;
                 if fate == Fate::TimedOut && lane.answered_at < sent {
                     // Slow: it gets more time. Lost, if others were answered meanwhile: that would pin slots.
                     lane.answers.add(now, MEMORY, took);
                 }
-                if lane.failures >= 2 {
-                    lane.park(now);
-                }
+                (lane.failures >= 2).then(|| lane.park(now));
             }
             Fate::Cancelled | Fate::NotSent => (),
         }
@@ -499,8 +498,7 @@
                 continue;
             }
             let drawn = (here.draw(2) * lane.running().count() as f64) as usize;
-            let target = lane.running().nth(drawn).expect("some run");
-            out.ping(&target.id);
+            out.ping(&lane.running().nth(drawn).expect("some run").id);
             lane.ping_out = true;
         }
     }
@@ -513,7 +511,8 @@
         let pings = self.lanes.iter().map(|lane| here.ping_due(lane, wanted));
         let idle = self.lanes.iter().flat_map(|lane| &lane.targets).filter_map(|t| t.idle_since);
         let closing = idle.filter(|_| here.closes(self.kind)).map(|since| since + BRIEF);
-        ends.chain(pings).chain(closing).fold(f64::INFINITY, f64::min)
+        let forgotten = self.bare_since.map(|since| since + USUAL);
+        ends.chain(pings).chain(closing).chain(forgotten).fold(f64::INFINITY, f64::min)
     }
 
     /// The heads that can go now, the targets (lane and place in it) that take a call now, and when the next
@@ -566,25 +565,26 @@
         let (now, terms, lane) = (here.now, &here.terms, &self.lanes[at]);
         let mut rate = f64::INFINITY;
         if let Some((pace, set)) = lane.pace.filter(|&(_, set)| now - set < 20_000.0) {
-            rate = pace * (0.08 * (now - set) / 1000.0).exp();
+            let aim = pace.max(self.a_second(here, &self.offered));
+            let (since, by_call) = ((now - set) / 1000.0, (aim / OFTEN - 1.0).max(0.0));
+            rate = pace * (0.08 * since).exp() + 0.08 * aim * by_call * since;
         }
         if let Some(since) = lane.cold_since.filter(|_| lane.is_cold(here)).map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
-            let lanes = self.lanes.iter().filter(|lane| lane.runs()).count();
-            let usual = self.usual(here) / lanes.max(1) as f64;
+            let usual = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
             rate = rate.min((BUDGET * terms.tip_multiple * warm * usual).max(least) * lane.trust.max(1.0));
         }
         rate.is_finite().then_some(rate)
     }
 
-    /// What usually goes to the destination a second: events taken, or calls, if far fewer, as one may carry
+    /// What usually goes to each lane a second: events taken, or calls, if far fewer, as one may carry
     /// several; what comes again in an outage is not usual. Half more calls: they are fewest in trouble.
-    fn usual(&self, here: &Here) -> f64 {
+    fn a_second(&self, here: &Here, sum: &Fading) -> f64 {
         // Some quiet seconds before the start are assumed, or a single clump after it would pass for usual.
         let seen = 1.0 - (-(here.now - here.started + 2_000.0) / USUAL).exp();
-        let counted = |sum: &Fading| sum.read(here.now, USUAL) * 1000.0 / USUAL / seen;
-        counted(&self.offered).min(1.5 * counted(&self.called))
+        let lanes = self.lanes.iter().filter(|lane| lane.runs()).count().max(1);
+        sum.read(here.now, USUAL) * 1000.0 / USUAL / seen / lanes as f64
     }
 
     /// A second, or as the cold budget asks: half is for pings, half for the heads that an answer lets go.
@@ -731,6 +731,8 @@
 const BUDGET: f64 = 0.9;
 /// The share of the room that may fill before events make way: a tenth left over takes in a clump.
 const FILLED: f64 = 0.9;
+/// Calls a second past which what a refusal teaches is relearned by the call, not by the second.
+const OFTEN: f64 = 5.0;
 /// What each further event of a call is taken to weigh: the wire says only that it is a little.
 const RIDER: f64 = 0.25;
 /// Held events end this long before patience does, so that the answer's round is in time.
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,6 +140,7 @@
     pub(crate) pace: Option<(f64, Ms)>, // calls a second after a refusal, and when it was set
     pub(crate) next_slot: Ms, // when the paced budget has room again
     pub(crate) sent: Fading,
+    pub(crate) burst: Fading,
     pub(crate) answers: AnswerTimes,
 }
 
@@ -155,6 +156,7 @@
     pub(crate) offered: Fading, // events
     pub(crate) called: Fading,  // calls, of one event or several
     pub(crate) turn: u64,
+    pub(crate) bare_since: Option<Ms>, // nothing is held for it and no target listed
     pub(crate) filed: (Moment, usize, Option<Turn>), // its places in the three rosters
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -427,6 +427,43 @@
     assert!((1..=8).contains(&sent), "{sent} in two seconds");
 }
 
+/// Met on the harder days: refused among its first calls, a forwarder just started held back for the rest of
+/// the day what the destination would have taken; and a clump's refusal set a pace under the usual traffic.
+#[rstest]
+#[case(1.0)]
+#[case(6_000.0)]
+fn after_one_refusal_the_pace_soon_reaches_what_is_asked_for(#[case] refused_at: Ms) {
+    let mut host = plain();
+    let (mut sent, mut refused) = (0, false);
+    for step in 0..700 {
+        let now = 1.0 + 20.0 * step as f64;
+        let told = match step % 2 {
+            0 => host.take(now, &format!("e{step}"), RETRIABLE, 1, None),
+            _ => host.idle(now),
+        };
+        for word in told.iter().filter(|word| word.starts_with("send")) {
+            sent += (now > refused_at + 5_000.0 && now <= refused_at + 6_000.0) as usize;
+            let fate = if now >= refused_at && !refused { Fate::Full } else { Fate::Delivered };
+            refused |= fate == Fate::Full;
+            host.ends(now, word.split(' ').nth(1).expect("a name"), fate);
+        }
+    }
+    assert!(sent >= 20, "{sent} calls in the sixth second after it, of 25 asked for");
+}
+
+/// Met on days with bad clients: events for destinations that nobody lists were taken on.
+#[rstest]
+fn a_destination_is_known_while_it_is_listed_and_for_a_minute_after() {
+    let mut host = plain();
+    let known = |host: &Host, of| host.forwarder.knows(DestinationId(of));
+    assert!(known(&host, 1) && !known(&host, 70_000));
+    host.at(10.0, |f| f.left(&target("t")));
+    host.idle(50_000.0);
+    assert!(known(&host, 1), "its next targets may be on the way");
+    host.idle(70_100.0);
+    assert!(!known(&host, 1) && known(&host, 2));
+}
+
 #[rstest]
 fn a_tie_of_two_targets_goes_to_the_one_without_a_fee() {
     let mut host = Host::new(|terms| terms.crossing_fee = 0.03);
