What usually goes to a cold destination outlasts a restart with it

Seen on reload with a debug log: a destination that was down from 8.6 s to 21 s, over a restart, got half a call a second from 21 s to 28 s of the seven a second asked for; 187 of its events waited their patience out at one forwarder. Checked: it was released by a ping at 21.3 s, its answers were quick, and no call was refused, so it was our own budget. Wrong lines: note_cold kept since when a lane is cold and not its usual traffic, so that usual() in the next process was measured from the few calls that the budget of nothing allowed.

Now the ledger's cold mark carries the usual traffic of the lane; the module takes the larger of that, fading over a minute, and its own count. A mark of the older form reads as none. Also: a newcomer at the very cap waits until those that were to make room have, where they went on once with what had just come (a story on that failed once in three).

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -209,7 +209,7 @@
         self.decisions.push(json!({"cmd": "hangUp", "who": self.who, "target": &*target.0}));
     }
     fn take_back(&mut self, _: &TargetId) {} // a call is written at once there
-    fn note_cold(&mut self, _: &TargetId, _: Ms) {} // nothing outlasts a forwarder there
+    fn note_cold(&mut self, _: &TargetId, _: Ms, _: f64) {} // nothing outlasts a forwarder there
     fn wake_after(&mut self, pause: Ms) {
         self.decisions.push(json!({"cmd": "defer", "who": self.who, "afterUs": micros(pause), "label": 0}));
     }
--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -70,7 +70,13 @@
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 let full = !door.has_room();
-                let Some(counted) = Counted::new(&door.open, at_all) else {
+                let mut counted = Counted::new(&door.open, at_all);
+                // Some that were to make room go on with what just came, but once only.
+                while counted.is_none() && door.has_room() {
+                    future::yield_now().await;
+                    counted = Counted::new(&door.open, at_all);
+                }
+                let Some(counted) = counted else {
                     // All of them are being served.
                     let _ = (&mut stream.get_ref()).write(FULL);
                     continue;
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -187,8 +187,8 @@
     pub fn restore(&mut self, list: &Value, owed: Vec<Owed>) {
         self.decide(|forwarder, hands| {
             hands.listed(forwarder, list);
-            for (target, since) in hands.ledger.cold() {
-                forwarder.was_cold(&TargetId(target.into()), since);
+            for (target, since, usual) in hands.ledger.cold() {
+                forwarder.was_cold(&TargetId(target.into()), since, usual);
             }
             owed.into_iter().for_each(|event| hands.restore(forwarder, event));
         });
@@ -480,8 +480,8 @@
     fn take_back(&mut self, target: &TargetId) {
         self.outbox.push((target.clone(), ToTarget::TakeBack));
     }
-    fn note_cold(&mut self, target: &TargetId, since: Ms) {
-        self.ledger.note_cold(&target.0, since);
+    fn note_cold(&mut self, target: &TargetId, since: Ms, usual: f64) {
+        self.ledger.note_cold(&target.0, since, usual);
     }
     fn wake_after(&mut self, pause: Ms) {
         // A little more, so that rounding does not wake it before it is due.
--- a/ledger/src/frame.rs
+++ b/ledger/src/frame.rs
@@ -40,7 +40,7 @@
     Unrun { id: Cow<'a, str> },
     Ended { id: Cow<'a, str>, outcome: Outcome, come_back_after: Option<f64> },
     Over { id: Cow<'a, str> },
-    Cold { target: Cow<'a, str>, since: f64 },
+    Cold { target: Cow<'a, str>, since: f64, usual: f64 },
 }
 
 const HEAD: usize = 8;
@@ -81,10 +81,11 @@
                 out.push(5);
                 text(out, id.as_bytes());
             }
-            Mark::Cold { target, since } => {
+            Mark::Cold { target, since, usual } => {
                 out.push(6);
                 text(out, target.as_bytes());
                 number(out, since.to_bits());
+                number(out, usual.to_bits());
             }
         }
         let length = (out.len() - from - HEAD) as u32;
@@ -160,7 +161,12 @@
                 come_back_after: self.optional()?.map(f64::from_bits),
             },
             5 => Mark::Over { id: self.text()? },
-            6 => Mark::Cold { target: self.text()?, since: f64::from_bits(self.number()?) },
+            6 => Mark::Cold {
+                target: self.text()?,
+                since: f64::from_bits(self.number()?),
+                // Not there in what an older text wrote.
+                usual: self.number().map_or(0.0, f64::from_bits),
+            },
             _ => return None,
         })
     }
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -32,7 +32,7 @@
     pending: Vec<u8>,
     events: BTreeMap<u64, Kept>, // in the order taken
     places: HashMap<String, u64>,
-    cold: BTreeMap<String, f64>,
+    cold: BTreeMap<String, (f64, f64)>,
     live: usize,
     next: u64,
 }
@@ -101,7 +101,7 @@
 
     fn replay(&mut self, mark: Mark, frame: &[u8], owed: &mut BTreeMap<u64, Owed>) {
         let id = match &mark {
-            Mark::Cold { target, since } => return self.keep_cold(target, *since),
+            Mark::Cold { target, since, usual } => return self.keep_cold(target, *since, *usual),
             Mark::Taken(taken) => {
                 owed.insert(self.next, Owed::new(taken.clone().into_owned()));
                 return self.keep(taken.id.to_string(), frame.to_vec());
@@ -132,8 +132,8 @@
         self.next += 1;
     }
 
-    fn keep_cold(&mut self, target: &str, since: f64) {
-        if self.cold.insert(target.to_owned(), since).is_none() {
+    fn keep_cold(&mut self, target: &str, since: f64, usual: f64) {
+        if self.cold.insert(target.to_owned(), (since, usual)).is_none() {
             self.live += NOTE;
         }
     }
@@ -202,14 +202,14 @@
         self.mark(id, Mark::Over { id: id.into() });
     }
 
-    pub fn note_cold(&mut self, target: &str, since: f64) {
-        Mark::Cold { target: target.into(), since }.write(&mut self.pending);
-        self.keep_cold(target, since);
+    pub fn note_cold(&mut self, target: &str, since: f64, usual: f64) {
+        Mark::Cold { target: target.into(), since, usual }.write(&mut self.pending);
+        self.keep_cold(target, since, usual);
     }
 
-    /// The targets that were noted as cold, and since when.
-    pub fn cold(&self) -> impl Iterator<Item = (&str, f64)> {
-        self.cold.iter().map(|(target, since)| (target.as_str(), *since))
+    /// The targets that were noted as cold, since when, and what usually went there a second.
+    pub fn cold(&self) -> impl Iterator<Item = (&str, f64, f64)> {
+        self.cold.iter().map(|(target, (since, usual))| (target.as_str(), *since, *usual))
     }
 
     /// The target is gone for good, and what was noted of it.
@@ -241,8 +241,8 @@
         let (path, new) = (self.folder.join("ledger"), self.folder.join("ledger.new"));
         let mut bytes = MAGIC.to_vec();
         self.events.values().for_each(|kept| bytes.extend_from_slice(&kept.frames));
-        for (target, &since) in &self.cold {
-            Mark::Cold { target: target.as_str().into(), since }.write(&mut bytes);
+        for (target, &(since, usual)) in &self.cold {
+            Mark::Cold { target: target.as_str().into(), since, usual }.write(&mut bytes);
         }
         let _ = fs::remove_file(&new);
         let mut file = OpenOptions::new().create_new(true).append(true).open(&new)?;
--- a/ledger/tests/lives.rs
+++ b/ledger/tests/lives.rs
@@ -106,9 +106,9 @@
     ledger.sent("live", 3.0, "z");
     ledger.taken(event("told", b"gone"));
     ledger.ended("told", Outcome::WrittenOff, None);
-    ledger.note_cold("t", 4.0);
-    ledger.note_cold("t", 5.0);
-    ledger.note_cold("gone", 5.0);
+    ledger.note_cold("t", 4.0, 7.0);
+    ledger.note_cold("t", 5.0, 7.5);
+    ledger.note_cold("gone", 5.0, 0.0);
     ledger.forget_target("gone");
     let body: &'static [u8] = &[5; 20_000];
     let mut most = 0;
@@ -124,7 +124,7 @@
     assert!(most < 600_000, "{most} bytes on a disk of a million");
     let (mut ledger, owed) = folder.open();
     assert_eq!((ids(&owed), owed[0].sends, owed[1].ended.is_some()), (vec!["live", "told"], 1, true));
-    assert_eq!(ledger.cold().collect::<Vec<_>>(), [("t", 5.0)]);
+    assert_eq!(ledger.cold().collect::<Vec<_>>(), [("t", 5.0, 7.5)]);
     let mut taken = 0;
     while ledger.has_room_for(body.len()) {
         taken += 1;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -71,8 +71,8 @@
         came_in: impl FnOnce(&mut Self, &mut D) -> Result<(), E>,
         out: &mut D,
     ) -> Result<(), E> {
-        self.here.now = now;
-        self.woken_at = Some(self.woken_at).filter(|at| at.0 > now).unwrap_or_default();
+        (self.here.now, self.woken_at) =
+            (now, Some(self.woken_at).filter(|at| at.0 > now).unwrap_or_default());
         came_in(self, out)?;
         while self.due.first().is_some_and(|(at, _)| at.0 <= now) {
             self.changed.extend(self.due.pop_first().map(|(_, id)| id));
@@ -126,8 +126,7 @@
         let destination = self.destinations.entry(of).or_default();
         destination.kind = kind;
         if let Some(target) = destination.target_mut(&id) {
-            target.listing = listing;
-            return;
+            return target.listing = listing;
         }
         if destination.lanes.is_empty() || self.here.terms.kinds[kind.0].routes_apart {
             destination.lanes.push(Lane::default());
@@ -185,10 +184,11 @@
     }
 
     /// What an earlier process noted: its backlog must not push over a destination that comes back.
-    pub fn was_cold(&mut self, target: &TargetId, since: Ms) {
+    pub fn was_cold(&mut self, target: &TargetId, since: Ms, usual: f64) {
         let home = self.homes.get(target).and_then(|of| self.destinations.get_mut(of));
-        let lane = home.and_then(|home| home.lanes.iter_mut().find(|lane| lane.target(target).is_some()));
-        lane.into_iter().for_each(|lane| lane.chill(since));
+        let Some((to, at)) = home.and_then(|to| to.lane_of(target).map(|at| (to, at))) else { return };
+        to.lanes[at].chill(since);
+        to.noted = usual;
     }
 
     /// The process ends then; a call still out may have run, so that none begins in the last moments.
@@ -219,12 +219,11 @@
         (wait > 2.0 * PING).then(|| lane.chill(now));
         let zone = lane.target(&target).expect("found").zone;
         if first {
-            if reuses {
-                here.reused.add(now, TREND, 1.0);
-                here.stale.add(now, TREND, matches!(fate, Fate::TimedOut | Fate::Reset) as u8 as f64);
-                if here.stale.read(now, TREND) > 0.4 + 0.05 * here.reused.read(now, TREND) {
-                    here.stale_until = now + 10_000.0;
-                }
+            let lost = reuses && matches!(fate, Fate::TimedOut | Fate::Reset);
+            here.reused.add(now, TREND, reuses as u8 as f64);
+            here.stale.add(now, TREND, lost as u8 as f64);
+            if reuses && here.stale.read(now, TREND) > 0.4 + 0.05 * here.reused.read(now, TREND) {
+                here.stale_until = now + 10_000.0;
             }
             to.judge(here, at, &target, fate, sent, wait, took);
         }
@@ -287,10 +286,8 @@
     /// waiting gives way, the least worth first. Guards against any destination that stands still or floods.
     fn keep_room(&mut self, out: &mut impl Decisions) {
         let filled = (self.here.terms.room as f64 * FILLED) as usize;
-        if self.places.len() <= filled {
-            return;
-        }
-        self.changed.clone().into_iter().for_each(|id| self.file(id));
+        let changed = self.changed.iter().copied().filter(|_| self.places.len() > filled).collect::<Vec<_>>();
+        changed.into_iter().for_each(|id| self.file(id));
         while self.places.len() > filled {
             let Some((_, id)) = self.waiting.last().copied().filter(|(held, _)| *held > 0) else { return };
             let worth = |event: &Event| Moment(self.here.worth(event));
@@ -348,8 +345,7 @@
         let bare = to.events.is_empty() && to.lanes.is_empty();
         to.bare_since = bare.then_some(to.bare_since.unwrap_or(self.here.now));
         if to.bare_since.is_some_and(|since| since + USUAL <= self.here.now) {
-            self.destinations.remove(&id);
-            return;
+            return drop(self.destinations.remove(&id));
         }
         let (heads, open, next) = to.prospects(&self.here, &self.keys);
         let doubtful = open.iter().all(|&(at, _)| to.lanes[at].in_doubt(&self.here));
@@ -481,11 +477,11 @@
 
     fn watch_health(&mut self, here: &mut Here, out: &mut impl Decisions) {
         let now = here.now;
-        let (closes, wanted) = (here.closes(self.kind), self.held() > 0);
+        let (closes, wanted, usual) = (here.closes(self.kind), self.held() > 0, self.usual(here));
         for lane in &mut self.lanes {
             let news = lane.cold_since.filter(|at| std::mem::replace(&mut lane.noted_cold, *at) < *at);
             for target in &mut lane.targets {
-                news.into_iter().for_each(|since| out.note_cold(&target.id, since));
+                news.into_iter().for_each(|since| out.note_cold(&target.id, since, usual));
                 if target.idle_since.take_if(|since| closes && *since + BRIEF <= now).is_some() {
                     out.close_idle(&target.id);
                 }
@@ -572,19 +568,23 @@
         if let Some(since) = lane.cold_since.filter(|_| lane.is_cold(here)).map(|since| now - since) {
             let warm = terms.cold_share + (1.0 - terms.cold_share) * since.max(0.0) / terms.warm_after;
             let least = 1000.0 / PING / terms.forwarders;
-            let usual = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
-            rate = rate.min((BUDGET * terms.tip_multiple * warm * usual).max(least) * lane.trust.max(1.0));
+            let budget = BUDGET * terms.tip_multiple * warm * self.usual(here);
+            rate = rate.min(budget.max(least) * lane.trust.max(1.0));
         }
         rate.is_finite().then_some(rate)
     }
 
-    /// What usually goes to each lane a second: events taken, or calls, if far fewer, as one may carry
-    /// several; what comes again in an outage is not usual. Half more calls: they are fewest in trouble.
+    /// What usually goes to each lane a second, here or in an earlier process: events taken, or calls, if far
+    /// fewer, as one may carry several; what comes again in an outage is not usual. Half more: calls are few.
+    fn usual(&self, here: &Here) -> f64 {
+        let counted = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
+        counted.max(self.noted * (-(here.now - here.started) / USUAL).exp())
+    }
+
     fn a_second(&self, here: &Here, sum: &Fading) -> f64 {
         // Some quiet seconds before the start are assumed, or a single clump after it would pass for usual.
         let seen = 1.0 - (-(here.now - here.started + 2_000.0) / USUAL).exp();
-        let lanes = self.lanes.iter().filter(|lane| lane.runs()).count().max(1);
-        sum.read(here.now, USUAL) * 1000.0 / USUAL / seen / lanes as f64
+        sum.read(here.now, USUAL) * 1000.0 / USUAL / seen / self.running_lanes()
     }
 
     /// A second, or as the cold budget asks: half is for pings, half for the heads that an answer lets go.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -123,7 +123,8 @@
     fn close_idle(&mut self, target: &TargetId);
     /// Calls to the target of which nothing is written yet are not to be written: they end as not sent.
     fn take_back(&mut self, target: &TargetId);
-    /// The target's lane is cold since then: to be told to `Forwarder::was_cold` after a restart.
-    fn note_cold(&mut self, target: &TargetId, since: Ms);
+    /// The target's lane is cold since then, and so much usually goes there a second: to be told to
+    /// `Forwarder::was_cold` after a restart.
+    fn note_cold(&mut self, target: &TargetId, since: Ms, usual: f64);
     fn wake_after(&mut self, pause: Ms);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,6 +156,7 @@
     pub(crate) offered: Fading, // events
     pub(crate) called: Fading,  // calls, of one event or several
     pub(crate) turn: u64,
+    pub(crate) noted: f64, // what usually went to each lane a second in an earlier process
     pub(crate) bare_since: Option<Ms>, // nothing is held for it and no target listed
     pub(crate) filed: (Moment, usize, Option<Turn>), // its places in the three rosters
 }
@@ -164,6 +165,9 @@
     pub(crate) fn held(&self) -> usize {
         self.events.values().filter(|event| event.is_held()).count()
     }
+    pub(crate) fn running_lanes(&self) -> f64 {
+        self.lanes.iter().filter(|lane| lane.runs()).count().max(1) as f64
+    }
     pub(crate) fn lane_of(&self, id: &TargetId) -> Option<usize> {
         self.lanes.iter().position(|lane| lane.target(id).is_some())
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -11,7 +11,7 @@
     pub forwarder: Forwarder,
     pub now: Ms,
     pub notices: bool, // ends of events go as notices
-    pub cold: Vec<(TargetId, Ms)>,
+    pub cold: Vec<(TargetId, Ms, f64)>,
 }
 
 /// One forwarder of two, with 8 slots and room for 40; kind 0 shares a limit, kind 1 has routes apart and
@@ -141,7 +141,7 @@
     told.iter().filter(|word| word.starts_with("send")).count()
 }
 
-struct Told(Vec<String>, bool, Vec<(TargetId, Ms)>);
+struct Told(Vec<String>, bool, Vec<(TargetId, Ms, f64)>);
 
 impl Decisions for Told {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
@@ -166,8 +166,8 @@
     fn take_back(&mut self, target: &TargetId) {
         self.0.push(format!("take back {}", target.0));
     }
-    fn note_cold(&mut self, target: &TargetId, since: Ms) {
-        self.2.push((target.clone(), since));
+    fn note_cold(&mut self, target: &TargetId, since: Ms, usual: f64) {
+        self.2.push((target.clone(), since, usual));
     }
     fn wake_after(&mut self, pause: Ms) {
         assert!(pause > 0.0);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -562,7 +562,7 @@
     let noted: Vec<_> = earlier.cold.into_iter().filter(|_| noted).collect();
     let mut host = plain();
     let told = host.at(1000.0, |f| {
-        noted.iter().for_each(|(target, since)| f.was_cold(target, *since));
+        noted.iter().for_each(|(target, since, usual)| f.was_cold(target, *since, *usual));
         for number in 0..10 {
             f.taken(event(&format!("e{number}")), DestinationId(1), RETRIABLE, 9000.0, None);
         }
@@ -570,6 +570,21 @@
     assert_eq!(sends(&told), at_once);
 }
 
+/// Met on days with new configurations: a destination that was down over a restart got half a call a second
+/// from a forwarder that knew it was cold, and not what usually goes there.
+#[rstest]
+fn the_cold_budget_outlasts_a_restart() {
+    let mut earlier = plain();
+    earlier.runs_well(20_000.0);
+    earlier.goes_offline(20_001.0);
+    let mut host = plain();
+    let noted = std::mem::take(&mut earlier.cold);
+    host.at(1.0, |f| noted.iter().for_each(|(target, _, usual)| f.was_cold(target, 0.0, *usual)));
+    (0..20).for_each(|number| drop(host.take(2.0, &format!("e{number}"), RETRIABLE, 1, None)));
+    let sent: usize = (1..20).map(|step| sends(&host.idle(2.0 + 100.0 * step as f64))).sum();
+    assert!((4..=10).contains(&sent), "{sent} calls in two seconds of some four a second");
+}
+
 #[rstest]
 fn nothing_is_sent_in_the_last_moments_of_a_process() {
     let mut host = plain();
