The least time of a call goes by what answers take, so that lost calls pin slots for less

Wrong line: LEAST_TIME in decide.rs, 1.5 s whatever answers take, was six times a usual answer where it was chosen and seventy times here, so that each lost call cost its slot the time of seventy others. The least is now fifteen times the common answer, 1.5 s at most, as before where answers take 100 ms and more.

With it: a call cut by the end of patience is no sign of a target's health (it had taken destinations offline that were just back); an event is held no longer than its traffic type allows, whatever its client asks for; cold notes of targets that left while no process ran are dropped; a small memory leaves clients half of the buffers; a watch whose head comes before its body is not cut.

Stories for the time given and for cut calls.

--- a/buffers/src/lib.rs
+++ b/buffers/src/lib.rs
@@ -30,6 +30,10 @@
         Some(Buffer { bytes, home: self.0.clone() })
     }
 
+    pub fn most(&self) -> usize {
+        self.0.most
+    }
+
     /// As many can still be taken.
     pub fn left(&self) -> usize {
         self.0.most - self.0.out.get()
--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -243,8 +243,9 @@
     }
 
     fn fresh(&self) -> Option<Begun> {
-        // Calls are not to want for one.
-        let spare = self.common.pool.left() > self.common.told.terms.slots;
+        // Calls are not to want for one, nor clients where the memory is small for the slots.
+        let pool = &self.common.pool;
+        let spare = pool.left() > self.common.told.terms.slots.min(pool.most() / 2);
         self.common.pool.take().filter(|_| spare).map(|buffer| Begun { buffer, filled: 0 })
     }
 
@@ -488,7 +489,10 @@
                 .ok_or(Refusal(400, "X-Envelope: no dest with a number"))?,
         ),
         traffic,
-        patience: 1000.0 * patience.ok_or(Refusal(400, "Req-Deadline: not a number of seconds"))?,
+        // Nobody is owed more than the traffic type gives.
+        patience: kind
+            .patience
+            .min(1000.0 * patience.ok_or(Refusal(400, "Req-Deadline: not a number of seconds"))?),
         key: key.map_err(|_| Refusal(400, "Cookie: about is not a hexadecimal key"))?,
         fingerprint,
     }))
--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -74,11 +74,14 @@
         None => connect(to).await?,
     };
     stream.write_all(request).await?;
-    let answer = answer(&mut stream, bytes, &mut Came::default(), ANSWERING).await?;
+    let answer = answer(&mut stream, bytes, &mut Came::default(), ASKING).await?;
     *kept = answer.reusable.then_some(stream);
     Ok(answer)
 }
 
+/// Whoever asks has a limit of its own: a watch may well be answered with its head at once and its body later.
+const ASKING: Duration = Duration::from_secs(60);
+
 /// An answer whose first byte has come is whole soon after, or never: many times what a body of 64 KiB takes.
 pub const ANSWERING: Duration = Duration::from_millis(250);
 
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -187,6 +187,8 @@
     pub fn restore(&mut self, list: &Value, owed: Vec<Owed>) {
         self.decide(|forwarder, hands| {
             hands.listed(forwarder, list);
+            // What went while no process ran is not in the list, and no word of it will come.
+            hands.ledger.forget_targets(|target| hands.targets.contains_key(&TargetId(target.into())));
             for (target, since, usual) in hands.ledger.cold() {
                 forwarder.was_cold(&TargetId(target.into()), since, usual);
             }
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -141,12 +141,14 @@
     async fn run(mut self, send: Option<Sending>) {
         let began = Instant::now();
         let time_out = send.as_ref().map_or(self.reach.common.told.connect_time_out, |send| send.time_out);
+        let reused = self.kept.is_some();
         let End { fate, over, wait } = self.exchange(began, time_out, send.as_ref()).await;
         let took = began.elapsed().as_secs_f64() * 1000.0;
         let ended = match send {
             Some(send) => {
                 debug!(self.reach.common.log, "send ended"; "event" => &*send.event.0,
-                    "target" => &*self.target.0, "fate" => ?fate, "wait" => wait, "took" => took);
+                    "target" => &*self.target.0, "fate" => ?fate, "wait" => wait, "took" => took,
+                    "reused" => reused);
                 CameIn::SendEnded { event: send.event, fate, took, over, wait }
             }
             None => {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// All targets but those that are `kept` are gone for good.
+    pub fn forget_targets(&mut self, kept: impl Fn(&str) -> bool) {
+        let before = self.cold.len();
+        self.cold.retain(|target, _| kept(target));
+        self.live -= NOTE * (before - self.cold.len());
+    }
+
     /// Writes what was marked since the last call; it outlasts the process from now on.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.pending.is_empty() {
--- a/ledger/tests/lives.rs
+++ b/ledger/tests/lives.rs
@@ -125,6 +125,8 @@
     let (mut ledger, owed) = folder.open();
     assert_eq!((ids(&owed), owed[0].sends, owed[1].ended.is_some()), (vec!["live", "told"], 1, true));
     assert_eq!(ledger.cold().collect::<Vec<_>>(), [("t", 5.0, 7.5)]);
+    ledger.forget_targets(|target| target != "t");
+    assert_eq!(ledger.cold().count(), 0);
     let mut taken = 0;
     while ledger.has_room_for(body.len()) {
         taken += 1;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,13 +50,12 @@
 const USUAL: Ms = 60_000.0;
 /// Answers are remembered over some ten of them at a call or two a second; 4, 7 and 15 s serve alike.
 const MEMORY: Ms = 7_000.0;
-/// The least that a call is given to be answered: some six times the usual where answers are quick.
+/// The most that the least is which a call is given to be answered: six times a common answer of 250 ms.
 const LEAST_TIME: Ms = 1500.0;
 /// Answered and lost calls are weighed over a few seconds: long enough for several, short against a trouble.
 const TREND: Ms = 5_000.0;
 /// What was sent in the last moments, for the pace that a refusal cuts.
 const RECENT: Ms = 2_000.0;
-const BURST: Ms = 500.0;
 
 impl Forwarder {
     pub fn start(terms: Terms, now: Ms) -> Self {
@@ -143,9 +142,7 @@
         let key = key.filter(|_| self.here.terms.traffic[sort.0].ordered);
         self.taken += 1;
         self.places.insert(id.clone(), (of, self.taken));
-        if let Some(key) = key {
-            self.keys.entry(key).or_default().queue.push_back((self.taken, of));
-        }
+        key.into_iter().for_each(|key| self.keys.entry(key).or_default().queue.push_back((self.taken, of)));
         let to = self.destinations.entry(of).or_default();
         to.offered.add(self.here.now, USUAL, 1.0);
         to.events
@@ -242,9 +239,8 @@
         if fate.may_have_run() {
             event.may_have_run.get_or_insert((sent, zone));
         }
-        if let (Some(key), Fate::TimedOut | Fate::Reset | Fate::Cancelled) = (event.key, fate) {
-            self.rest(key);
-        }
+        let cut = matches!(fate, Fate::TimedOut | Fate::Reset | Fate::Cancelled);
+        event.key.filter(|_| cut).into_iter().for_each(|key| self.rest(key));
         self.changed.insert(of);
         self.forget_if_over(of, place);
         Ok(())
@@ -368,10 +364,9 @@
         let most = if to.lanes[at].is_cold(here) { most.min(1 + (1.0 / RIDER) as usize) } else { most };
         let fit = heads.into_iter().filter(|place| here.may_go(&to.events[place], called));
         let aboard: Vec<u64> = fit.take(most).collect();
-        self.calls_made += 1;
-        to.turn = self.calls_made;
+        (self.calls_made, to.turn) = (self.calls_made + 1, self.calls_made + 1);
         // Few answers take six times the usual.
-        let time_out = (6.0 * to.lanes[at].usual_answer(here)).clamp(LEAST_TIME, 8000.0);
+        let time_out = (6.0 * to.lanes[at].usual_answer(here)).clamp(here.least_time(), 8000.0);
         for place in &aboard {
             let event = to.events.get_mut(place).expect("ready");
             // A binding event cannot be sent again: it is given twice the time.
@@ -388,7 +383,7 @@
             lane.next_slot = lane.next_slot.max(here.now) + weight * 1000.0 / rate;
         }
         lane.sent.add(here.now, RECENT, 1.0);
-        lane.burst.add(here.now, BURST, 1.0);
+        lane.burst.add(here.now, RECENT / 4.0, 1.0);
         to.called.add(here.now, USUAL, 1.0);
         let called = &mut lane.targets[target];
         let reuses = called.idle_since.take().is_some_and(|since| since + BRIEF < here.now);
@@ -429,7 +424,7 @@
                     (lane.refusals, lane.refused_at) = (lane.refusals + 1, now);
                     let went = |sum: &Fading, span| sum.read(now, span) * 1000.0 / span;
                     // A clump is refused within less: what went at once tells more, if it is much.
-                    let burst = Some(went(&lane.burst, BURST)).filter(|rate| *rate >= 2.0 * OFTEN);
+                    let burst = Some(went(&lane.burst, RECENT / 4.0)).filter(|rate| *rate >= 2.0 * OFTEN);
                     let recent = went(&lane.sent, RECENT).max(burst.unwrap_or(0.3));
                     // A tenth less, 8% a second back: half and twice move the loss from lateness to refusals.
                     lane.pace = Some((recent * 0.9, now));
@@ -445,6 +440,7 @@
                     lane.chill(now);
                 }
             }
+            Fate::TimedOut if took < here.least_time() => (), // cut by the end of patience: no sign of health
             Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => {
                 lane.trust = 1.0;
                 target.failures += 1;
@@ -671,6 +667,11 @@
         (time + 1000.0) / (count + 1.0)
     }
 
+    /// Where calls are over in 20 ms, a call without an answer must not pin its slot for seconds.
+    fn least_time(&self) -> Ms {
+        (15.0 * self.common_answer()).min(LEAST_TIME)
+    }
+
     /// When an offline lane gets its next ping.
     fn ping_due(&self, lane: &Lane, wanted: bool) -> Ms {
         let pings = wanted && self.terms.pings_allowed && lane.offline && !lane.ping_out && lane.runs();
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -12,6 +12,7 @@
     pub now: Ms,
     pub notices: bool, // ends of events go as notices
     pub cold: Vec<(TargetId, Ms, f64)>,
+    pub given: Ms, // the time that the last call was given
 }
 
 /// One forwarder of two, with 8 slots and room for 40; kind 0 shares a limit, kind 1 has routes apart and
@@ -66,8 +67,13 @@
     pub fn new(change: impl FnOnce(&mut Terms)) -> Self {
         let mut terms = terms();
         change(&mut terms);
-        let mut host =
-            Host { forwarder: Forwarder::start(terms, 0.0), now: 0.0, notices: false, cold: Vec::new() };
+        let mut host = Host {
+            forwarder: Forwarder::start(terms, 0.0),
+            now: 0.0,
+            notices: false,
+            cold: Vec::new(),
+            given: 0.0,
+        };
         host.at(0.0, |f| {
             for (name, of, kind) in [("t", 1, 0), ("u", 2, 0), ("v", 3, 1), ("w", 3, 1)] {
                 f.listed(target(name), DestinationId(of), KindId(kind), ZoneId(0), Listing::Running);
@@ -79,13 +85,14 @@
     /// A round at `now`; wake-ups are left out of what it returns.
     pub fn at(&mut self, now: Ms, came_in: impl FnOnce(&mut Forwarder)) -> Vec<String> {
         self.now = now;
-        let mut told = Told(Vec::new(), self.notices, Vec::new());
+        let mut told = Told(Vec::new(), self.notices, Vec::new(), self.given);
         let hand_over = |forwarder: &mut Forwarder, _: &mut Told| {
             came_in(forwarder);
             Ok::<(), Unknown>(())
         };
         self.forwarder.round(now, hand_over, &mut told).expect("the story names only what it introduced");
         self.cold.append(&mut told.2);
+        self.given = told.3;
         told.0
     }
 
@@ -111,7 +118,8 @@
 
     pub fn ends_with(&mut self, now: Ms, name: &str, fate: Fate, wait: Ms) -> Vec<String> {
         let done = fate == Fate::Delivered;
-        self.at(now, |f| f.send_ended(&event(name), fate, 100.0, done, wait).expect("was sent"))
+        let took = if fate == Fate::TimedOut { 1500.0 } else { 100.0 };
+        self.at(now, |f| f.send_ended(&event(name), fate, took, done, wait).expect("was sent"))
     }
 
     pub fn ping_ends(&mut self, now: Ms, name: &str, fate: Fate) -> Vec<String> {
@@ -141,11 +149,12 @@
     told.iter().filter(|word| word.starts_with("send")).count()
 }
 
-struct Told(Vec<String>, bool, Vec<(TargetId, Ms, f64)>);
+struct Told(Vec<String>, bool, Vec<(TargetId, Ms, f64)>, Ms);
 
 impl Decisions for Told {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
         assert!(time_out > 0.0);
+        self.3 = time_out;
         self.0.push(format!("send {} to {}", event.0, target.0));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -464,6 +464,37 @@
     assert!(!known(&host, 1) && known(&host, 2));
 }
 
+/// Met on the wide day: calls were over in 22 ms, and each that got no answer pinned one of 13 slots for 1.5 s.
+#[rstest]
+#[case(20.0, 250.0..500.0)]
+#[case(200.0, 1500.0..1501.0)]
+fn the_time_that_calls_are_given_goes_by_what_answers_take(
+    #[case] took: Ms,
+    #[case] given: std::ops::Range<Ms>,
+) {
+    let mut host = plain();
+    for step in 0..200 {
+        let (now, name) = (1.0 + 50.0 * step as f64, format!("e{step}"));
+        host.take(now, &name, RETRIABLE, 1, None);
+        host.at(now, |f| f.send_ended(&event(&name), Fate::Delivered, took, true, 0.0).expect("was sent"));
+    }
+    assert!(given.contains(&host.given), "{} ms", host.given);
+}
+
+/// Met on days with new configurations: what a backlog sent with its last patience was cut after some
+/// milliseconds, and two such calls took a destination offline that was just back.
+#[rstest]
+fn calls_cut_by_the_end_of_patience_take_no_destination_offline() {
+    let mut host = plain();
+    for (name, at) in [("a", 1.0), ("b", 200.0)] {
+        host.at(at, |f| f.taken(event(name), DestinationId(1), RETRIABLE, at + 100.0, None));
+        host.at(at + 70.0, |f| f.send_ended(&event(name), Fate::TimedOut, 70.0, false, 0.0).expect("sent"));
+    }
+    host.take(400.0, "c", RETRIABLE, 1, None);
+    assert!(host.idle(401.0).iter().all(|word| !word.starts_with("ping")));
+    assert!(host.ends(500.0, "c", Fate::Delivered).is_empty(), "it had been sent at once");
+}
+
 #[rstest]
 fn a_tie_of_two_targets_goes_to_the_one_without_a_fee() {
     let mut host = Host::new(|terms| terms.crossing_fee = 0.03);
