Client connections: two seconds idle, a crowd that asked once makes room before regulars

The log at the door: 265 idle connections, 800 that asked GET /up once each within 1.5 s and stayed, some 43 a second that never asked; clients' own connections stood at 127, a third of the 384 descriptors and all that they may hold, before that. Wrong lines: IDLE in clients.rs kept for five seconds what may be closed after two; a newcomer whose request had not come yet was the first to make room for the next one; who asked once went after regulars.

Open: what keeps the clients away for seconds after such a crowd has come and gone. Story: a regular among sixty that asked once.

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -27,8 +27,9 @@
 /// A request has to be whole so long after its first byte, the first one so long after it could come: a
 /// client that sends none hears so within the three seconds that it is owed.
 const READING: Duration = Duration::from_secs(2);
-/// A connection that asked before and asks for nothing for so long makes room for others.
-const IDLE: Duration = Duration::from_secs(5);
+/// A connection that asked before and asks for nothing for so long makes room for others: some clients never
+/// close theirs, and have so many at most. Sooner would cross the requests of those that come again.
+const IDLE: Duration = Duration::from_secs(2);
 /// Descriptors for discovery, the ledger, the log and the reactor.
 const FILES: usize = 24;
 /// An answer that is not read within that time is given up.
@@ -36,6 +37,8 @@
 
 /// Between looks while no more connections are accepted.
 const PAUSE: Duration = Duration::from_millis(20);
+/// A connection's first request comes right behind it, but may come after the next connection.
+const JUST_CAME: Duration = Duration::from_millis(250);
 /// What a refused client still sends is read for so long, and so much of it.
 const LINGERING: Duration = Duration::from_secs(1);
 const LEAVINGS: usize = 256 * 1024;
@@ -123,6 +126,9 @@
     Lingers,
     /// It never asked for anything.
     Silent,
+    /// It asked once and stayed.
+    Once,
+    /// It asks again and again.
     Idle,
     /// Half a request has come.
     Reads,
@@ -134,6 +140,9 @@
     MadeRoom,
 }
 
+/// Since when, and what ends it.
+type Waiting = (Instant, Sender<()>);
+
 /// All connections of clients, and those that wait for something from theirs.
 #[derive(Default)]
 struct Door {
@@ -141,7 +150,7 @@
     /// With as many open, others make room for each that comes.
     most: usize,
     entered: Cell<u64>,
-    waiting: RefCell<BTreeMap<(Waits, u64), Sender<()>>>,
+    waiting: RefCell<BTreeMap<(Waits, u64), Waiting>>,
     unsaid: Cell<usize>,
     said: Cell<Option<Instant>>,
 }
@@ -151,8 +160,16 @@
     /// many as are open too many, for some of them go on with what just came.
     fn has_room(&self) -> bool {
         let too_many = (self.open.get() + 1).saturating_sub(self.most);
+        too_many == 0 || (0..too_many).filter(|_| self.make_room()).count() > 0
+    }
+
+    /// One that only just came, its request behind it, is spared while there are others.
+    fn make_room(&self) -> bool {
         let mut waiting = self.waiting.borrow_mut();
-        too_many == 0 || (0..too_many).filter(|_| waiting.pop_first().is_some()).count() > 0
+        let goes = |(what, since): (Waits, Instant)| what != Waits::Silent || since.elapsed() > JUST_CAME;
+        let first = waiting.iter().find(|((what, _), how)| goes((*what, how.0))).or(waiting.iter().next());
+        let place = first.map(|(place, _)| *place);
+        place.is_some_and(|place| waiting.remove(&place).is_some())
     }
 
     fn number(&self) -> u64 {
@@ -163,7 +180,7 @@
     async fn waits<T>(&self, what: Waits, by: Instant, for_it: impl Future<Output = T>) -> Result<T, Left> {
         let (stays, leaves) = async_channel::bounded(1);
         let place = Place(self, (what, self.number()));
-        self.waiting.borrow_mut().insert(place.1, stays);
+        self.waiting.borrow_mut().insert(place.1, (Instant::now(), stays));
         let leaves = async {
             let _ = leaves.recv().await;
             Err(Left::MadeRoom)
@@ -206,7 +223,7 @@
             if begun.is_none() && !self.has_more(waits, by).await {
                 return;
             }
-            if waits == Waits::Idle {
+            if waits != Waits::Silent {
                 by = Instant::now() + READING;
             }
             let Some(now) = begun.take().or_else(|| self.fresh()) else {
@@ -223,7 +240,8 @@
                     return;
                 }
             };
-            (waits, by) = (Waits::Idle, Instant::now() + IDLE);
+            waits = if waits == Waits::Silent { Waits::Once } else { Waits::Idle };
+            by = Instant::now() + IDLE;
             let closes = request.closes || self.full || self.closing.is_closed();
             begun = request.next;
             let answered = match request.asked {
--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -616,6 +616,27 @@
     }
 }
 
+/// Met in incident rd2f32b: of a crowd each asks once and stays; who asks again and again is served on.
+#[rstest]
+fn a_crowd_that_asks_once_and_stays_makes_room_before_a_regular() {
+    let (forwarder, calls, _notices, _) = all(0, |config| config["limits"]["sockets"] = json!(64));
+    let up = |stream: &mut TcpStream| {
+        stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("takes it");
+        assert_eq!(answer(stream).0, 200);
+    };
+    let mut regular = TcpStream::connect(forwarder.address).expect("listens");
+    (0..2).for_each(|_| up(&mut regular));
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        let mut stream = TcpStream::connect(forwarder.address).expect("listens");
+        up(&mut stream);
+        crowd.push(stream);
+    }
+    regular.write_all(&event("a", "job", "")).expect("takes it");
+    assert_eq!(answer(&mut regular).0, 202);
+    assert_eq!(next(&calls).id(), "a");
+}
+
 /// Guards the others while hundreds connect at once: nobody waits for a second try of the kernel's.
 #[rstest]
 fn hundreds_may_connect_while_it_stands_still() {
