A reset beside answers counts as no failure of the destination

Checked: few refusals, no time-outs, the destinations' pings answered at once. Wrong line: judge() in decide.rs counted each reset toward the two failures in a row that take a destination offline, and what was parked returns cold: with one call in ten, every hundred calls.

Now a reset counts only if nothing was delivered for a second. What has died refuses connections next, which counts as before; what resets every call delivers nothing. Harmful, by a second's calls, where a destination dies without refusing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -448,7 +448,8 @@
                 // Refused connections last: past the pause of a head that met one; half a second did not do.
                 let base = jitter(chance) * if fate == Fate::NoConnection { 2000.0 } else { 500.0 };
                 target.shunned_until = now + base * f64::powi(2.0, target.failures.min(5) - 1);
-                lane.failures += 1;
+                // A connection that breaks off beside answers tells of itself, not of its destination.
+                lane.failures += !(fate == Fate::Reset && now - lane.delivered_at < PING) as i32;
                 if fate == Fate::TimedOut && lane.answered_at < sent {
                     // Slow: it gets more time. Lost, if others were answered meanwhile: that would pin slots.
                     lane.answers.add(now, MEMORY, took);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -481,6 +481,23 @@
     assert!(given.contains(&host.given), "{} ms", host.given);
 }
 
+/// Met on the wide day with resets: a tenth of the calls broke off at destinations that answered all the time.
+#[rstest]
+#[case(100.0, false)]
+#[case(2_000.0, true)]
+fn connections_that_break_off_beside_answers_take_no_destination_offline(
+    #[case] after: Ms,
+    #[case] asked: bool,
+) {
+    let mut host = plain();
+    host.runs_well(5_000.0);
+    let at = 5_000.0 + after;
+    host.take(at, "a", RETRIABLE, 1, None);
+    host.take(at, "b", RETRIABLE, 1, None);
+    host.ends(at + 1.0, "a", Fate::Reset);
+    assert_eq!(host.ends(at + 1.0, "b", Fate::Reset).contains(&"ping t".into()), asked);
+}
+
 /// Met on days with new configurations: what a backlog sent with its last patience was cut after some
 /// milliseconds, and two such calls took a destination offline that was just back.
 #[rstest]
