The refusal at the door is written like every other answer

Found on rereading: the 503 for a connection past the cap was spelled out by hand beside http1::response, which writes the same bytes; and a buffer was taken from the pool before it was known whether one might be.

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -81,7 +81,14 @@
                 }
                 let Some(counted) = counted else {
                     // All of them are being served.
-                    let _ = (&mut stream.get_ref()).write(FULL);
+                    let mut message = Vec::with_capacity(128);
+                    let _ = http1::response(
+                        &mut message,
+                        503,
+                        &[("Retry-After", &1), ("Connection", &"close")],
+                        0,
+                    );
+                    let _ = (&mut stream.get_ref()).write(&message);
                     continue;
                 };
                 let client = Client {
@@ -116,9 +123,6 @@
     _counted: Counted,
 }
 
-const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n\
-    Content-Length: 0\r\n\r\n";
-
 /// What a connection waits for, in the order in which they make room.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Waits {
@@ -264,7 +268,7 @@
         // Calls are not to want for one, nor clients where the memory is small for the slots.
         let pool = &self.common.pool;
         let spare = pool.left() > self.common.told.terms.slots.min(pool.most() / 2);
-        self.common.pool.take().filter(|_| spare).map(|buffer| Begun { buffer, filled: 0 })
+        spare.then(|| pool.take()).flatten().map(|buffer| Begun { buffer, filled: 0 })
     }
 
     /// Waits for the next request without a buffer; false if the connection has nothing more to serve.
