--- /dev/null
+++ b/emulator/src/bound.rs
@@ -0,0 +1,112 @@
+//! An upper bound on a day's payoff, from what no forwarder can know: every trouble, and every arrival, in
+//! advance. It assumes the mean pace of each target, that an event goes at the first instant at which its
+//! destination is there at all, that destinations warm up at once, that forwarders never fail and have
+//! slots without end, and that only capacity, patience and worth bind: order, limits' shapes, pauses, the
+//! network and chance cost nothing. What it says is out of reach; how near a variant comes tells where
+//! payoff is left.
+
+use plankhill_terms::scenario::{Ms, Scenario, TroubleKind};
+
+use crate::clients::{worth, Clients};
+use crate::limits::Gauge;
+use crate::struck::Struck;
+
+/// The steps in which capacity is counted.
+const STEP: Ms = 1000.0;
+
+/// The most payoff that the day's clients could be paid, as a share of what they ask for.
+pub fn most(scenario: &Scenario) -> f64 {
+    let struck = Struck::new(scenario, scenario.seed);
+    let mut clients = Clients::new(scenario, &struck, scenario.seed);
+    let mut events: Vec<Vec<(Ms, u8)>> = vec![Vec::new(); struck.weights.len()];
+    let mut asked = 0.0;
+    while let Some(ticket) = clients.next() {
+        asked += scenario.traffic[ticket.traffic as usize].payoff;
+        events[ticket.destination as usize].push((ticket.first_at, ticket.traffic));
+    }
+    let mut paid = 0.0;
+    for (destination, events) in events.iter().enumerate() {
+        if !events.is_empty() {
+            paid += most_at(scenario, &struck, destination as u32, events);
+        }
+    }
+    if asked > 0.0 {
+        paid / asked
+    } else {
+        1.0
+    }
+}
+
+/// By descending worth, each event in the latest step with room before its end: for jobs of one size that is
+/// the best there is, and leaving out when each came can only add.
+fn most_at(scenario: &Scenario, struck: &Struck, destination: u32, events: &[(Ms, u8)]) -> f64 {
+    let longest = scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
+    let steps = ((scenario.length + longest) / STEP).ceil() as usize + 1;
+    let open: Vec<f64> =
+        (0..steps).map(|at| capacity(scenario, struck, destination, at as f64 * STEP)).collect();
+    // The first step from each on in which the destination is there.
+    let mut first_open = vec![steps; steps + 1];
+    for at in (0..steps).rev() {
+        first_open[at] = if open[at] > 0.0 { at } else { first_open[at + 1] };
+    }
+    let mut jobs: Vec<(f64, usize)> = Vec::new();
+    for &(at, traffic) in events {
+        let of = &scenario.traffic[traffic as usize];
+        let step = (at / STEP) as usize;
+        let there = first_open[step.min(steps)];
+        let from = if there == step { at } else { there as f64 * STEP };
+        if from < at + of.patience {
+            let last = (((at + of.patience) / STEP) as usize).min(steps - 1);
+            jobs.push((worth(of, at, from), last));
+        }
+    }
+    jobs.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut room: Vec<f64> = open.iter().map(|calls| calls * STEP / 1000.0).collect();
+    let per_call = scenario.destinations[struck.groups[destination as usize] as usize].events_per_call as f64;
+    // Where to look next when a step is full.
+    let mut before: Vec<usize> = (0..=steps).collect();
+    let mut paid = 0.0;
+    for (worth, last) in jobs {
+        // Steps are counted from 1 here; 0 is none.
+        let mut at = last + 1;
+        let mut passed = Vec::new();
+        while at > 0 && (before[at] != at || room[at - 1] < 1.0 / per_call) {
+            passed.push(at);
+            at = if before[at] != at { before[at] } else { at - 1 };
+        }
+        passed.into_iter().for_each(|full| before[full] = at);
+        if at > 0 {
+            room[at - 1] -= 1.0 / per_call;
+            paid += worth;
+        }
+    }
+    paid
+}
+
+/// Calls a second that the destination serves at a time, knowing all troubles.
+fn capacity(scenario: &Scenario, struck: &Struck, destination: u32, at: Ms) -> f64 {
+    let group = &scenario.destinations[struck.groups[destination as usize] as usize];
+    let each = group.servers as f64 * 1000.0 / group.answer.mean;
+    let work: f64 = scenario.traffic.iter().map(|traffic| traffic.share * traffic.work).sum::<f64>()
+        / scenario.traffic.iter().map(|traffic| traffic.share).sum::<f64>();
+    let (mut targets, mut limit) = (group.targets as f64, Gauge::rate(&group.limit));
+    for (trouble, list) in scenario.troubles.iter().zip(&struck.destinations) {
+        let on = trouble.start <= at && at + STEP <= trouble.start + trouble.length;
+        if !on || list.binary_search(&destination).is_err() {
+            continue;
+        }
+        let whole = trouble.whom.zone.is_none();
+        let share = trouble.whom.targets.unwrap_or(1.0);
+        match trouble.kind {
+            TroubleKind::Down | TroubleKind::Silent | TroubleKind::Hung if whole => {
+                targets -= (share * group.targets as f64).ceil()
+            }
+            TroubleKind::LimitLowered if whole && share == 1.0 => {
+                targets *= trouble.strength;
+                limit *= trouble.strength;
+            }
+            _ => (),
+        }
+    }
+    (targets.max(0.0) * each / work.max(1e-9)).min(limit)
+}
--- /dev/null
+++ b/emulator/src/chance.rs
@@ -0,0 +1,83 @@
+//! Chance: one portable stream for each concern, so that a change in one draws nothing from another.
+
+use plankhill_terms::scenario::{Answer, Ms, Shape};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, LogNormal, Pareto};
+
+/// What a stream of chance is for.
+#[derive(Clone, Copy)]
+pub enum Concern {
+    Arrivals = 1,
+    Answers = 2,
+    Network = 3,
+    Front = 4,
+    Struck = 5,
+    Faults = 6,
+    Lists = 7,
+    Returns = 8,
+    Targets = 9,
+    Baselines = 10,
+}
+
+pub fn stream(seed: u64, concern: Concern) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(concern as u64);
+    rng
+}
+
+/// Evenly from 0 to 1.
+pub fn draw(rng: &mut ChaCha8Rng) -> f64 {
+    // The top 53 bits, as whole numbers: the same on every machine.
+    (rng.random::<u64>() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+pub fn between(rng: &mut ChaCha8Rng, low: f64, high: f64) -> f64 {
+    low + (high - low) * draw(rng)
+}
+
+/// With this mean.
+pub fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    let unit: f64 = Exp1.sample(rng);
+    unit * mean
+}
+
+/// The answer times of one group of destinations, ready to draw from.
+pub struct AnswerTimes {
+    shape: Shape,
+    mean: Ms,
+    body: LogNormal<f64>,
+    tail: Pareto<f64>,
+    tail_share: f64,
+}
+
+impl AnswerTimes {
+    /// The mean of all answers is the stated one: a tail takes from the body what it adds.
+    pub fn new(of: &Answer) -> Self {
+        let tailed = of.shape == Shape::Tailed;
+        let tail_share = if tailed { of.tail } else { 0.0 };
+        // The tail starts at twice the stated mean; its mean is alpha / (alpha - 1) times that.
+        let start = 2.0 * of.mean;
+        let tail_mean = start * of.alpha / (of.alpha - 1.0);
+        let body_mean =
+            ((of.mean - tail_share * tail_mean) / (1.0 - tail_share).max(1e-9)).max(0.1 * of.mean);
+        let mu = libm::log(body_mean) - 0.5 * of.spread * of.spread;
+        AnswerTimes {
+            shape: of.shape,
+            mean: of.mean,
+            body: LogNormal::new(mu, of.spread).expect("the spread was checked"),
+            tail: Pareto::new(start, of.alpha).expect("the exponent was checked"),
+            tail_share,
+        }
+    }
+
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Ms {
+        match self.shape {
+            Shape::Fixed => self.mean,
+            Shape::Exponential => exponential(rng, self.mean),
+            Shape::LogNormal => self.body.sample(rng),
+            Shape::Tailed if draw(rng) < self.tail_share => self.tail.sample(rng),
+            Shape::Tailed => self.body.sample(rng),
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/clients.rs
@@ -0,0 +1,185 @@
+//! Who hands events in, when, and for whom: a stream that depends on the scenario and the seed alone, so
+//! that every variant of the forwarders meets the same clients.
+
+use std::collections::VecDeque;
+
+use plankhill_terms::scenario::{Ms, Scenario, Traffic, TroubleKind};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::weighted::WeightedAliasIndex;
+use rand_distr::{Distribution, Zipf};
+
+use crate::chance::{draw, exponential, stream, Concern};
+use crate::outcome::Cause;
+use crate::struck::Struck;
+
+/// An event as its client sees it, over all the times that it is handed in.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    pub origin: u64,
+    pub destination: u32,
+    pub traffic: u8,
+    pub key: Option<u64>,
+    pub first_at: Ms,
+    pub patience_ends: Ms,
+    /// How often it was dismissed and came again.
+    pub returns: u32,
+    /// What kept it from being delivered so far.
+    pub cause: Cause,
+}
+
+/// What the event is worth when it is delivered at `at`.
+pub fn worth(of: &Traffic, first_at: Ms, at: Ms) -> f64 {
+    let late = ((at - first_at - of.soft_limit) / (of.patience - of.soft_limit).max(1.0)).clamp(0.0, 1.0);
+    of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
+}
+
+enum Whose {
+    Weighted(WeightedAliasIndex<f64>, Vec<u32>),
+    Each(Vec<u32>, usize),
+}
+
+struct Source {
+    next_at: Ms,
+    ends: Ms,
+    /// The mean time between two at the highest rate.
+    gap: Ms,
+    /// The rate follows the day's curve.
+    swings: bool,
+    left: u64,
+    whose: Whose,
+    chance: ChaCha8Rng,
+}
+
+pub struct Clients<'a> {
+    scenario: &'a Scenario,
+    sources: Vec<Source>,
+    clump: VecDeque<Ticket>,
+    traffic: WeightedAliasIndex<f64>,
+    keys_of: Vec<f64>,
+    chance: ChaCha8Rng,
+    origins: u64,
+}
+
+impl<'a> Clients<'a> {
+    pub fn new(scenario: &'a Scenario, struck: &Struck, seed: u64) -> Self {
+        let of = &scenario.clients;
+        let all: Vec<u32> = (0..struck.weights.len() as u32).collect();
+        let weighted = |list: &[u32]| {
+            let weights: Vec<f64> = list.iter().map(|at| struck.weights[*at as usize]).collect();
+            let weights = if weights.iter().sum::<f64>() > 0.0 { weights } else { vec![1.0; list.len()] };
+            Whose::Weighted(WeightedAliasIndex::new(weights).expect("weights are checked"), list.to_vec())
+        };
+        let mut sources = Vec::new();
+        let mut add = |start: Ms, length: Ms, rate: f64, swings, left, whose| {
+            if rate > 0.0 {
+                let chance = stream(seed.wrapping_add(sources.len() as u64), Concern::Arrivals);
+                let (ends, gap) = ((start + length).min(scenario.length), 1000.0 / rate);
+                sources.push(Source { next_at: start, ends, gap, swings, left, whose, chance });
+            }
+        };
+        add(0.0, scenario.length, of.rate * (1.0 + of.swing), of.swing > 0.0, u64::MAX, weighted(&all));
+        for (trouble, list) in scenario.troubles.iter().zip(&struck.destinations) {
+            if list.is_empty() {
+                continue;
+            }
+            match trouble.kind {
+                TroubleKind::Flood => {
+                    let rate = of.rate * trouble.strength;
+                    add(trouble.start, trouble.length, rate, false, u64::MAX, weighted(list))
+                }
+                TroubleKind::MassWake => {
+                    let events = (list.len() as f64 * trouble.strength).round();
+                    // A little faster than even, so that all have come before the end.
+                    let rate = 1050.0 * events / trouble.length.max(1.0);
+                    let each = Whose::Each(list.clone(), 0);
+                    add(trouble.start, trouble.length + 1000.0, rate, false, events as u64, each)
+                }
+                _ => (),
+            }
+        }
+        for source in &mut sources {
+            source.next_at += exponential(&mut source.chance, source.gap);
+        }
+        let shares = scenario.traffic.iter().map(|traffic| traffic.share).collect();
+        let keys_of = struck.weights.iter().map(|w| (of.keys as f64 * w).round().max(1.0)).collect();
+        Clients {
+            scenario,
+            sources,
+            clump: VecDeque::new(),
+            traffic: WeightedAliasIndex::new(shares).expect("shares are checked"),
+            keys_of,
+            chance: stream(seed, Concern::Front),
+            origins: 0,
+        }
+    }
+
+    /// The next event, in the order of time; of two sources at one instant the first goes first.
+    pub fn next(&mut self) -> Option<Ticket> {
+        if let Some(ticket) = self.clump.pop_front() {
+            return Some(ticket);
+        }
+        loop {
+            let mut first: Option<usize> = None;
+            for (at, source) in self.sources.iter().enumerate() {
+                let runs = source.next_at < source.ends && source.left > 0;
+                if runs && first.is_none_or(|first| source.next_at < self.sources[first].next_at) {
+                    first = Some(at);
+                }
+            }
+            let source = &mut self.sources[first?];
+            let at = source.next_at;
+            source.next_at += exponential(&mut source.chance, source.gap);
+            if source.swings && draw(&mut source.chance) > share_of_peak(self.scenario, at) {
+                continue;
+            }
+            source.left -= 1;
+            let destination = match &mut source.whose {
+                Whose::Weighted(weights, list) => list[weights.sample(&mut source.chance)],
+                Whose::Each(list, next) => {
+                    *next += 1;
+                    list[(*next - 1) % list.len()]
+                }
+            };
+            let of = &self.scenario.clients;
+            let clumped = of.clumps > 0.0 && draw(&mut self.chance) < of.clumps;
+            let extra =
+                if clumped { exponential(&mut self.chance, of.clump_size - 1.0).round() as usize } else { 0 };
+            let ticket = self.ticket(destination, at);
+            for _ in 0..extra {
+                let next = self.ticket(destination, at);
+                self.clump.push_back(next);
+            }
+            return Some(ticket);
+        }
+    }
+
+    fn ticket(&mut self, destination: u32, at: Ms) -> Ticket {
+        let traffic = self.traffic.sample(&mut self.chance);
+        let of = &self.scenario.traffic[traffic];
+        let key = of.ordered.then(|| {
+            let keys = self.keys_of[destination as usize];
+            let zipf = Zipf::new(keys, self.scenario.clients.key_zipf).expect("checked");
+            (destination as u64) << 32 | zipf.sample(&mut self.chance) as u64
+        });
+        self.origins += 1;
+        Ticket {
+            origin: self.origins,
+            destination,
+            traffic: traffic as u8,
+            key,
+            first_at: at,
+            patience_ends: at + of.patience,
+            returns: 0,
+            cause: Cause::Waited,
+        }
+    }
+}
+
+/// The rate at a time against the highest of the day.
+fn share_of_peak(scenario: &Scenario, at: Ms) -> f64 {
+    let of = &scenario.clients;
+    // A triangle: from the least at the day's ends to the most in its middle.
+    let phase: f64 = (at / of.day).fract();
+    let height = 1.0 - 2.0 * (2.0 * phase - 1.0).abs();
+    (1.0 + of.swing * height) / (1.0 + of.swing)
+}
--- /dev/null
+++ b/emulator/src/deciders/mod.rs
@@ -0,0 +1,99 @@
+//! Who decides at a forwarder. The model hands over what came in and takes decisions; whether the module or
+//! a baseline stands behind it is all the same to it.
+
+mod module;
+mod plain;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use plankhill::interface::{Fate, Listing, Ms, TargetId, Terms};
+use plankhill_terms::scenario;
+use slotmap::new_key_type;
+
+new_key_type! { pub struct EventKey; }
+
+/// What came in at a forwarder, with the numbers of the model.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Listed {
+        target: u32,
+        destination: u32,
+        kind: usize,
+        zone: usize,
+        listing: Listing,
+    },
+    Left {
+        target: u32,
+    },
+    /// `again`: after a restart, so that its end goes by a notice.
+    Taken {
+        event: EventKey,
+        destination: u32,
+        traffic: usize,
+        patience_ends: Ms,
+        key: Option<u64>,
+        again: bool,
+    },
+    Restored {
+        event: EventKey,
+        sends: u32,
+        may_have_run: Option<(Ms, usize)>,
+        was_out: bool,
+    },
+    EndedBefore {
+        event: EventKey,
+    },
+    SendEnded {
+        event: EventKey,
+        fate: Fate,
+        took: Ms,
+        wait: Ms,
+    },
+    PingEnded {
+        target: u32,
+        fate: Fate,
+    },
+    Heard {
+        event: EventKey,
+    },
+    WasCold {
+        target: u32,
+        since: Ms,
+        usual: f64,
+    },
+    Closing {
+        ends: Ms,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Decision {
+    Send { event: EventKey, target: u32, time_out: Ms },
+    End { event: EventKey, dismissed: bool, come_back_after: Option<Ms>, by_notice: bool },
+    Ping { target: u32 },
+    CloseIdle { target: u32 },
+    TakeBack { target: u32 },
+    Cold { target: u32, since: Ms, usual: f64 },
+    Wake { pause: Ms },
+}
+
+pub trait Decider {
+    /// One round: all that came in, in its order; decisions are put behind `out`.
+    fn round(&mut self, now: Ms, inputs: &[Input], out: &mut Vec<Decision>);
+}
+
+/// The names of targets, made once for all forwarders.
+pub type TargetNames = Rc<RefCell<Vec<TargetId>>>;
+
+pub fn start(kind: scenario::Decider, terms: Terms, names: &TargetNames, now: Ms) -> Box<dyn Decider> {
+    use scenario::Decider::*;
+    match kind {
+        Module => Box::new(module::Module::start(terms, names.clone(), now)),
+        OneTry => Box::new(plain::Plain::new(terms, plain::Habits { sends: 1, ..Default::default() })),
+        Backoff => Box::new(plain::Plain::new(terms, plain::Habits::default())),
+        Breaker => Box::new(plain::Plain::new(terms, plain::Habits { breaker: true, ..Default::default() })),
+        Budget => Box::new(plain::Plain::new(terms, plain::Habits { budget: true, ..Default::default() })),
+        Aimd => Box::new(plain::Plain::new(terms, plain::Habits { aimd: true, ..Default::default() })),
+    }
+}
--- /dev/null
+++ b/emulator/src/deciders/plain.rs
@@ -0,0 +1,355 @@
+//! Baselines: what a service does that was written in a week. They keep an event's class, a key's order, a
+//! told wait and a drain; parking, cold returns, fair turns and making room they do not know.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use plankhill::interface::{Effect, Fate, Listing, Ms, Terms};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+use super::{Decider, Decision, EventKey, Input};
+use crate::chance::{draw, stream, Concern};
+
+/// What one baseline does beyond trying.
+pub struct Habits {
+    /// Sends of one event at the most; the terms' cap holds besides.
+    pub sends: u32,
+    /// After five failures in a row nothing is sent for five seconds, then one call decides.
+    pub breaker: bool,
+    /// Further sends may be a tenth of the first ones.
+    pub budget: bool,
+    /// A destination's calls out grow by one for as many good answers, and are halved by a bad one.
+    pub aimd: bool,
+}
+
+impl Default for Habits {
+    fn default() -> Self {
+        Habits { sends: u32::MAX, breaker: false, budget: false, aimd: false }
+    }
+}
+
+/// Full jitter: evenly from 0 to this, doubling with each send.
+const FIRST_PAUSE: Ms = 200.0;
+const LONGEST_PAUSE: Ms = 10_000.0;
+/// What a call is given.
+const TIME_OUT: Ms = 2_000.0;
+/// Ends come so long before patience does.
+const LAST_MOMENT: Ms = 30.0;
+
+struct Event {
+    destination: u32,
+    traffic: usize,
+    key: Option<u64>,
+    patience_ends: Ms,
+    sends: u32,
+    not_before: Ms,
+    may_have_run: Option<(Ms, usize)>,
+    out: Option<u32>,
+    order: u64,
+    fresh: bool,
+    unheard: bool,
+}
+
+#[derive(Default)]
+struct Destination {
+    targets: Vec<(u32, usize, bool)>,
+    closed_until: Ms,
+    failures: u32,
+    broken_until: Ms,
+    trial_out: bool,
+    allowed: f64,
+    out: usize,
+    waiting: BTreeMap<u64, EventKey>,
+}
+
+#[derive(Default)]
+struct Line {
+    queue: VecDeque<EventKey>,
+    rests_until: Ms,
+}
+
+pub struct Plain {
+    terms: Terms,
+    habits: Habits,
+    chance: ChaCha8Rng,
+    events: FxHashMap<EventKey, Event>,
+    destinations: BTreeMap<u32, Destination>,
+    homes: FxHashMap<u32, u32>,
+    keys: FxHashMap<u64, Line>,
+    /// When something is due for a destination.
+    due: BTreeSet<(u64, u32)>,
+    ends: BTreeSet<(u64, EventKey)>,
+    out: usize,
+    taken: u64,
+    tokens: f64,
+    sends_until: Ms,
+}
+
+impl Plain {
+    pub fn new(terms: Terms, habits: Habits) -> Self {
+        let chance = stream(terms.seed, Concern::Baselines);
+        Plain {
+            terms,
+            habits,
+            chance,
+            events: FxHashMap::default(),
+            destinations: BTreeMap::new(),
+            homes: FxHashMap::default(),
+            keys: FxHashMap::default(),
+            due: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            out: 0,
+            taken: 0,
+            tokens: 10.0,
+            sends_until: f64::INFINITY,
+        }
+    }
+
+    fn take(&mut self, input: &Input, now: Ms) {
+        match *input {
+            Input::Listed { target, destination, zone, listing, .. } => {
+                self.homes.insert(target, destination);
+                let to = self.destinations.entry(destination).or_default();
+                let runs = listing == Listing::Running;
+                match to.targets.iter_mut().find(|(id, ..)| *id == target) {
+                    Some(known) => known.2 = runs,
+                    None => to.targets.push((target, zone, runs)),
+                }
+                self.due.insert((now.to_bits(), destination));
+            }
+            Input::Left { target } => {
+                if let Some(to) = self.homes.remove(&target).and_then(|of| self.destinations.get_mut(&of)) {
+                    to.targets.retain(|(id, ..)| *id != target);
+                }
+            }
+            Input::Taken { event, destination, traffic, patience_ends, key, again } => {
+                self.taken += 1;
+                let key = key.filter(|_| self.terms.traffic[traffic].ordered);
+                if let Some(key) = key {
+                    self.keys.entry(key).or_default().queue.push_back(event);
+                }
+                let order = self.taken;
+                self.destinations.entry(destination).or_default().waiting.insert(order, event);
+                let held = Event {
+                    destination,
+                    traffic,
+                    key,
+                    patience_ends,
+                    sends: 0,
+                    not_before: now,
+                    may_have_run: None,
+                    out: None,
+                    order,
+                    fresh: !again,
+                    unheard: false,
+                };
+                self.ends.insert(((patience_ends - LAST_MOMENT).max(0.0).to_bits(), event));
+                self.events.insert(event, held);
+                self.due.insert((now.to_bits(), destination));
+            }
+            Input::Restored { event, sends, may_have_run, was_out } => {
+                let Some(held) = self.events.get_mut(&event) else { return };
+                (held.sends, held.may_have_run) = (sends, may_have_run);
+                if let Some(line) = held.key.filter(|_| was_out).and_then(|key| self.keys.get_mut(&key)) {
+                    line.rests_until = now + self.terms.key_rest;
+                }
+            }
+            Input::EndedBefore { event } => {
+                if let Some(held) = self.events.get_mut(&event) {
+                    held.unheard = true;
+                    if let Some(to) = self.destinations.get_mut(&held.destination) {
+                        to.waiting.remove(&held.order);
+                    }
+                }
+            }
+            Input::SendEnded { event, fate, wait, .. } => self.send_ended(event, fate, wait, now),
+            Input::Heard { event } => self.forget(event, now),
+            Input::Closing { ends } => self.sends_until = ends - TIME_OUT,
+            Input::PingEnded { .. } | Input::WasCold { .. } => (),
+        }
+    }
+
+    fn send_ended(&mut self, key: EventKey, fate: Fate, wait: Ms, now: Ms) {
+        let Some(event) = self.events.get_mut(&key) else { return };
+        let Some(zone) = event.out.take() else { return };
+        let Some(to) = self.destinations.get_mut(&event.destination) else { return };
+        self.out -= 1;
+        to.out -= 1;
+        to.trial_out = false;
+        to.closed_until = to.closed_until.max(now + wait);
+        let good = fate == Fate::Delivered;
+        if good {
+            to.failures = 0;
+            to.allowed += 1.0 / to.allowed.max(1.0);
+        } else if fate != Fate::NotSent {
+            to.failures += (fate != Fate::Full) as u32;
+            to.allowed = (to.allowed / 2.0).max(1.0);
+            if to.failures >= 5 {
+                to.broken_until = now + 5_000.0;
+            }
+        }
+        if fate.may_have_run() {
+            event.may_have_run.get_or_insert((event.not_before, zone as usize));
+        }
+        let ceiling = (FIRST_PAUSE * f64::powi(2.0, event.sends.min(10) as i32)).min(LONGEST_PAUSE);
+        event.not_before = now + ceiling * draw(&mut self.chance);
+        let destination = event.destination;
+        let cut = matches!(fate, Fate::TimedOut | Fate::Reset | Fate::Cancelled);
+        if let Some(line) = event.key.filter(|_| cut).and_then(|key| self.keys.get_mut(&key)) {
+            line.rests_until = now + self.terms.key_rest;
+        }
+        if good {
+            self.forget(key, now);
+        } else {
+            let again = event.not_before;
+            to.waiting.insert(event.order, key);
+            self.due.insert((again.to_bits(), destination));
+        }
+        self.due.insert((now.to_bits(), destination));
+    }
+
+    fn forget(&mut self, key: EventKey, now: Ms) {
+        let Some(event) = self.events.remove(&key) else { return };
+        self.ends.remove(&((event.patience_ends - LAST_MOMENT).max(0.0).to_bits(), key));
+        if let Some(to) = self.destinations.get_mut(&event.destination) {
+            to.waiting.remove(&event.order);
+        }
+        let Some(of) = event.key else { return };
+        let Some(line) = self.keys.get_mut(&of) else { return };
+        line.queue.retain(|queued| *queued != key);
+        if let Some(next) = line.queue.front().and_then(|next| self.events.get(next)) {
+            self.due.insert((now.max(line.rests_until).to_bits(), next.destination));
+        } else if line.rests_until <= now {
+            self.keys.remove(&of);
+        }
+    }
+
+    /// Whether another send is over with, for good.
+    fn hopeless(&self, event: &Event, now: Ms) -> bool {
+        let at = now.max(event.not_before);
+        let spent = event.sends >= self.terms.sends_cap.min(self.habits.sends);
+        let ran_out = match (event.may_have_run, self.terms.traffic[event.traffic].effect) {
+            (None, _) | (_, Effect::Retriable) => false,
+            (Some(_), Effect::Binding) => true,
+            (Some((sent, _)), Effect::Fingerprinted { window, .. }) => at >= sent + window,
+        };
+        spent || ran_out || now >= event.patience_ends - LAST_MOMENT
+    }
+
+    fn end(&mut self, key: EventKey, now: Ms, out: &mut Vec<Decision>) {
+        let event = self.events.get_mut(&key).expect("held");
+        let effect = self.terms.traffic[event.traffic].effect;
+        let bound = matches!(effect, Effect::Binding | Effect::Fingerprinted { one_zone: true, .. });
+        let dismissed = event.may_have_run.is_none() || !bound;
+        let by_notice = !event.fresh;
+        event.unheard = by_notice;
+        let (order, destination) = (event.order, event.destination);
+        let come_back_after = self.terms.longest_advice.filter(|_| dismissed);
+        out.push(Decision::End { event: key, dismissed, come_back_after, by_notice });
+        if let Some(to) = self.destinations.get_mut(&destination) {
+            to.waiting.remove(&order);
+        }
+        if !by_notice {
+            self.forget(key, now);
+        }
+    }
+
+    /// Sends what a destination's waiting events allow, oldest first.
+    fn serve(&mut self, id: u32, now: Ms, out: &mut Vec<Decision>) {
+        let Some(to) = self.destinations.get(&id) else { return };
+        let waiting: Vec<EventKey> = to.waiting.values().copied().collect();
+        let mut next = f64::INFINITY;
+        for key in waiting {
+            if self.hopeless(&self.events[&key], now) {
+                self.end(key, now, out);
+                continue;
+            }
+            let (event, to) = (&self.events[&key], &self.destinations[&id]);
+            let opens =
+                if self.habits.breaker { to.closed_until.max(to.broken_until) } else { to.closed_until };
+            let line = event.key.and_then(|key| self.keys.get(&key));
+            let rests = line.filter(|_| event.sends == 0).map_or(0.0, |line| line.rests_until);
+            let from = opens.max(event.not_before).max(rests);
+            let blocked = line.is_some_and(|line| line.queue.front() != Some(&key));
+            if from > now || blocked {
+                if !blocked {
+                    next = next.min(from);
+                }
+                continue;
+            }
+            let tripped = self.habits.breaker && to.failures >= 5;
+            let full = self.habits.aimd && to.out as f64 >= to.allowed.max(4.0);
+            if self.out >= self.terms.slots || now >= self.sends_until || full || tripped && to.trial_out {
+                break;
+            }
+            if event.sends > 0 && self.habits.budget && self.tokens < 1.0 {
+                self.end(key, now, out);
+                continue;
+            }
+            self.send(key, id, now, out);
+        }
+        if next.is_finite() {
+            self.due.insert((next.to_bits(), id));
+        }
+    }
+
+    fn send(&mut self, key: EventKey, id: u32, now: Ms, out: &mut Vec<Decision>) {
+        let (event, to) =
+            (self.events.get_mut(&key).expect("held"), self.destinations.get_mut(&id).expect("seen"));
+        let effect = self.terms.traffic[event.traffic].effect;
+        let bound = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
+        let ran_in = event.may_have_run.filter(|_| bound).map(|(_, zone)| zone);
+        let fits = |zone: usize| ran_in.is_none_or(|ran_in| ran_in == zone);
+        let running: Vec<_> = to.targets.iter().filter(|(_, zone, runs)| *runs && fits(*zone)).collect();
+        if running.is_empty() {
+            return;
+        }
+        let &(target, zone, _) = running[self.chance.random_range(0..running.len() as u32) as usize];
+        self.tokens = match event.sends {
+            0 => (self.tokens + 0.1).min(50.0),
+            _ => self.tokens - 1.0,
+        };
+        event.sends += 1;
+        event.out = Some(zone as u32);
+        event.not_before = now;
+        to.waiting.remove(&event.order);
+        to.trial_out = true;
+        to.out += 1;
+        self.out += 1;
+        let time_out = TIME_OUT.min(event.patience_ends - now);
+        out.push(Decision::Send { event: key, target, time_out });
+    }
+}
+
+impl Decider for Plain {
+    fn round(&mut self, now: Ms, inputs: &[Input], out: &mut Vec<Decision>) {
+        let had_room = self.out < self.terms.slots;
+        inputs.iter().for_each(|input| self.take(input, now));
+        while let Some(&(at, key)) = self.ends.first().filter(|(at, _)| f64::from_bits(*at) <= now) {
+            self.ends.remove(&(at, key));
+            if self.events.get(&key).is_some_and(|event| event.out.is_none() && !event.unheard) {
+                self.end(key, now, out);
+            }
+        }
+        if !had_room && self.out < self.terms.slots {
+            let starved = self.destinations.iter().filter(|(_, to)| !to.waiting.is_empty());
+            self.due.extend(starved.map(|(id, _)| (now.to_bits(), *id)).collect::<Vec<_>>());
+        }
+        while let Some(&(at, id)) = self.due.first().filter(|(at, _)| f64::from_bits(*at) <= now) {
+            self.due.remove(&(at, id));
+            self.serve(id, now, out);
+        }
+        for input in inputs {
+            if let Input::Taken { event, .. } = input {
+                self.events.entry(*event).and_modify(|event| event.fresh = false);
+            }
+        }
+        let due = self.due.first().map(|(at, _)| f64::from_bits(*at));
+        let ends = self.ends.first().map(|(at, _)| f64::from_bits(*at));
+        let next = due.unwrap_or(f64::INFINITY).min(ends.unwrap_or(f64::INFINITY));
+        if next.is_finite() {
+            out.push(Decision::Wake { pause: (next - now).max(0.001) });
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/lib.rs
@@ -0,0 +1,27 @@
+//! A model of all that a fleet of forwarders meets, in virtual time: destinations with their limits, queues
+//! and outages, the network, clients, and the forwarders themselves, each the real decision module or a
+//! baseline. One seed gives one result. Nothing here does any I/O. `docs/emulator.md` says how the model
+//! is made and what it leaves out.
+
+pub mod bound;
+pub mod chance;
+pub mod clients;
+pub mod deciders;
+mod limits;
+pub mod outcome;
+pub mod queue;
+pub mod struck;
+mod tally;
+mod world;
+
+pub use world::World;
+
+use outcome::Outcome;
+use plankhill_terms::scenario::Scenario;
+
+/// Plays a day to its end.
+pub fn play(scenario: &Scenario) -> Outcome {
+    let mut world = World::new(scenario);
+    while world.step() {}
+    world.outcome()
+}
--- /dev/null
+++ b/emulator/src/limits.rs
@@ -0,0 +1,88 @@
+//! What a destination takes before it refuses. Pure: a call comes at a time, and is taken or told a wait.
+
+use std::collections::VecDeque;
+
+use plankhill_terms::scenario::{Limit, LimitKind, Ms};
+
+/// How full a limit is.
+#[derive(Clone, Debug, Default)]
+pub struct Gauge {
+    /// Calls in the window, or tokens that are gone, as of `at`.
+    used: f64,
+    at: Ms,
+    /// Of a sliding window: the calls in it.
+    recent: VecDeque<Ms>,
+    /// Calls being served, for a limit on concurrency.
+    pub inside: usize,
+}
+
+impl Gauge {
+    /// Whether the call is taken; if not, when there is room again, as far as the limit knows. `factor` is
+    /// what a trouble leaves of the limit.
+    pub fn admit(&mut self, limit: &Limit, factor: f64, now: Ms) -> Result<(), Option<Ms>> {
+        let calls = limit.calls * factor;
+        match limit.kind {
+            LimitKind::None => Ok(()),
+            LimitKind::Concurrency if (self.inside as f64) < calls => Ok(()),
+            LimitKind::Concurrency => Err(None),
+            LimitKind::Rate => {
+                let burst = (limit.burst * factor).max(1.0);
+                self.used = (self.used - calls * (now - self.at) / 1000.0).max(0.0);
+                self.at = now;
+                let fits = self.used + 1.0 <= burst;
+                if fits || limit.refused_count {
+                    self.used = (self.used + 1.0).min(2.0 * burst);
+                }
+                let room_at = now + 1000.0 * (self.used + 1.0 - burst).max(0.0) / calls.max(1e-9);
+                if fits {
+                    Ok(())
+                } else {
+                    Err(Some(room_at))
+                }
+            }
+            LimitKind::FixedWindow => {
+                let window = (now / limit.window).floor();
+                if window > self.at {
+                    (self.at, self.used) = (window, 0.0);
+                }
+                let fits = self.used + 1.0 <= calls;
+                if fits || limit.refused_count {
+                    self.used += 1.0;
+                }
+                if fits {
+                    Ok(())
+                } else {
+                    Err(Some((window + 1.0) * limit.window))
+                }
+            }
+            LimitKind::SlidingWindow => {
+                while self.recent.front().is_some_and(|at| *at <= now - limit.window) {
+                    self.recent.pop_front();
+                }
+                let fits = (self.recent.len() as f64) + 1.0 <= calls;
+                // What was refused is remembered up to the limit: more could not matter.
+                if !fits && limit.refused_count {
+                    self.recent.pop_front();
+                }
+                if fits || limit.refused_count {
+                    self.recent.push_back(now);
+                }
+                let first = self.recent.front().copied().unwrap_or(now);
+                if fits {
+                    Ok(())
+                } else {
+                    Err(Some(first + limit.window))
+                }
+            }
+        }
+    }
+
+    /// Calls a second that the limit lets through in the long run.
+    pub fn rate(limit: &Limit) -> f64 {
+        match limit.kind {
+            LimitKind::Rate => limit.calls,
+            LimitKind::FixedWindow | LimitKind::SlidingWindow => 1000.0 * limit.calls / limit.window,
+            LimitKind::None | LimitKind::Concurrency => f64::INFINITY,
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/struck.rs
@@ -0,0 +1,97 @@
+//! Which destinations and forwarders each trouble strikes, and how popular each destination is. Worked out
+//! once, from the scenario and the seed.
+
+use plankhill_terms::scenario::{Scenario, Trouble};
+
+use crate::chance::{draw, stream, Concern};
+
+pub struct Struck {
+    /// By destination: its share of the traffic.
+    pub weights: Vec<f64>,
+    /// By destination: its group.
+    pub groups: Vec<u32>,
+    /// By trouble: the destinations.
+    pub destinations: Vec<Vec<u32>>,
+    /// By trouble: the forwarders.
+    pub forwarders: Vec<Vec<u32>>,
+}
+
+impl Struck {
+    pub fn new(scenario: &Scenario, seed: u64) -> Self {
+        let (weights, groups) = popularity(scenario);
+        let mut chance = stream(seed, Concern::Struck);
+        let mut by_use: Vec<u32> = (0..weights.len() as u32).collect();
+        by_use.sort_by(|a, b| weights[*b as usize].total_cmp(&weights[*a as usize]).then(a.cmp(b)));
+        let mut destinations = Vec::new();
+        let mut forwarders = Vec::new();
+        for trouble in &scenario.troubles {
+            let whom = &trouble.whom;
+            let mut list: Vec<u32> = by_use.clone();
+            if let Some(name) = &whom.group {
+                list.retain(|at| scenario.destinations[groups[*at as usize] as usize].name == *name);
+            }
+            if let Some(tenant) = whom.tenant {
+                list.retain(|at| *at as usize % scenario.clients.tenants == tenant);
+            }
+            if let Some(share) = whom.at_random {
+                list.retain(|_| draw(&mut chance) < share);
+            }
+            if let Some(most) = whom.first {
+                list.truncate(most);
+            }
+            if let Some(share) = whom.share_of_traffic {
+                let mut sum = 0.0;
+                list.retain(|at| {
+                    let wanted = sum < share;
+                    sum += weights[*at as usize];
+                    wanted
+                });
+            }
+            list.sort_unstable();
+            destinations.push(list);
+            forwarders.push(struck_forwarders(scenario, trouble, &mut || draw(&mut chance)));
+        }
+        Struck { weights, groups, destinations, forwarders }
+    }
+}
+
+fn struck_forwarders(scenario: &Scenario, trouble: &Trouble, draw: &mut dyn FnMut() -> f64) -> Vec<u32> {
+    let count = scenario.forwarders.count;
+    let zones = &scenario.network.zones;
+    let whom = &trouble.whom;
+    let mut list: Vec<u32> = (0..count as u32).collect();
+    if let Some(zone) = &whom.zone {
+        list.retain(|at| zones[*at as usize % zones.len()] == *zone);
+    }
+    if let Some(share) = whom.at_random {
+        list.retain(|_| draw() < share);
+    }
+    if let Some(most) = whom.first {
+        list.truncate(most);
+    }
+    list
+}
+
+/// Within a group by Zipf, the first being the most used; groups by their shares.
+fn popularity(scenario: &Scenario) -> (Vec<f64>, Vec<u32>) {
+    let all: f64 = scenario.destinations.iter().map(|group| group.share).sum();
+    let (mut weights, mut groups) = (Vec::new(), Vec::new());
+    for (at, group) in scenario.destinations.iter().enumerate() {
+        let ranks: Vec<f64> =
+            (1..=group.count).map(|rank| rank_weight(rank, scenario.clients.zipf)).collect();
+        let sum: f64 = ranks.iter().sum();
+        weights.extend(ranks.iter().map(|weight| group.share / all.max(1e-12) * weight / sum));
+        groups.extend(std::iter::repeat_n(at as u32, group.count));
+    }
+    (weights, groups)
+}
+
+fn rank_weight(rank: usize, exponent: f64) -> f64 {
+    if exponent == 0.0 {
+        return 1.0;
+    }
+    if exponent == 1.0 {
+        return 1.0 / rank as f64;
+    }
+    libm::pow(rank as f64, -exponent)
+}
--- /dev/null
+++ b/emulator/src/tally.rs
@@ -0,0 +1,219 @@
+//! Counts while a day runs. Its size follows the scenario's traffic types and the steps of its series.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use plankhill_rules::{Checker, Rule};
+use plankhill_terms::scenario::{Decider, Ms, Scenario};
+use rustc_hash::FxHashMap;
+
+use crate::clients::{worth, Ticket};
+use crate::outcome::*;
+use crate::struck::Struck;
+
+/// Steps of a series, and rows of the heat map: what a reader can tell apart on a page.
+const STEPS: usize = 200;
+const ROWS: usize = 40;
+
+struct TrafficTally {
+    events: u64,
+    delivered: u64,
+    asked: f64,
+    paid: f64,
+    /// Microseconds.
+    times: Histogram<u64>,
+}
+
+pub struct Tally {
+    pub totals: Totals,
+    pub series: Series,
+    traffic: Vec<TrafficTally>,
+    causes: BTreeMap<Cause, f64>,
+    rows: FxHashMap<u32, usize>,
+    heat: Vec<HeatRow>,
+    /// Destinations that a trouble strikes.
+    pub struck: Vec<u32>,
+    struck_marks: FxHashMap<u32, ()>,
+    width: Ms,
+}
+
+impl Tally {
+    pub fn new(scenario: &Scenario, struck: &Struck) -> Self {
+        let width = scenario.length / STEPS as f64;
+        let zeros = vec![0; STEPS];
+        let series = Series {
+            width,
+            asked: vec![0.0; STEPS],
+            paid: vec![0.0; STEPS],
+            calls: zeros.clone(),
+            failed: zeros.clone(),
+            refused: zeros.clone(),
+            held: zeros.clone(),
+            out: zeros,
+            load: vec![0.0; STEPS],
+            capacity: vec![0.0; STEPS],
+        };
+        let traffic = scenario.traffic.iter().map(|_| TrafficTally {
+            events: 0,
+            delivered: 0,
+            asked: 0.0,
+            paid: 0.0,
+            times: Histogram::new_with_bounds(1, 10_000_000_000, 2).expect("bounds are in order"),
+        });
+        // A trouble that strikes all says nothing of whom to look at.
+        let all = struck.weights.len();
+        let mut struck_ones: Vec<u32> = struck
+            .destinations
+            .iter()
+            .filter(|list| list.len() < all || all <= ROWS)
+            .flatten()
+            .copied()
+            .collect();
+        struck_ones.sort_unstable();
+        struck_ones.dedup();
+        let mut by_use: Vec<u32> = (0..all as u32).collect();
+        by_use.sort_by(|a, b| {
+            struck.weights[*b as usize].total_cmp(&struck.weights[*a as usize]).then(a.cmp(b))
+        });
+        let is_struck = |at: &u32| struck_ones.binary_search(at).is_ok();
+        let half = by_use.iter().filter(|at| is_struck(at)).take(ROWS / 2);
+        let mut shown: Vec<u32> = half.copied().collect();
+        let rest: Vec<u32> =
+            by_use.iter().filter(|at| !shown.contains(at)).take(ROWS - shown.len()).copied().collect();
+        shown.extend(rest);
+        let heat: Vec<HeatRow> = shown
+            .iter()
+            .map(|&destination| HeatRow {
+                destination,
+                group: scenario.destinations[struck.groups[destination as usize] as usize].name.clone(),
+                struck: is_struck(&destination),
+                calls: vec![0; STEPS],
+                failed: vec![0; STEPS],
+            })
+            .collect();
+        Tally {
+            totals: Totals::default(),
+            series,
+            traffic: traffic.collect(),
+            causes: BTreeMap::new(),
+            rows: shown.iter().enumerate().map(|(row, at)| (*at, row)).collect(),
+            heat,
+            struck_marks: struck_ones.iter().map(|at| (*at, ())).collect(),
+            struck: struck_ones,
+            width,
+        }
+    }
+
+    pub fn step(&self, at: Ms) -> usize {
+        ((at / self.width) as usize).min(STEPS - 1)
+    }
+
+    pub fn asked(&mut self, scenario: &Scenario, ticket: &Ticket) {
+        let payoff = scenario.traffic[ticket.traffic as usize].payoff;
+        let step = self.step(ticket.first_at);
+        self.totals.events += 1;
+        self.totals.asked += payoff;
+        self.series.asked[step] += payoff;
+        let of = &mut self.traffic[ticket.traffic as usize];
+        of.events += 1;
+        of.asked += payoff;
+    }
+
+    pub fn delivered(&mut self, scenario: &Scenario, ticket: &Ticket, at: Ms) {
+        let traffic = &scenario.traffic[ticket.traffic as usize];
+        let paid = worth(traffic, ticket.first_at, at);
+        self.totals.delivered += 1;
+        self.totals.paid += paid;
+        let step = self.step(ticket.first_at);
+        self.series.paid[step] += paid;
+        if traffic.payoff > paid {
+            *self.causes.entry(Cause::Late).or_default() += traffic.payoff - paid;
+        }
+        let of = &mut self.traffic[ticket.traffic as usize];
+        of.delivered += 1;
+        of.paid += paid;
+        of.times.saturating_record(((at - ticket.first_at) * 1000.0).max(1.0) as u64);
+    }
+
+    /// The event will not be delivered any more, whatever its client does.
+    pub fn unpaid(&mut self, scenario: &Scenario, ticket: &Ticket, cause: Cause) {
+        *self.causes.entry(cause).or_default() += scenario.traffic[ticket.traffic as usize].payoff;
+    }
+
+    pub fn call(&mut self, destination: u32, at: Ms) {
+        let step = self.step(at);
+        self.series.calls[step] += 1;
+        if let Some(row) = self.rows.get(&destination) {
+            self.heat[*row].calls[step] += 1;
+        }
+    }
+
+    pub fn call_failed(&mut self, destination: u32, at: Ms, refused: bool) {
+        let step = self.step(at);
+        if refused {
+            self.totals.refused_calls += 1;
+            self.series.refused[step] += 1;
+        } else {
+            self.totals.failed_calls += 1;
+            self.series.failed[step] += 1;
+        }
+        if let Some(row) = self.rows.get(&destination) {
+            self.heat[*row].failed[step] += 1;
+        }
+    }
+
+    pub fn load(&mut self, destination: u32, at: Ms) {
+        if self.struck_marks.contains_key(&destination) {
+            let step = self.step(at);
+            self.series.load[step] += 1.0;
+        }
+    }
+
+    pub fn outcome(self, scenario: &Scenario, seed: u64, checker: &Checker) -> Outcome {
+        let totals = self.totals;
+        let shares = [0.5, 0.9, 0.95, 0.99, 0.999, 1.0];
+        let traffic = scenario.traffic.iter().zip(self.traffic).map(|(of, tally)| TrafficOutcome {
+            name: of.name.clone(),
+            events: tally.events,
+            delivered: tally.delivered,
+            asked: tally.asked,
+            paid: tally.paid,
+            times: shares.iter().map(|&q| (q, tally.times.value_at_quantile(q) as f64 / 1000.0)).collect(),
+            spread: tally
+                .times
+                .iter_log(500, 1.3)
+                .filter(|step| step.count_since_last_iteration() > 0)
+                .map(|step| (step.value_iterated_to() as f64 / 1000.0, step.count_since_last_iteration()))
+                .collect(),
+        });
+        let shades = scenario.troubles.iter().map(|trouble| Shade {
+            trouble: format!("{:?}", trouble.kind),
+            start: trouble.start,
+            end: (trouble.start + trouble.length).min(scenario.length),
+        });
+        let decisions = Decider::ALL.iter().find(|(_, kind)| *kind == scenario.forwarders.decisions);
+        Outcome {
+            about: scenario.about.clone(),
+            seed,
+            decisions: decisions.expect("all are listed").0.to_owned(),
+            length: scenario.length,
+            payoff: if totals.asked > 0.0 { totals.paid / totals.asked } else { 1.0 },
+            totals,
+            causes: self.causes,
+            traffic: traffic.collect(),
+            series: self.series,
+            heat: self.heat,
+            shades: shades.collect(),
+            rules: Rule::ALL
+                .iter()
+                .map(|rule| RuleCount { rule: rule.name().to_owned(), broken: checker.count(*rule) })
+                .collect(),
+            breaches: checker
+                .breaches()
+                .iter()
+                .take(20)
+                .map(|breach| format!("{:.3} ms: {}: {}", breach.at, breach.rule.name(), breach.what))
+                .collect(),
+        }
+    }
+}
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -2,6 +2,8 @@
 //! share, and `config.json` with the `PROXY_*` variables. Every message names the faulty key.
 
 pub mod fields;
+pub mod scenario;
+pub mod tables;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- /dev/null
+++ b/terms/src/scenario/check.rs
@@ -0,0 +1,225 @@
+//! What a scenario must hold beyond its types. A fault is a key and what is allowed there.
+
+use super::*;
+
+type Checked = Result<(), (String, String)>;
+
+fn within(key: &str, value: f64, least: f64, most: f64) -> Checked {
+    if value.is_finite() && (least..=most).contains(&value) {
+        return Ok(());
+    }
+    let allowed = match most == f64::MAX {
+        true => format!("{value} is not allowed, {least} or more is"),
+        false => format!("{value} is not allowed, {least} to {most} is"),
+    };
+    Err((key.to_owned(), allowed))
+}
+
+fn share(key: &str, value: f64) -> Checked {
+    within(key, value, 0.0, 1.0)
+}
+
+fn least(key: &str, value: f64, least: f64) -> Checked {
+    within(key, value, least, f64::MAX)
+}
+
+fn named(key: &str, name: &str, names: &[String]) -> Checked {
+    if names.iter().any(|known| known == name) {
+        return Ok(());
+    }
+    let nearest = crate::tables::nearest_of(name, names.iter().map(String::as_str)).unwrap_or("none");
+    Err((key.to_owned(), format!("{name:?} is not known; the nearest is {nearest:?}")))
+}
+
+pub(super) fn check(scenario: &Scenario) -> Checked {
+    within("length", scenario.length, 1.0, 1e10)?;
+    least("memory_mb", scenario.memory_mb, 1.0)?;
+    forwarders(&scenario.forwarders)?;
+    rules(&scenario.rules)?;
+    network(&scenario.network)?;
+    clients(&scenario.clients)?;
+    if scenario.traffic.is_empty() {
+        return Err(("traffic".into(), "one [[traffic]] at least is needed".into()));
+    }
+    for (at, traffic) in scenario.traffic.iter().enumerate() {
+        let key = |field: &str| format!("traffic[{at}].{field}");
+        least(&key("soft_limit"), traffic.soft_limit, 0.0)?;
+        least(&key("patience"), traffic.patience, traffic.soft_limit.max(100.0))?;
+        least(&key("payoff"), traffic.payoff, 0.0)?;
+        share(&key("payoff_at_end"), traffic.payoff_at_end)?;
+        least(&key("share"), traffic.share, 0.0)?;
+        least(&key("work"), traffic.work, 0.0)?;
+        least(&key("window"), traffic.window, 0.0)?;
+    }
+    if scenario.traffic.iter().map(|t| t.share).sum::<f64>() <= 0.0 {
+        return Err(("traffic[0].share".into(), "all shares are 0".into()));
+    }
+    if scenario.destinations.is_empty() {
+        return Err(("destinations".into(), "one [[destinations]] at least is needed".into()));
+    }
+    for (at, group) in scenario.destinations.iter().enumerate() {
+        destinations(&format!("destinations[{at}]"), group)?;
+    }
+    if scenario.destinations.iter().map(|g| g.share * g.count as f64).sum::<f64>() <= 0.0 {
+        return Err(("destinations[0].share".into(), "no destination gets any traffic".into()));
+    }
+    for (at, trouble) in scenario.troubles.iter().enumerate() {
+        check_trouble(&format!("troubles[{at}]"), trouble, scenario)?;
+    }
+    memory(scenario)
+}
+
+fn forwarders(of: &Forwarders) -> Checked {
+    within("forwarders.count", of.count as f64, 1.0, 100_000.0)?;
+    least("forwarders.slots", of.slots as f64, 1.0)?;
+    least("forwarders.room", of.room as f64, 1.0)?;
+    least("forwarders.round", of.round, 0.0)?;
+    least("forwarders.notice", of.notice, 0.0)?;
+    least("forwarders.list_delay[0]", of.list_delay[0], 0.0)?;
+    least("forwarders.list_delay[1]", of.list_delay[1], of.list_delay[0])?;
+    within("forwarders.list_partial", of.list_partial, 0.0, 0.95)?;
+    least("forwarders.front_lag", of.front_lag, 0.0)?;
+    least("forwarders.restart", of.restart, 0.0)?;
+    least("forwarders.closing", of.closing, 0.0)
+}
+
+fn rules(of: &Rules) -> Checked {
+    least("rules.sends_cap", of.sends_cap as f64, 1.0)?;
+    least("rules.longest_advice", of.longest_advice.unwrap_or(0.0), 0.0)?;
+    least("rules.grace", of.grace, 0.0)?;
+    least("rules.key_rest", of.key_rest, 0.0)?;
+    within("rules.cold_share", of.cold_share, 0.01, 1.0)?;
+    least("rules.warm_after", of.warm_after, 1.0)?;
+    least("rules.tip_multiple", of.tip_multiple, 0.1)?;
+    least("rules.tip_span", of.tip_span, 1.0)?;
+    least("rules.tip_least", of.tip_least, 0.0)?;
+    least("rules.tipped", of.tipped, 1.0)
+}
+
+fn network(of: &Network) -> Checked {
+    if of.zones.is_empty() {
+        return Err(("network.zones".into(), "one zone at least is needed".into()));
+    }
+    least("network.within", of.within, 0.0)?;
+    least("network.between", of.between, 0.0)?;
+    least("network.jitter", of.jitter, 0.0)?;
+    share("network.loss", of.loss)?;
+    least("network.connect_time_out", of.connect_time_out, 1.0)?;
+    for (at, pair) in of.pairs.iter().enumerate() {
+        named(&format!("network.pairs[{at}].from"), &pair.from, &of.zones)?;
+        named(&format!("network.pairs[{at}].to"), &pair.to, &of.zones)?;
+        least(&format!("network.pairs[{at}].latency"), pair.latency, 0.0)?;
+    }
+    Ok(())
+}
+
+fn clients(of: &Clients) -> Checked {
+    least("clients.rate", of.rate, 0.0)?;
+    within("clients.zipf", of.zipf, 0.0, 10.0)?;
+    share("clients.clumps", of.clumps)?;
+    least("clients.clump_size", of.clump_size, 1.0)?;
+    share("clients.swing", of.swing)?;
+    least("clients.day", of.day, 1.0)?;
+    least("clients.keys", of.keys as f64, 1.0)?;
+    within("clients.key_zipf", of.key_zipf, 0.0, 10.0)?;
+    least("clients.tenants", of.tenants as f64, 1.0)?;
+    least("clients.pause", of.pause, 1.0)?;
+    least("clients.again_after", of.again_after, 1.0)
+}
+
+fn destinations(at: &str, group: &Group) -> Checked {
+    let key = |field: &str| format!("{at}.{field}");
+    within(&key("count"), group.count as f64, 1.0, 10_000_000.0)?;
+    within(&key("targets"), group.targets as f64, 0.0, 10_000.0)?;
+    least(&key("share"), group.share, 0.0)?;
+    least(&key("events_per_call"), group.events_per_call as f64, 1.0)?;
+    within(&key("servers"), group.servers as f64, 1.0, 1e6)?;
+    least(&key("set_up"), group.set_up, 0.0)?;
+    least(&key("reaped_after"), group.reaped_after, 0.0)?;
+    least(&key("answer.mean"), group.answer.mean, 0.001)?;
+    within(&key("answer.spread"), group.answer.spread, 0.0, 5.0)?;
+    share(&key("answer.tail"), group.answer.tail)?;
+    within(&key("answer.alpha"), group.answer.alpha, 1.01, 10.0)?;
+    within(&key("answer.differ"), group.answer.differ, 0.0, 0.9)?;
+    least(&key("limit.calls"), group.limit.calls, 0.0)?;
+    least(&key("limit.burst"), group.limit.burst, 1.0)?;
+    least(&key("limit.window"), group.limit.window, 1.0)?;
+    least(&key("limit.tells_wait"), group.limit.tells_wait, 0.0)
+}
+
+fn check_trouble(at: &str, trouble: &Trouble, scenario: &Scenario) -> Checked {
+    use TroubleKind::*;
+    let key = |field: &str| format!("{at}.{field}");
+    least(&key("start"), trouble.start, 0.0)?;
+    least(&key("length"), trouble.length, 0.0)?;
+    least(&key("every"), trouble.every, 1.0)?;
+    least(&key("apart"), trouble.apart, 0.0)?;
+    match trouble.kind {
+        Erring | Resetting | CutOneWay => share(&key("strength"), trouble.strength)?,
+        Slow => least(&key("strength"), trouble.strength, 0.01)?,
+        _ => within(&key("strength"), trouble.strength, 0.0, 1e6)?,
+    }
+    let whom = &trouble.whom;
+    let shares = [
+        ("share_of_traffic", whom.share_of_traffic),
+        ("at_random", whom.at_random),
+        ("targets", whom.targets),
+    ];
+    for (field, value) in shares {
+        share(&key(&format!("whom.{field}")), value.unwrap_or(0.0))?;
+    }
+    if let Some(zone) = &whom.zone {
+        named(&key("whom.zone"), zone, &scenario.network.zones)?;
+    }
+    if let Some(group) = &whom.group {
+        let names: Vec<String> = scenario.destinations.iter().map(|group| group.name.clone()).collect();
+        named(&key("whom.group"), group, &names)?;
+    }
+    if let Some(tenant) = whom.tenant.filter(|tenant| *tenant >= scenario.clients.tenants) {
+        let most = scenario.clients.tenants - 1;
+        return Err((
+            key("whom.tenant"),
+            format!("{tenant} is not allowed, 0 to {most} is (clients.tenants)"),
+        ));
+    }
+    Ok(())
+}
+
+/// What a held event takes in the model and the forwarder's memory together, in bytes; measured over
+/// scenarios with deep backlogs and rounded up.
+const EVENT: f64 = 700.0;
+/// What a destination and a target take beside the forwarders, and what a forwarder keeps of them.
+const DESTINATION: f64 = 400.0;
+const TARGET: f64 = 200.0;
+const LISTED_DESTINATION: f64 = 1500.0;
+const LISTED_TARGET: f64 = 250.0;
+/// A key line in the module and the checker.
+const KEY: f64 = 150.0;
+
+fn memory(scenario: &Scenario) -> Checked {
+    let (forwarders, clients) = (&scenario.forwarders, &scenario.clients);
+    let longest = scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
+    let floods = scenario.troubles.iter().filter(|t| t.kind == TroubleKind::Flood).map(|t| t.strength);
+    let wakes = scenario.troubles.iter().filter(|t| t.kind == TroubleKind::MassWake).map(|t| t.strength);
+    let destinations: f64 = scenario.destinations.iter().map(|g| g.count as f64).sum();
+    let targets: f64 = scenario.destinations.iter().map(|g| (g.count * g.targets) as f64).sum();
+    let rate = clients.rate * (1.0 + clients.swing) * (1.0 + floods.sum::<f64>());
+    let clump = 1.0 + clients.clumps * (clients.clump_size - 1.0);
+    let woken: f64 = wakes.sum::<f64>() * destinations;
+    // All that could be waiting at once: the whole patience's traffic, or the whole day's if that is less.
+    let waiting = rate * clump * longest.min(scenario.length) / 1000.0 + woken;
+    let room = (forwarders.count * forwarders.room) as f64;
+    // What was turned away waits at its client.
+    let events = waiting.max(waiting.min(room)) * EVENT;
+    // A forwarder is told of a destination when the first event goes there.
+    let handed_in = rate * clump * scenario.length / 1000.0 + woken;
+    let told = destinations.min(handed_in / forwarders.count as f64) * forwarders.count as f64;
+    let listed = told * (LISTED_DESTINATION + LISTED_TARGET * targets / destinations.max(1.0));
+    let keys = (clients.keys as f64).min(waiting) * KEY;
+    let need = (events + listed + keys + destinations * DESTINATION + targets * TARGET) / 1e6 + 10.0;
+    if need <= scenario.memory_mb {
+        return Ok(());
+    }
+    let most = scenario.memory_mb;
+    Err(("memory_mb".into(), format!("the day may need {need:.0} MB ({waiting:.0} events waiting, {told:.0} destinations told), {most:.0} are allowed")))
+}
--- /dev/null
+++ b/terms/src/tables.rs
@@ -0,0 +1,165 @@
+//! A TOML file read into what it must hold. What is wrong is said in one line with file, line, key and what
+//! is allowed there; keys may be set from outside before the file is checked.
+
+use serde::de::DeserializeOwned;
+use toml::de::DeTable;
+use toml::{Table, Value};
+
+/// A TOML text with its name, and the keys that were set over it.
+#[derive(Clone, Debug)]
+pub struct Text {
+    name: String,
+    text: String,
+    table: Table,
+    set: Vec<String>,
+}
+
+impl Text {
+    pub fn read(path: &std::path::Path) -> Result<Text, String> {
+        let name = path.display().to_string();
+        let bytes = std::fs::read(path).map_err(|e| format!("{name}: cannot be read: {e}"))?;
+        let text = String::from_utf8(bytes).map_err(|_| format!("{name}: is not UTF-8"))?;
+        Text::parse(name, text)
+    }
+
+    /// `name` stands for the file in messages.
+    pub fn parse(name: String, text: String) -> Result<Text, String> {
+        let table = text.parse::<Table>().map_err(|e| {
+            let line = e.span().map_or(1, |span| line_at(&text, span.start));
+            format!("{name}:{line}: not TOML: {}", one_line(e.message()))
+        })?;
+        Ok(Text { name, text, table, set: Vec::new() })
+    }
+
+    /// Sets a key by its path, as `forwarders.count` or `troubles.0.strength`. The value is TOML; what is no
+    /// TOML is taken for a text.
+    pub fn set(&mut self, path: &str, value: &str) -> Result<(), String> {
+        let value = match format!("v = {value}").parse::<Table>() {
+            Ok(mut table) => table.remove("v").unwrap_or_else(|| Value::String(value.into())),
+            Err(_) => Value::String(value.into()),
+        };
+        self.set_value(path, value)
+    }
+
+    pub fn set_value(&mut self, path: &str, value: Value) -> Result<(), String> {
+        let steps: Vec<&str> = path.split('.').collect();
+        let mut root = Value::Table(std::mem::take(&mut self.table));
+        let done = put(&mut root, &steps, value).map_err(|what| format!("--set {path}: {what}"));
+        let Value::Table(table) = root else { unreachable!("it was put in as a table") };
+        self.table = table;
+        self.set.push(path.to_owned());
+        done
+    }
+
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// What the table holds; an unknown key is refused with the nearest known one.
+    pub fn holds<T: DeserializeOwned>(&self) -> Result<T, String> {
+        let value = Value::Table(self.table.clone());
+        serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            let said = one_line(e.inner().message());
+            let unknown = quoted(&said).filter(|_| said.starts_with("unknown field"));
+            let key = match unknown {
+                // The path already ends with the unknown key for some shapes.
+                Some(key) if path != key && !path.ends_with(&format!(".{key}")) => join(&path, key),
+                _ => path,
+            };
+            let nearest = unknown.and_then(|key| nearest(key, &said));
+            let hint = nearest.map(|known| format!("; did you mean `{known}`?")).unwrap_or_default();
+            self.wrong(&key, &format!("{said}{hint}"))
+        })
+    }
+
+    /// The message for a key that holds something not allowed.
+    pub fn wrong(&self, key: &str, what: &str) -> String {
+        let key = key.trim_start_matches("?.").trim_end_matches(".?");
+        if self.set.iter().any(|set| *set == dotted(key)) {
+            return format!("--set {}: {what}", dotted(key));
+        }
+        format!("{}:{}: {key}: {what}", self.name, self.line_of(key))
+    }
+
+    /// The line of a key, or of the nearest table around it that stands in the file.
+    fn line_of(&self, key: &str) -> usize {
+        let Ok(root) = DeTable::parse(&self.text) else { return 1 };
+        let mut line = 1;
+        let steps = dotted(key);
+        let mut steps = steps.split('.');
+        let Some((key, value)) = steps.next().and_then(|step| root.get_ref().get_key_value(step)) else {
+            return line;
+        };
+        line = line_at(&self.text, key.span().start);
+        let mut place = value;
+        for step in steps {
+            let next = match (step.parse::<usize>(), place.get_ref()) {
+                (Ok(position), toml::de::DeValue::Array(list)) => list.get(position).map(|v| (v.span(), v)),
+                (_, toml::de::DeValue::Table(table)) => {
+                    table.get_key_value(step).map(|(key, value)| (key.span(), value))
+                }
+                _ => None,
+            };
+            let Some((span, value)) = next else { return line };
+            (line, place) = (line_at(&self.text, span.start), value);
+        }
+        line
+    }
+}
+
+/// Puts a value at a path; tables that are missing on the way are made, places in lists are not.
+fn put(into: &mut Value, steps: &[&str], value: Value) -> Result<(), String> {
+    let (step, rest) = steps.split_first().expect("a path has one step at least");
+    let place = match (step.parse::<usize>(), into) {
+        (Ok(position), Value::Array(list)) => list.get_mut(position),
+        (_, Value::Table(table)) => {
+            Some(table.entry(step.to_string()).or_insert_with(|| Value::Table(Table::new())))
+        }
+        _ => None,
+    };
+    let place = place.ok_or_else(|| format!("there is no {step:?} here"))?;
+    if rest.is_empty() {
+        *place = value;
+        return Ok(());
+    }
+    put(place, rest, value)
+}
+
+/// `troubles[1].kind` as `troubles.1.kind`.
+fn dotted(key: &str) -> String {
+    key.replace('[', ".").replace(']', "").trim_start_matches('.').to_owned()
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() || path == "." {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
+
+fn line_at(text: &str, at: usize) -> usize {
+    1 + text.as_bytes()[..at.min(text.len())].iter().filter(|byte| **byte == b'\n').count()
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// What stands first between two backquotes.
+fn quoted(text: &str) -> Option<&str> {
+    text.split('`').nth(1)
+}
+
+/// The nearest of the names that serde lists behind "expected".
+fn nearest<'a>(key: &str, said: &'a str) -> Option<&'a str> {
+    let names = said.split('`').skip(3).step_by(2);
+    let near = names.map(|name| (strsim::jaro_winkler(key, name), name));
+    near.max_by(|a, b| a.0.total_cmp(&b.0)).filter(|(likeness, _)| *likeness > 0.7).map(|(_, name)| name)
+}
+
+/// The nearest of some names, for messages about a name that is none of them.
+pub fn nearest_of<'a>(key: &str, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    names.max_by(|a, b| strsim::jaro_winkler(key, a).total_cmp(&strsim::jaro_winkler(key, b)))
+}
