--- a/emulator/src/bound.rs
+++ b/emulator/src/bound.rs
@@ -17,10 +17,9 @@
 /// The most payoff that the day's clients could be paid, as a share of what they ask for.
 pub fn most(scenario: &Scenario) -> f64 {
     let struck = Struck::new(scenario, scenario.seed);
-    let mut clients = Clients::new(scenario, &struck, scenario.seed);
     let mut events: Vec<Vec<(Ms, u8)>> = vec![Vec::new(); struck.weights.len()];
     let mut asked = 0.0;
-    while let Some(ticket) = clients.next() {
+    for ticket in Clients::new(scenario, &struck, scenario.seed) {
         asked += scenario.traffic[ticket.traffic as usize].payoff;
         events[ticket.destination as usize].push((ticket.first_at, ticket.traffic));
     }
--- a/emulator/src/clients.rs
+++ b/emulator/src/clients.rs
@@ -113,8 +113,33 @@
         }
     }
 
-    /// The next event, in the order of time; of two sources at one instant the first goes first.
-    pub fn next(&mut self) -> Option<Ticket> {
+    fn ticket(&mut self, destination: u32, at: Ms) -> Ticket {
+        let traffic = self.traffic.sample(&mut self.chance);
+        let of = &self.scenario.traffic[traffic];
+        let key = of.ordered.then(|| {
+            let keys = self.keys_of[destination as usize];
+            let zipf = Zipf::new(keys, self.scenario.clients.key_zipf).expect("checked");
+            (destination as u64) << 32 | zipf.sample(&mut self.chance) as u64
+        });
+        self.origins += 1;
+        Ticket {
+            origin: self.origins,
+            destination,
+            traffic: traffic as u8,
+            key,
+            first_at: at,
+            patience_ends: at + of.patience,
+            returns: 0,
+            cause: Cause::Waited,
+        }
+    }
+}
+
+/// Events in the order of time; of two sources at one instant the first goes first.
+impl Iterator for Clients<'_> {
+    type Item = Ticket;
+
+    fn next(&mut self) -> Option<Ticket> {
         if let Some(ticket) = self.clump.pop_front() {
             return Some(ticket);
         }
@@ -152,27 +177,6 @@
             return Some(ticket);
         }
     }
-
-    fn ticket(&mut self, destination: u32, at: Ms) -> Ticket {
-        let traffic = self.traffic.sample(&mut self.chance);
-        let of = &self.scenario.traffic[traffic];
-        let key = of.ordered.then(|| {
-            let keys = self.keys_of[destination as usize];
-            let zipf = Zipf::new(keys, self.scenario.clients.key_zipf).expect("checked");
-            (destination as u64) << 32 | zipf.sample(&mut self.chance) as u64
-        });
-        self.origins += 1;
-        Ticket {
-            origin: self.origins,
-            destination,
-            traffic: traffic as u8,
-            key,
-            first_at: at,
-            patience_ends: at + of.patience,
-            returns: 0,
-            cause: Cause::Waited,
-        }
-    }
 }
 
 /// The rate at a time against the highest of the day.
--- a/emulator/src/deciders/mod.rs
+++ b/emulator/src/deciders/mod.rs
@@ -86,14 +86,23 @@
 /// The names of targets, made once for all forwarders.
 pub type TargetNames = Rc<RefCell<Vec<TargetId>>>;
 
-pub fn start(kind: scenario::Decider, terms: Terms, names: &TargetNames, now: Ms) -> Box<dyn Decider> {
+/// `time_out` is what a baseline gives each call.
+pub fn start(
+    kind: scenario::Decider,
+    terms: Terms,
+    time_out: Ms,
+    names: &TargetNames,
+    now: Ms,
+) -> Box<dyn Decider> {
     use scenario::Decider::*;
+    let mut habits = plain::Habits { sends: u32::MAX, time_out, breaker: false, budget: false, aimd: false };
     match kind {
-        Module => Box::new(module::Module::start(terms, names.clone(), now)),
-        OneTry => Box::new(plain::Plain::new(terms, plain::Habits { sends: 1, ..Default::default() })),
-        Backoff => Box::new(plain::Plain::new(terms, plain::Habits::default())),
-        Breaker => Box::new(plain::Plain::new(terms, plain::Habits { breaker: true, ..Default::default() })),
-        Budget => Box::new(plain::Plain::new(terms, plain::Habits { budget: true, ..Default::default() })),
-        Aimd => Box::new(plain::Plain::new(terms, plain::Habits { aimd: true, ..Default::default() })),
+        Module => return Box::new(module::Module::start(terms, names.clone(), now)),
+        OneTry => habits.sends = 1,
+        Backoff => (),
+        Breaker => habits.breaker = true,
+        Budget => habits.budget = true,
+        Aimd => habits.aimd = true,
     }
+    Box::new(plain::Plain::new(terms, habits))
 }
--- a/emulator/src/deciders/plain.rs
+++ b/emulator/src/deciders/plain.rs
@@ -15,6 +15,8 @@
 pub struct Habits {
     /// Sends of one event at the most; the terms' cap holds besides.
     pub sends: u32,
+    /// What a call is given.
+    pub time_out: Ms,
     /// After five failures in a row nothing is sent for five seconds, then one call decides.
     pub breaker: bool,
     /// Further sends may be a tenth of the first ones.
@@ -23,17 +25,9 @@
     pub aimd: bool,
 }
 
-impl Default for Habits {
-    fn default() -> Self {
-        Habits { sends: u32::MAX, breaker: false, budget: false, aimd: false }
-    }
-}
-
 /// Full jitter: evenly from 0 to this, doubling with each send.
 const FIRST_PAUSE: Ms = 200.0;
 const LONGEST_PAUSE: Ms = 10_000.0;
-/// What a call is given.
-const TIME_OUT: Ms = 2_000.0;
 /// Ends come so long before patience does.
 const LAST_MOMENT: Ms = 30.0;
 
@@ -165,7 +159,7 @@
             }
             Input::SendEnded { event, fate, wait, .. } => self.send_ended(event, fate, wait, now),
             Input::Heard { event } => self.forget(event, now),
-            Input::Closing { ends } => self.sends_until = ends - TIME_OUT,
+            Input::Closing { ends } => self.sends_until = ends - self.habits.time_out,
             Input::PingEnded { .. } | Input::WasCold { .. } => (),
         }
     }
@@ -203,6 +197,8 @@
             self.forget(key, now);
         } else {
             let again = event.not_before;
+            // Its end may have come due while the send was out.
+            self.ends.insert(((event.patience_ends - LAST_MOMENT).max(0.0).to_bits(), key));
             to.waiting.insert(event.order, key);
             self.due.insert((again.to_bits(), destination));
         }
@@ -317,7 +313,7 @@
         to.trial_out = true;
         to.out += 1;
         self.out += 1;
-        let time_out = TIME_OUT.min(event.patience_ends - now);
+        let time_out = self.habits.time_out.min(event.patience_ends - now);
         out.push(Decision::Send { event: key, target, time_out });
     }
 }
--- a/emulator/src/outcome.rs
+++ b/emulator/src/outcome.rs
@@ -85,6 +85,8 @@
     pub delivered: u64,
     pub asked: f64,
     pub paid: f64,
+    /// The mean time to delivery.
+    pub mean: Ms,
     /// Time to delivery at these shares of the delivered events, in milliseconds.
     pub times: Vec<(f64, Ms)>,
     /// Upper edge of a step of the time to delivery in milliseconds, and the events in it.
--- a/emulator/src/tally.rs
+++ b/emulator/src/tally.rs
@@ -20,6 +20,7 @@
     delivered: u64,
     asked: f64,
     paid: f64,
+    time: Ms,
     /// Microseconds.
     times: Histogram<u64>,
 }
@@ -58,6 +59,7 @@
             delivered: 0,
             asked: 0.0,
             paid: 0.0,
+            time: 0.0,
             times: Histogram::new_with_bounds(1, 10_000_000_000, 2).expect("bounds are in order"),
         });
         // A trouble that strikes all says nothing of whom to look at.
@@ -132,6 +134,7 @@
         let of = &mut self.traffic[ticket.traffic as usize];
         of.delivered += 1;
         of.paid += paid;
+        of.time += at - ticket.first_at;
         of.times.saturating_record(((at - ticket.first_at) * 1000.0).max(1.0) as u64);
     }
 
@@ -178,6 +181,7 @@
             delivered: tally.delivered,
             asked: tally.asked,
             paid: tally.paid,
+            mean: tally.time / tally.delivered.max(1) as f64,
             times: shares.iter().map(|&q| (q, tally.times.value_at_quantile(q) as f64 / 1000.0)).collect(),
             spread: tally
                 .times
--- a/emulator/src/world/forwarders.rs
+++ b/emulator/src/world/forwarders.rs
@@ -125,7 +125,8 @@
             tip_multiple: rules.tip_multiple,
             key_rest: rules.key_rest,
         };
-        deciders::start(scenario.forwarders.decisions, terms, &self.names, self.now)
+        let of = &scenario.forwarders;
+        deciders::start(of.decisions, terms, of.time_out, &self.names, self.now)
     }
 
     // ---- clients ----
@@ -148,6 +149,7 @@
         let Some(chosen) = chosen.filter(|at| self.forwarders[*at].decider.is_some()) else {
             return self.not_handed_in(ticket);
         };
+        self.coming += 1;
         self.forwarders[chosen].inbox.push(Incoming::HandIn(ticket));
         self.call_round(chosen as u32);
     }
@@ -165,6 +167,7 @@
             let cause = ticket.cause;
             return self.tally.unpaid(self.scenario, &ticket, cause);
         }
+        self.coming += 1;
         self.queue.put(at, Step::HandIn(Box::new(ticket)));
     }
 
@@ -228,7 +231,10 @@
         let mut inputs = Vec::with_capacity(inbox.len());
         for incoming in inbox {
             match incoming {
-                Incoming::HandIn(ticket) => self.at_the_door(at, ticket, &mut inputs),
+                Incoming::HandIn(ticket) => {
+                    self.coming -= 1;
+                    self.at_the_door(at, ticket, &mut inputs)
+                }
                 Incoming::Input(input, about) => self.hears(at, input, about, &mut inputs),
             }
         }
@@ -599,7 +605,10 @@
         // What lay unread is as if never said: a client that was not answered hands in again.
         for incoming in inbox {
             match incoming {
-                Incoming::HandIn(ticket) => self.not_handed_in(ticket),
+                Incoming::HandIn(ticket) => {
+                    self.coming -= 1;
+                    self.not_handed_in(ticket)
+                }
                 Incoming::Input(Input::Heard { event }, _) => {
                     // The client has heard, only the process has not.
                     if let Some(held) = self.events.remove(event) {
@@ -658,14 +667,14 @@
         for (number, key) in held {
             let event = self.events.remove(key).expect("held");
             self.tell(Fact::Lost { event: number });
-            if event.ended {
-                continue;
+            if event.ended && event.unheard.is_none() {
+                continue; // its client has heard
             }
             self.tally.totals.lost += 1;
             let mut ticket = event.ticket;
             ticket.cause = Cause::NoForwarder;
             let binds = self.scenario.traffic[ticket.traffic as usize].effect == Repeats::Binding;
-            if binds && event.may_have_run.is_some() {
+            if event.ended || binds && event.may_have_run.is_some() {
                 self.tally.unpaid(self.scenario, &ticket, Cause::NoForwarder);
                 continue;
             }
--- a/emulator/src/world/ground.rs
+++ b/emulator/src/world/ground.rs
@@ -182,8 +182,9 @@
         group.servers as f64 * 1000.0 / (group.answer.mean * it.factor)
     }
 
-    /// Calls a second that a lane can handle now, cold and troubles counted.
-    fn lane_capacity(&self, lane: u32) -> f64 {
+    /// Calls a second that a lane can handle now, cold and troubles counted; with what its limit lets through,
+    /// or by its servers alone.
+    fn lane_capacity(&self, lane: u32, limited: bool) -> f64 {
         let of = self.lanes[lane as usize].destination;
         let group = self.group_of(of);
         let mut sum = 0.0;
@@ -196,7 +197,8 @@
                 left = left.min(plight.left_of_limit);
             }
         }
-        sum.min(Gauge::rate(&group.limit) * left) * self.warmth(lane)
+        let most = if limited { Gauge::rate(&group.limit) * left } else { f64::INFINITY };
+        sum.min(most) * self.warmth(lane)
     }
 
     pub(super) fn capacity_of(&self, destination: u32) -> f64 {
@@ -204,7 +206,7 @@
         let mut lanes: Vec<u32> = targets.iter().map(|target| self.targets[*target as usize].lane).collect();
         lanes.sort_unstable();
         lanes.dedup();
-        lanes.into_iter().map(|lane| self.lane_capacity(lane)).sum()
+        lanes.into_iter().map(|lane| self.lane_capacity(lane, true)).sum()
     }
 
     /// The share of its pace that a lane has, by how long it has been back.
@@ -231,7 +233,9 @@
         if sum < rules.tip_least {
             return;
         }
-        let bears = rules.tip_multiple * self.lane_capacity(lane) * rules.tip_span / 1000.0;
+        let of = self.lanes[lane as usize].destination;
+        let limited = self.group_of(of).limit.bears_cold;
+        let bears = rules.tip_multiple * self.lane_capacity(lane, limited) * rules.tip_span / 1000.0;
         let share = if bears > 0.0 { sum / bears } else { f64::MAX };
         self.tally.totals.cold_load = self.tally.totals.cold_load.max(share);
         if share > 1.0 {
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -88,6 +88,8 @@
     checker: Checker,
     tally: Tally,
     taken: u64,
+    /// Events on their way to a forwarder: clients mean to hand them in again, or they lie unread.
+    coming: usize,
     chance_answers: ChaCha8Rng,
     chance_network: ChaCha8Rng,
     chance_faults: ChaCha8Rng,
@@ -135,6 +137,7 @@
             checker: Checker::new(bounds),
             tally: Tally::new(scenario, &struck),
             taken: 0,
+            coming: 0,
             chance_answers: stream(seed, Concern::Answers),
             chance_network: stream(seed, Concern::Network),
             chance_faults: stream(seed, Concern::Faults),
@@ -156,8 +159,9 @@
     pub fn step(&mut self) -> bool {
         let Some((at, step)) = self.queue.pop() else { return false };
         let longest = self.scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
-        let quiet = self.events.is_empty() && at > self.scenario.length;
+        let quiet = self.events.is_empty() && self.coming == 0 && at > self.scenario.length;
         if quiet || at > self.scenario.length + 2.0 * longest + 60_000.0 {
+            self.queue.put(at, step);
             return false;
         }
         self.now = at;
@@ -169,7 +173,10 @@
     fn take_step(&mut self, step: Step) {
         match step {
             Step::Arrival => self.arrival(),
-            Step::HandIn(ticket) => self.hand_in(*ticket),
+            Step::HandIn(ticket) => {
+                self.coming -= 1;
+                self.hand_in(*ticket)
+            }
             Step::Round(at) => self.round(at),
             Step::Ring(at, life) => self.ring(at, life),
             Step::Connected(call) => self.connected(call),
--- a/experiments/src/shipped.rs
+++ b/experiments/src/shipped.rs
@@ -11,7 +11,23 @@
 }
 
 /// Name and text.
-pub const SHIPPED: &[(&str, &str)] = shipped!["ordinary-day"];
+pub const SHIPPED: &[(&str, &str)] = shipped![
+    "ordinary-day",
+    "eid-rush",
+    "partner-silent",
+    "hall-lost",
+    "cold-return",
+    "flapping",
+    "limits-lowered",
+    "tenant-floods",
+    "rolling-replacement",
+    "forwarders-die",
+    "many-idle",
+    "three-hundred",
+    "all-together",
+    "everything-down",
+    "connections-short",
+];
 
 /// A file if there is one of that name, or else one that is shipped.
 pub fn find(name: &str) -> Result<Text, String> {
--- /dev/null
+++ b/rules/tests/planted.rs
@@ -0,0 +1,138 @@
+//! A fault of every rule is planted in an otherwise clean run and must be found, and nothing else.
+
+use plankhill_rules::*;
+use rstest::rstest;
+
+const BINDING: Effect = Effect::Binding;
+const FINGERPRINTED: Effect = Effect::Fingerprinted { window: 1000.0, one_group: true };
+
+fn bounds() -> Bounds {
+    Bounds { key_rest: 300.0, ..Bounds::default() }
+}
+
+fn taken(event: u64, effect: Effect, key: Option<u64>) -> Fact {
+    Fact::Taken { forwarder: 1, event, origin: event, effect, key, patience_ends: 10_000.0 }
+}
+
+fn sent(event: u64) -> Fact {
+    sent_to(event, 1, 1)
+}
+
+fn sent_to(event: u64, target: u32, group: u32) -> Fact {
+    Fact::Sent { forwarder: 1, event, target, group, lane: 1 }
+}
+
+fn over(event: u64, cut: Cut) -> Fact {
+    Fact::SendOver { forwarder: 1, event, cut }
+}
+
+fn ended(event: u64, end: End) -> Fact {
+    Fact::Ended { forwarder: 1, event, end, by_notice: false }
+}
+
+/// What breaks when the facts are told in turn, 100 ms apart.
+fn broken(facts: Vec<Fact>) -> Vec<Rule> {
+    let mut checker = Checker::new(bounds());
+    for (at, fact) in facts.into_iter().enumerate() {
+        checker.tell(100.0 * at as f64, fact);
+    }
+    checker.breaches().iter().map(|breach| breach.rule).collect()
+}
+
+#[rstest]
+fn a_clean_run_breaks_nothing_and_leaves_nothing_behind() {
+    let mut checker = Checker::new(Bounds { remembered: 1000.0, ..bounds() });
+    for event in 0..50 {
+        let at = 1000.0 * event as f64;
+        checker.tell(at, taken(event, FINGERPRINTED, Some(event % 3)));
+        checker.tell(at + 1.0, sent(event));
+        checker.tell(at + 2.0, over(event, Cut::Short));
+        checker.tell(at + 400.0, sent(event));
+        checker.tell(at + 402.0, Fact::Applied { event, origin: event, effect: FINGERPRINTED });
+        checker.tell(at + 403.0, over(event, Cut::Delivered));
+        checker.tell(at + 403.0, ended(event, End::Completed));
+    }
+    checker.finish(100_000.0);
+    assert_eq!(checker.breaches(), []);
+    assert_eq!(checker.books(), (50, 50));
+    assert!(checker.kept() <= 3, "{} things are kept", checker.kept());
+}
+
+#[rstest]
+#[case::two_ends(vec![taken(1, BINDING, None), ended(1, End::Dismissed), ended(1, End::Dismissed)], Rule::OneEnd)]
+#[case::sent_after_its_end(vec![taken(1, BINDING, None), ended(1, End::Dismissed), sent(1)], Rule::OneEnd)]
+#[case::taken_twice(vec![taken(1, BINDING, None), taken(1, BINDING, None)], Rule::OneEnd)]
+#[case::two_sends_out(vec![taken(1, BINDING, None), sent(1), sent(1)], Rule::NoEffectTwice)]
+#[case::binding_sent_again(vec![taken(1, BINDING, None), sent(1), over(1, Cut::Short), sent(1)], Rule::NoEffectTwice)]
+#[case::binding_dismissed(vec![taken(1, BINDING, None), sent(1), over(1, Cut::Error), ended(1, End::Dismissed)], Rule::NoEffectTwice)]
+#[case::outside_its_group(vec![taken(1, FINGERPRINTED, None), sent(1), over(1, Cut::Short), sent_to(1, 2, 2)], Rule::NoEffectTwice)]
+#[case::effect_twice(vec![
+    Fact::Applied { event: 1, origin: 7, effect: BINDING },
+    Fact::Applied { event: 2, origin: 7, effect: BINDING },
+], Rule::NoEffectTwice)]
+#[case::overtaken(vec![taken(1, BINDING, Some(5)), taken(2, BINDING, Some(5)), sent(2)], Rule::KeyOrder)]
+#[case::key_at_rest(vec![
+    taken(1, BINDING, Some(5)), taken(2, BINDING, Some(5)), sent(1), over(1, Cut::Short), ended(1, End::WrittenOff), sent(2),
+], Rule::KeyOrder)]
+#[case::before_the_notice_was_heard(vec![
+    taken(1, BINDING, Some(5)), taken(2, BINDING, Some(5)),
+    Fact::Ended { forwarder: 1, event: 1, end: End::Dismissed, by_notice: true }, sent(2),
+], Rule::KeyOrder)]
+#[case::told_wait(vec![taken(1, BINDING, None), Fact::Wait { forwarder: 1, lane: 1, until: 900.0 }, sent(1)], Rule::WaitsHeeded)]
+#[case::ping_in_a_told_wait(vec![
+    Fact::Wait { forwarder: 1, lane: 1, until: 900.0 }, Fact::Pinged { forwarder: 1, target: 1, lane: 1 },
+], Rule::WaitsHeeded)]
+#[case::to_a_draining_target(vec![
+    taken(1, BINDING, None), Fact::Listed { forwarder: 1, target: 1, leaves: true },
+    taken(2, BINDING, None), taken(3, BINDING, None), sent(1),
+], Rule::DrainsKept)]
+#[case::pushed_over(vec![
+    Fact::OutageBegan { lane: 1 }, Fact::SawFailure { forwarder: 1, lane: 1 },
+    Fact::Tipped { lane: 1, load: vec![(1, 8.0), (2, 2.0)] },
+], Rule::NotPushedOver)]
+fn a_planted_fault_is_caught(#[case] facts: Vec<Fact>, #[case] rule: Rule) {
+    assert_eq!(broken(facts), [rule]);
+}
+
+/// The same as a fault above, but for the one thing that makes it allowed.
+#[rstest]
+#[case::a_wait_for_another_lane(vec![taken(1, BINDING, None), Fact::Wait { forwarder: 1, lane: 2, until: 900.0 }, sent(1)])]
+#[case::a_wait_of_another_forwarder(vec![taken(1, BINDING, None), Fact::Wait { forwarder: 2, lane: 1, until: 900.0 }, sent(1)])]
+#[case::within_the_grace(vec![taken(1, BINDING, None), Fact::Listed { forwarder: 1, target: 1, leaves: true }, sent(1)])]
+#[case::surely_not_run(vec![taken(1, BINDING, None), sent(1), over(1, Cut::NotRun), sent(1)])]
+#[case::its_own_next_send(vec![taken(1, FINGERPRINTED, Some(5)), sent(1), over(1, Cut::Short), sent(1)])]
+#[case::pushed_over_by_strangers(vec![
+    Fact::OutageBegan { lane: 1 }, Fact::SawFailure { forwarder: 1, lane: 1 },
+    Fact::Tipped { lane: 1, load: vec![(1, 2.0), (2, 8.0)] },
+])]
+fn what_is_allowed_is_no_fault(#[case] facts: Vec<Fact>) {
+    assert_eq!(broken(facts), []);
+}
+
+#[rstest]
+#[case::after_the_window(FINGERPRINTED, 1200.0, 1)]
+#[case::inside_the_window(FINGERPRINTED, 900.0, 0)]
+#[case::without_a_window(Effect::Retriable, 5000.0, 0)]
+fn a_fingerprint_holds_for_its_window(#[case] effect: Effect, #[case] again: Ms, #[case] breaches: usize) {
+    let mut checker = Checker::new(bounds());
+    checker.tell(0.0, taken(1, effect, None));
+    checker.tell(0.0, sent(1));
+    checker.tell(100.0, over(1, Cut::Short));
+    checker.tell(again, sent(1));
+    assert_eq!(checker.breaches().len(), breaches);
+}
+
+#[rstest]
+#[case::nobody_stopped_it(vec![], 1)]
+#[case::it_was_halted(vec![(9_000.0, Fact::Halted { forwarder: 1 })], 0)]
+#[case::another_was_halted(vec![(9_000.0, Fact::Halted { forwarder: 2 })], 1)]
+#[case::it_had_time_since(vec![
+    (9_000.0, Fact::Halted { forwarder: 1 }), (11_000.0, Fact::Resumed { forwarder: 1, anew: true }),
+], 1)]
+fn an_event_without_an_end_is_found(#[case] facts: Vec<(Ms, Fact)>, #[case] breaches: usize) {
+    let mut checker = Checker::new(bounds());
+    checker.tell(0.0, taken(1, Effect::Retriable, None));
+    facts.into_iter().for_each(|(at, fact)| checker.tell(at, fact));
+    checker.finish(14_000.0);
+    assert_eq!(checker.breaches().len(), breaches);
+}
--- a/terms/src/scenario.rs
+++ b/terms/src/scenario.rs
@@ -62,6 +62,8 @@
 pub struct Forwarders {
     pub count: usize,
     pub decisions: Decider,
+    /// What a baseline gives each call; the module knows better.
+    pub time_out: Ms,
     pub slots: usize,
     /// Events held or with an unheard end; past it new ones are refused at the door.
     pub room: usize,
@@ -86,6 +88,7 @@
         Forwarders {
             count: 3,
             decisions: Decider::Module,
+            time_out: 2000.0,
             slots: 64,
             room: 2000,
             round: 0.0,
@@ -330,6 +333,9 @@
     pub refused_count: bool,
     /// A refusal tells a wait: until the limit has room again, no shorter than this. 0: none is told.
     pub tells_wait: Ms,
+    /// A cold destination bears no more than the limit lets through, put in relation to its warmth, though
+    /// its answers do not slow down. Else it bears what its servers do.
+    pub bears_cold: bool,
 }
 
 impl Default for Limit {
@@ -341,6 +347,7 @@
             window: 1000.0,
             refused_count: false,
             tells_wait: 0.0,
+            bears_cold: false,
         }
     }
 }
--- a/terms/src/scenario/check.rs
+++ b/terms/src/scenario/check.rs
@@ -71,6 +71,7 @@
 
 fn forwarders(of: &Forwarders) -> Checked {
     within("forwarders.count", of.count as f64, 1.0, 100_000.0)?;
+    least("forwarders.time_out", of.time_out, 1.0)?;
     least("forwarders.slots", of.slots as f64, 1.0)?;
     least("forwarders.room", of.room as f64, 1.0)?;
     least("forwarders.round", of.round, 0.0)?;
