--- /dev/null
+++ b/experiments/src/folder.rs
@@ -0,0 +1,150 @@
+//! The folder of an experiment's results. What is not an experiment's is not touched.
+
+use std::collections::HashSet;
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+
+use crate::days::{Day, Plan, Record};
+
+/// Why an experiment ended before its end.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// What was given is wrong.
+    Given(String),
+    /// A file could not be read or written.
+    Outside(String),
+    /// It was asked to.
+    Asked,
+}
+
+pub struct Folder {
+    path: PathBuf,
+    held: HashSet<usize>,
+    days: Mutex<File>,
+}
+
+const EXPERIMENT: &str = "experiment.toml";
+const SCENARIO: &str = "scenario.toml";
+const DAYS: &str = "days.jsonl";
+
+impl Folder {
+    /// Opens a folder for a plan: a new or empty one, or one that this very plan was begun in.
+    pub fn open(path: &Path, plan: &Plan) -> Result<Folder, Stopped> {
+        let name = path.display();
+        let outside = |what: &str| {
+            let what = what.to_owned();
+            move |e: std::io::Error| Stopped::Outside(format!("{what}: {e}"))
+        };
+        fs::create_dir_all(path).map_err(outside(&name.to_string()))?;
+        let mut entries = fs::read_dir(path).map_err(outside(&name.to_string()))?;
+        if entries.next().is_some() {
+            let begun = fs::read_to_string(path.join(EXPERIMENT));
+            let begun = begun
+                .map_err(|_| Stopped::Given(format!("{name}: holds something else than an experiment")))?;
+            let scenario = fs::read_to_string(path.join(SCENARIO)).unwrap_or_default();
+            if begun != plan.experiment_text || scenario != plan.scenario_text {
+                return Err(Stopped::Given(format!(
+                    "{name}: holds another experiment, or another text of this one"
+                )));
+            }
+        } else {
+            fs::write(path.join(SCENARIO), &plan.scenario_text).map_err(outside(SCENARIO))?;
+            fs::write(path.join(EXPERIMENT), &plan.experiment_text).map_err(outside(EXPERIMENT))?;
+        }
+        let held = recover(&path.join(DAYS), plan)?;
+        let days =
+            OpenOptions::new().create(true).append(true).open(path.join(DAYS)).map_err(outside(DAYS))?;
+        Ok(Folder { path: path.to_owned(), held, days: Mutex::new(days) })
+    }
+
+    pub fn has(&self, day: &Day) -> bool {
+        self.held.contains(&day.number)
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Writes the record in one piece, so that a run cut off leaves at most one torn line.
+    pub fn keep(&self, record: &Record) -> Result<(), Stopped> {
+        let mut line = serde_json::to_string(record).map_err(|e| Stopped::Outside(format!("{DAYS}: {e}")))?;
+        line.push('\n');
+        let mut days = self.days.lock().expect("no writer panics");
+        days.write_all(line.as_bytes()).map_err(|e| Stopped::Outside(format!("{DAYS}: {e}")))
+    }
+
+    /// All records, now in the order of their days.
+    pub fn finish(&self, plan: &Plan) -> Result<Vec<Record>, Stopped> {
+        let mut records = read(&self.path)?;
+        records.sort_by_key(|record| record.number);
+        if records.len() != plan.days.len() {
+            let (is, all) = (records.len(), plan.days.len());
+            return Err(Stopped::Outside(format!("{DAYS}: holds {is} of {all} days")));
+        }
+        let lines = records.iter().map(serde_json::to_string).collect::<Result<Vec<_>, _>>();
+        let mut text = lines.map_err(|e| Stopped::Outside(format!("{DAYS}: {e}")))?.join("\n");
+        text.push('\n');
+        self.write(DAYS, text.as_bytes())?;
+        Ok(records)
+    }
+
+    /// Puts a file in its place at once, or not at all.
+    pub fn write(&self, name: &str, bytes: &[u8]) -> Result<(), Stopped> {
+        write_whole(&self.path, name, bytes)
+    }
+}
+
+pub(crate) fn write_whole(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Stopped> {
+    let new = folder.join(format!("{name}.new"));
+    let written = fs::write(&new, bytes).and_then(|()| fs::rename(&new, folder.join(name)));
+    written.map_err(|e| Stopped::Outside(format!("{name}: {e}")))
+}
+
+/// The text of the experiment that a folder holds, and of its scenario.
+pub(crate) fn texts(folder: &Path) -> Result<(String, String), Stopped> {
+    let read = |name: &str| {
+        let path = folder.join(name);
+        fs::read_to_string(&path).map_err(|e| Stopped::Given(format!("{}: {e}", path.display())))
+    };
+    Ok((read(EXPERIMENT)?, read(SCENARIO)?))
+}
+
+/// The records of a folder.
+pub fn read(folder: &Path) -> Result<Vec<Record>, Stopped> {
+    let path = folder.join(DAYS);
+    let text = fs::read_to_string(&path).map_err(|e| Stopped::Given(format!("{}: {e}", path.display())))?;
+    let lines = text.lines().enumerate();
+    let records = lines.map(|(at, line)| {
+        let what = |e| Stopped::Given(format!("{}:{}: {e}", path.display(), at + 1));
+        serde_json::from_str(line).map_err(what)
+    });
+    records.collect()
+}
+
+/// What an earlier run left: a last line that was torn is cut off, its day is played again.
+fn recover(path: &Path, plan: &Plan) -> Result<HashSet<usize>, Stopped> {
+    let outside = |e: std::io::Error| Stopped::Outside(format!("{}: {e}", path.display()));
+    let Ok(bytes) = fs::read(path) else { return Ok(HashSet::new()) };
+    let whole = bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+    if whole < bytes.len() {
+        let file = OpenOptions::new().write(true).open(path).map_err(outside)?;
+        file.set_len(whole as u64).map_err(outside)?;
+    }
+    let mut held = HashSet::new();
+    for (at, line) in bytes[..whole].split(|byte| *byte == b'\n').filter(|line| !line.is_empty()).enumerate()
+    {
+        let record: Record = serde_json::from_slice(line).map_err(|e| {
+            Stopped::Given(format!("{}:{}: is no record of a day: {e}", path.display(), at + 1))
+        })?;
+        if record.commit != plan.commit {
+            let (then, now) = (record.commit, &plan.commit);
+            let what =
+                format!("was begun with commit {then}, this is {now}: days of both can't stand side by side");
+            return Err(Stopped::Given(format!("{}: {what}", path.display())));
+        }
+        held.insert(record.number);
+    }
+    Ok(held)
+}
--- /dev/null
+++ b/experiments/src/report.rs
@@ -0,0 +1,342 @@
+//! One page for one who has not seen an experiment of ours: what was asked, what came out, and figures with
+//! a sentence each on how to read them. The page stands alone: no script, no other file.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+use plankhill_emulator::outcome::Cause;
+use plankhill_terms::experiment::Experiment;
+use plankhill_terms::tables::Text;
+
+use crate::compare::{cells, estimate, measure, paired, payoff, Cell};
+use crate::days::Record;
+use crate::figures::{self, Line, Swept};
+use crate::folder::{self, Stopped};
+
+/// Writes `report.html` into the folder of an experiment that has been played.
+pub fn write(dir: &Path) -> Result<(), Stopped> {
+    let (experiment, _) = folder::texts(dir)?;
+    let text =
+        Text::parse(dir.join("experiment.toml").display().to_string(), experiment).map_err(Stopped::Given)?;
+    let experiment = Experiment::read(&text).map_err(Stopped::Given)?;
+    let mut records = folder::read(dir)?;
+    if records.is_empty() {
+        return Err(Stopped::Given(format!("{}: no day has been played yet", dir.display())));
+    }
+    records.sort_by_key(|record| record.number);
+    let page = page(&experiment, &records).map_err(|e| Stopped::Outside(format!("report.html: {e}")))?;
+    folder::write_whole(dir, "report.html", page.as_bytes())
+}
+
+type Page = Result<String, Box<dyn std::error::Error>>;
+
+fn page(experiment: &Experiment, records: &[Record]) -> Page {
+    let cells = cells(records);
+    let mut page = String::from(HEAD);
+    let days = records.len();
+    let first = &records[0];
+    write!(
+        page,
+        "<h1>{}</h1><p>{days} days were played: {} variants, {} seeds each, version {}, commit {}. Each seed gives \
+         all variants the same clients and the same troubles, so that they can be compared day by day. Intervals \
+         hold the true mean in 95 of 100 experiments like this one (bootstrap).</p>",
+        escaped(&experiment.about),
+        experiment.variants.len(),
+        experiment.seeds,
+        first.version,
+        escaped(&first.commit),
+    )?;
+    table(&mut page, experiment, &cells)?;
+    for (at, sweep) in experiment.sweep.iter().enumerate() {
+        swept(&mut page, experiment, &cells, at, sweep.label.as_deref().unwrap_or(&sweep.key))?;
+    }
+    one_day(&mut page, &cells)?;
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn figure(page: &mut String, title: &str, sentence: &str, svg: &str) {
+    let _ = write!(page, "<h2>{}</h2><p>{}</p><figure>{svg}</figure>", escaped(title), escaped(sentence));
+}
+
+fn table(page: &mut String, experiment: &Experiment, cells: &[Cell]) -> std::fmt::Result {
+    let reference = &experiment.variants[0].name;
+    write!(page, "<h2>Payoff delivered</h2><p>The share of the payoff asked for that was delivered, as a mean over the days with its interval, and what each variant has over <b>{}</b> on the same days. An interval that does not hold 0 is a difference. Rules broken is a sum over all days: it should be 0.</p><table><tr><th>variant</th>", escaped(reference))?;
+    for sweep in &experiment.sweep {
+        write!(page, "<th>{}</th>", escaped(sweep.label.as_deref().unwrap_or(&sweep.key)))?;
+    }
+    let bound = experiment.bound.then_some("<th>upper bound</th>").unwrap_or_default();
+    write!(page, "<th>payoff</th>{bound}<th>over {}</th><th>rules broken</th></tr>", escaped(reference))?;
+    for cell in cells {
+        write!(page, "<tr><td>{}</td>", escaped(cell.variant))?;
+        for (_, value) in cell.point {
+            write!(page, "<td>{}</td>", escaped(value))?;
+        }
+        let payoffs: Vec<f64> = cell.days.iter().map(|day| payoff(day)).collect();
+        let own = estimate(&payoffs).expect("a cell has days");
+        write!(page, "<td>{:.4} <small>{:.4} to {:.4}</small></td>", own.mean, own.low, own.high)?;
+        if experiment.bound {
+            let bounds: Vec<f64> = cell.days.iter().filter_map(|day| day.bound).collect();
+            write!(page, "<td>{:.4}</td>", estimate(&bounds).map_or(1.0, |bound| bound.mean))?;
+        }
+        let first = cells.iter().find(|other| other.variant == reference && other.point == cell.point);
+        let over = first.filter(|_| cell.variant != reference);
+        match over.and_then(|first| estimate(&paired(cell, first, payoff))) {
+            Some(over) => write!(
+                page,
+                "<td>{:+.4} <small>{:+.4} to {:+.4}</small></td>",
+                over.mean, over.low, over.high
+            )?,
+            None => write!(page, "<td></td>")?,
+        }
+        let broken: u64 = cell.days.iter().map(|day| day.outcome.broken()).sum();
+        let class = if broken > 0 { " class=\"bad\"" } else { "" };
+        write!(page, "<td{class}>{broken}</td></tr>")?;
+    }
+    page.push_str("</table>");
+    Ok(())
+}
+
+/// The figures over one sweep, the others being at their first value.
+fn swept(
+    page: &mut String,
+    experiment: &Experiment,
+    cells: &[Cell],
+    at: usize,
+    words: &str,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let sweep = &experiment.sweep[at];
+    let values: Vec<String> = cells.iter().fold(Vec::new(), |mut values, cell| {
+        if !values.contains(&cell.point[at].1) {
+            values.push(cell.point[at].1.clone());
+        }
+        values
+    });
+    let others_first = |cell: &&Cell| {
+        cell.point.iter().enumerate().all(|(other, value)| other == at || value.1 == cells[0].point[other].1)
+    };
+    let numbers: Option<Vec<f64>> = values.iter().map(|value| value.parse().ok()).collect();
+    let names = if numbers.is_some() { Vec::new() } else { values.clone() };
+    let place = |value: &str| {
+        let place = values.iter().position(|known| known == value).unwrap_or(0);
+        numbers.as_ref().map_or(place as f64, |numbers| numbers[place])
+    };
+    let log = numbers.as_ref().is_some_and(|numbers| {
+        let (least, most) = numbers.iter().fold((f64::MAX, 0.0f64), |(l, h), n| (l.min(*n), h.max(*n)));
+        least > 0.0 && most >= 20.0 * least
+    });
+    let lines = |value: &dyn Fn(&Record) -> f64| -> Vec<Swept> {
+        let mut lines = Vec::new();
+        for variant in &experiment.variants {
+            let own = cells.iter().filter(|cell| cell.variant == variant.name).filter(others_first);
+            let points = own.filter_map(|cell| {
+                let values: Vec<f64> = cell.days.iter().map(|day| value(day)).collect();
+                Some((place(&cell.point[at].1), estimate(&values)?))
+            });
+            lines.push(Swept { name: variant.name.clone(), points: points.collect() });
+        }
+        lines
+    };
+    let mut of_payoff = lines(&payoff);
+    if experiment.bound {
+        let first = &experiment.variants[0].name;
+        let own = cells.iter().filter(|cell| cell.variant == first).filter(others_first);
+        let points = own.filter_map(|cell| {
+            let bounds: Vec<f64> = cell.days.iter().filter_map(|day| day.bound).collect();
+            Some((place(&cell.point[at].1), estimate(&bounds)?))
+        });
+        of_payoff.push(Swept { name: "upper bound".into(), points: points.collect() });
+    }
+    let svg =
+        figures::over_sweep(&of_payoff, words, "payoff delivered, share of what was asked for", &names, log)?;
+    let others = experiment.sweep.len() > 1;
+    let rest = if others { " The other sweeps are at their first value." } else { "" };
+    let sentence =
+        format!("How the payoff changes with {words}: higher is better, bars are 95% intervals.{rest}");
+    figure(page, &format!("Payoff against {words}"), &sentence, &svg);
+    if experiment.variants.len() > 1 {
+        let svg = figures::over_sweep(
+            &differences(experiment, cells, at, &place),
+            words,
+            "payoff over the first variant's",
+            &names,
+            log,
+        )?;
+        let first = &experiment.variants[0].name;
+        let sentence = format!(
+            "The payoff of each variant less that of {first} on the same days: under 0, {first} is better. Pairing \
+             takes out what all variants have in common on a day.{rest}"
+        );
+        figure(page, &format!("Against {first}, day by day"), &sentence, &svg);
+    }
+    for &of in &experiment.measures {
+        let svg = figures::over_sweep(&lines(&|day| measure(of, day)), words, of.words(), &names, log)?;
+        let sentence = format!("The {}, against {words}; bars are 95% intervals.{rest}", of.words());
+        figure(page, &format!("{} ({})", capital(of.words()), sweep.key), &sentence, &svg);
+    }
+    Ok(())
+}
+
+fn differences(
+    experiment: &Experiment,
+    cells: &[Cell],
+    at: usize,
+    place: &dyn Fn(&str) -> f64,
+) -> Vec<Swept> {
+    let first = &experiment.variants[0].name;
+    let mut lines = Vec::new();
+    for variant in &experiment.variants {
+        let mut points = Vec::new();
+        for cell in cells.iter().filter(|cell| cell.variant == variant.name) {
+            let at_first = |(other, value): (usize, &(String, String))| {
+                other == at || value.1 == cells[0].point[other].1
+            };
+            let reference = cells.iter().find(|other| other.variant == first && other.point == cell.point);
+            if let Some(reference) = reference.filter(|_| cell.point.iter().enumerate().all(at_first)) {
+                let over = estimate(&paired(cell, reference, payoff));
+                points.extend(over.map(|over| (place(&cell.point[at].1), over)));
+            }
+        }
+        lines.push(Swept { name: variant.name.clone(), points });
+    }
+    lines
+}
+
+/// What one day looks like, for each variant, at the last point of the sweeps.
+fn one_day(page: &mut String, cells: &[Cell]) -> Result<(), Box<dyn std::error::Error>> {
+    let Some(last) = cells.last() else { return Ok(()) };
+    let chosen: Vec<&Cell> = cells.iter().filter(|cell| cell.point == last.point).collect();
+    let days: Vec<&Record> = chosen.iter().filter_map(|cell| cell.days.first().copied()).collect();
+    let point: Vec<String> = last.point.iter().map(|(key, value)| format!("{key} = {value}")).collect();
+    let point = if point.is_empty() { String::new() } else { format!(" at {}", point.join(", ")) };
+    write!(page, "<h1>One day{}, seed {}</h1>", escaped(&point), days[0].seed)?;
+    let shades = &days[0].outcome.shades;
+    let troubles: Vec<String> = shades
+        .iter()
+        .map(|shade| {
+            format!("{} from {:.0} to {:.0} s", shade.trouble, shade.start / 1000.0, shade.end / 1000.0)
+        })
+        .collect();
+    if !troubles.is_empty() {
+        write!(page, "<p>Shaded in the figures: {}.</p>", escaped(&troubles.join(", ")))?;
+    }
+    let lines = days.iter().map(|day| {
+        let series = &day.outcome.series;
+        // Five steps together: single ones are all noise.
+        let steps: Vec<(f64, f64)> = series
+            .asked
+            .chunks(5)
+            .zip(series.paid.chunks(5))
+            .enumerate()
+            .filter_map(|(at, (asked, paid))| {
+                let asked: f64 = asked.iter().sum();
+                let middle = (at as f64 + 0.5) * 5.0 * series.width / 1000.0;
+                (asked > 0.0).then(|| (middle, paid.iter().sum::<f64>() / asked))
+            })
+            .collect();
+        Line { name: day.variant.clone(), points: steps, dashed: false }
+    });
+    let svg = figures::over_time(&lines.collect::<Vec<_>>(), shades, "payoff delivered, share", false)?;
+    figure(page, "Payoff over the day", "Of the payoff asked for by events first handed in at that time, the share that was delivered in the end.", &svg);
+    let held = days.iter().map(|day| over_steps(day, &day.variant, &day.outcome.series.held));
+    let svg = figures::over_time(&held.collect::<Vec<_>>(), shades, "events held", true)?;
+    figure(page, "Backlog", "Events that the forwarders held at that time, out or waiting.", &svg);
+    let lines =
+        days.iter().map(|day| Line { name: day.variant.clone(), points: cumulative(day), dashed: false });
+    let svg = figures::by_time(&lines.collect::<Vec<_>>())?;
+    figure(page, "Time to delivery", "By each time, the share of all events that had been delivered. Where a line ends under 1, the rest never was.", &svg);
+    causes(page, &chosen)?;
+    let first = days[0];
+    if first.outcome.series.load.iter().any(|load| *load > 0.0) {
+        let series = &first.outcome.series;
+        let per_second = |values: &[f64]| -> Vec<(f64, f64)> {
+            let step = series.width / 1000.0;
+            values.iter().enumerate().map(|(at, value)| ((at as f64 + 0.5) * step, value / step)).collect()
+        };
+        let lines = [
+            Line {
+                name: format!("calls that came ({})", first.variant),
+                points: per_second(&series.load),
+                dashed: false,
+            },
+            Line {
+                name: "calls that could be served".into(),
+                points: per_second(&series.capacity),
+                dashed: true,
+            },
+        ];
+        let svg = figures::over_time(&lines, shades, "calls a second", true)?;
+        figure(page, "Load at the destinations struck", "Calls and pings that reached the destinations that a trouble strikes, against what these could serve at that time, warm-up and limits counted. Load over capacity waits there, is refused, or tips a cold destination.", &svg);
+    }
+    if !first.outcome.heat.is_empty() {
+        let svg = figures::heat(&first.outcome.heat, first.outcome.series.width)?;
+        figure(page, &format!("Destinations over the day ({})", first.variant), "A row for each destination, the most used and those struck (*): pale where calls went well, dark red where they failed or were refused, white where nothing was sent.", &svg);
+    }
+    Ok(())
+}
+
+fn over_steps(day: &Record, name: &str, values: &[u64]) -> Line {
+    let step = day.outcome.series.width / 1000.0;
+    let points = values.iter().enumerate().map(|(at, value)| ((at as f64 + 1.0) * step, *value as f64));
+    Line { name: name.to_owned(), points: points.collect(), dashed: false }
+}
+
+fn cumulative(day: &Record) -> Vec<(f64, f64)> {
+    let mut counts: Vec<(f64, u64)> =
+        day.outcome.traffic.iter().flat_map(|of| of.spread.iter().copied()).collect();
+    counts.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let all = day.outcome.totals.events.max(1) as f64;
+    let mut sum = 0;
+    let steps = counts.into_iter().map(|(time, count)| {
+        sum += count;
+        (time.max(0.1), sum as f64 / all)
+    });
+    steps.collect()
+}
+
+fn causes(page: &mut String, cells: &[&Cell]) -> Result<(), Box<dyn std::error::Error>> {
+    let mut bars = Vec::new();
+    let mut weight: BTreeMap<Cause, f64> = BTreeMap::new();
+    for cell in cells {
+        let mut parts: BTreeMap<Cause, f64> = BTreeMap::new();
+        for day in &cell.days {
+            for (cause, lost) in &day.outcome.causes {
+                *parts.entry(*cause).or_default() +=
+                    lost / day.outcome.totals.asked.max(1e-9) / cell.days.len() as f64;
+            }
+        }
+        parts.iter().for_each(|(cause, part)| *weight.entry(*cause).or_default() += part);
+        bars.push((cell.variant.to_owned(), parts));
+    }
+    let mut order: Vec<Cause> = weight.keys().copied().collect();
+    order.sort_by(|a, b| weight[b].total_cmp(&weight[a]));
+    order.truncate(7);
+    let words: Vec<String> = order.iter().map(|cause| cause.words().to_owned()).collect();
+    let bars: Vec<(String, Vec<(String, f64)>)> = bars
+        .into_iter()
+        .map(|(name, parts)| {
+            let kept = order.iter().filter_map(|cause| Some((cause.words().to_owned(), *parts.get(cause)?)));
+            (name, kept.collect())
+        })
+        .collect();
+    let svg = figures::by_cause(&bars, &words)?;
+    figure(page, "Where the payoff went", "What was asked for and not delivered, by cause, as a mean over all seeds at this point. Shorter is better.", &svg);
+    Ok(())
+}
+
+fn capital(words: &str) -> String {
+    let mut letters = words.chars();
+    letters.next().map_or(String::new(), |first| first.to_uppercase().chain(letters).collect())
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+const HEAD: &str = "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>plankhill experiment</title><style>
+body{font:15px/1.45 sans-serif;max-width:900px;margin:2em auto;padding:0 1em;color:#222}
+h1{font-size:1.5em;margin-top:1.6em}h2{font-size:1.15em;margin-top:1.8em}
+table{border-collapse:collapse}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;text-align:left}
+small{color:#666}.bad{color:#a50f15;font-weight:bold}figure{margin:0}svg{max-width:100%;height:auto}
+</style></head><body>";
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place that reads, checks and defaults what a forwarder is told: the settings that both wires
 //! share, and `config.json` with the `PROXY_*` variables. Every message names the faulty key.
 
+pub mod experiment;
 pub mod fields;
 pub mod scenario;
 pub mod tables;
--- a/terms/src/scenario.rs
+++ b/terms/src/scenario.rs
@@ -31,6 +31,9 @@
     pub destinations: Vec<Group>,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
+    /// Only so many of the troubles, the first ones, are played: for sweeps over how many come together.
+    #[serde(default)]
+    pub troubles_played: Option<usize>,
 }
 
 /// Who decides at the forwarders: the module, or a baseline to hold it against.
@@ -476,8 +479,11 @@
 impl Scenario {
     /// Reads and checks. A message is one line with file, line, key and what is allowed.
     pub fn read(text: &Text) -> Result<Scenario, String> {
-        let scenario: Scenario = text.holds()?;
+        let mut scenario: Scenario = text.holds()?;
         check::check(&scenario).map_err(|(key, what)| text.wrong(&key, &what))?;
+        if let Some(most) = scenario.troubles_played {
+            scenario.troubles.truncate(most);
+        }
         Ok(scenario)
     }
 }
--- a/terms/src/tables.rs
+++ b/terms/src/tables.rs
@@ -51,6 +51,11 @@
         done
     }
 
+    /// As it was read, without what was set over it.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     pub fn table(&self) -> &Table {
         &self.table
     }
