--- a/experiments/src/report.rs
+++ b/experiments/src/report.rs
@@ -66,7 +66,7 @@
     for sweep in &experiment.sweep {
         write!(page, "<th>{}</th>", escaped(sweep.label.as_deref().unwrap_or(&sweep.key)))?;
     }
-    let bound = experiment.bound.then_some("<th>upper bound</th>").unwrap_or_default();
+    let bound = if experiment.bound { "<th>upper bound</th>" } else { "" };
     write!(page, "<th>payoff</th>{bound}<th>over {}</th><th>rules broken</th></tr>", escaped(reference))?;
     for cell in cells {
         write!(page, "<tr><td>{}</td>", escaped(cell.variant))?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -81,6 +81,7 @@
             self.forget_if_idle(key);
         }
         self.changed.clone().into_iter().for_each(|id| self.tend(id, out));
+        self.changed.clone().into_iter().for_each(|id| self.keep_short(id, out));
         self.keep_room(out);
         while let Some(id) = self.changed.pop_first() {
             self.file(id);
@@ -295,6 +296,25 @@
         }
     }
 
+    /// Behind a limit that refusals have shown, a backlog that the pace can't deliver within any soft limit
+    /// makes all that follows late: once its oldest is, the least worth gives way, told when to return.
+    /// Guards against demand that stays over a limit; harmful where the limit rises faster than the pace.
+    fn keep_short(&mut self, id: DestinationId, out: &mut impl Decisions) {
+        while let Some(to) = self.destinations.get(&id) {
+            let (here, mut held) = (&self.here, to.events.iter().filter(|(_, event)| event.is_held()));
+            let late = held.next().is_some_and(|(_, event)| here.is_late(event));
+            let longest = here.terms.traffic.iter().map(|of| of.soft_limit).fold(0.0, f64::max);
+            let most = to.paced(here).map(|rate| (rate * longest / 1000.0).max(SHORT));
+            if !late || most.is_none_or(|most| to.held() as f64 <= most) {
+                return;
+            }
+            let harmless = held.filter(|(_, event)| event.may_have_run.is_none());
+            let least = harmless.min_by_key(|(place, event)| (Moment(here.worth(event)), Reverse(**place)));
+            let Some((&place, _)) = least else { return };
+            self.end(id, place, out);
+        }
+    }
+
     /// The final answer: dismissed where another try does no harm, written off where it might.
     fn end(&mut self, id: DestinationId, place: u64, out: &mut impl Decisions) {
         let events = &mut self.destinations.get_mut(&id).expect("holds it").events;
@@ -571,6 +591,16 @@
         rate.is_finite().then_some(rate)
     }
 
+    /// Calls a second that refusals have left of the destination, if all of its lanes have met some lately.
+    fn paced(&self, here: &Here) -> Option<f64> {
+        let mut sum = 0.0;
+        for (at, lane) in self.lanes.iter().enumerate().filter(|(_, lane)| lane.runs()) {
+            let known = lane.pace.is_some() && !lane.offline && !lane.is_cold(here);
+            sum += self.rate(here, at).filter(|_| known)?;
+        }
+        Some(sum)
+    }
+
     /// What usually goes to each lane a second, here or in an earlier process: events taken, or calls, if far
     /// fewer, as one may carry several; what comes again in an outage is not usual. Half more: calls are few.
     fn usual(&self, here: &Here) -> f64 {
@@ -697,6 +727,11 @@
         of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
     }
 
+    fn is_late(&self, event: &Event) -> bool {
+        let of = &self.terms.traffic[event.traffic.0];
+        self.now - (event.patience_ends - of.patience) > of.soft_limit
+    }
+
     fn may_go(&self, event: &Event, target: &Target) -> bool {
         let effect = self.terms.traffic[event.traffic.0].effect;
         let bound = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
@@ -733,6 +768,8 @@
 const BUDGET: f64 = 0.9;
 /// The share of the room that may fill before events make way: a tenth left over takes in a clump.
 const FILLED: f64 = 0.9;
+/// A backlog of so few events is kept whatever the pace: a clump of a partner that is seldom called.
+const SHORT: f64 = 10.0;
 /// Calls a second past which what a refusal teaches is relearned by the call, not by the second.
 const OFTEN: f64 = 5.0;
 /// What each further event of a call is taken to weigh: the wire says only that it is a little.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -683,3 +683,29 @@
         assert_eq!(told, ["send a to t"], "seed {seed}");
     }
 }
+
+/// Met in the emulator: a partner took two thirds of its traffic, and for minutes all of it was late.
+#[rstest]
+#[case::all_late_behind_a_limit(true, 1500.0, true)]
+#[case::not_late_yet(true, 500.0, false)]
+#[case::no_limit_was_met(false, 1500.0, false)]
+fn a_late_backlog_behind_a_limit_gives_way_to_what_is_worth_more(
+    #[case] refused: bool,
+    #[case] age: Ms,
+    #[case] gives_way: bool,
+) {
+    let mut host = Host::new(|terms| (terms.slots, terms.room) = (1, 1000));
+    host.take(1.0, "a", RETRIABLE, 1, None);
+    host.at(2.0, |f| {
+        for number in 0..30 {
+            f.taken(event(&number.to_string()), DestinationId(1), RETRIABLE, 20_002.0, None);
+        }
+    });
+    host.ends(3.0, "a", if refused { Fate::Full } else { Fate::Error });
+    let told = host.at(2.0 + age, |f| {
+        f.taken(event("new"), DestinationId(1), FINGERPRINTED, 22_002.0 + age, None);
+    });
+    let dismissed = told.iter().filter(|word| word.starts_with("dismiss")).count();
+    assert_eq!(dismissed > 10, gives_way, "{told:?}");
+    assert!(!told.contains(&"dismiss new".into()), "it is worth the most");
+}
