--- a/rules/tests/planted.rs
+++ b/rules/tests/planted.rs
@@ -11,7 +11,11 @@
 }
 
 fn taken(event: u64, effect: Effect, key: Option<u64>) -> Fact {
-    Fact::Taken { forwarder: 1, event, origin: event, effect, key, patience_ends: 10_000.0 }
+    taken_until(10_000.0, event, effect, key)
+}
+
+fn taken_until(patience_ends: Ms, event: u64, effect: Effect, key: Option<u64>) -> Fact {
+    Fact::Taken { forwarder: 1, event, origin: event, effect, key, patience_ends }
 }
 
 fn sent(event: u64) -> Fact {
@@ -44,7 +48,7 @@
     let mut checker = Checker::new(Bounds { remembered: 1000.0, ..bounds() });
     for event in 0..50 {
         let at = 1000.0 * event as f64;
-        checker.tell(at, taken(event, FINGERPRINTED, Some(event % 3)));
+        checker.tell(at, taken_until(at + 900.0, event, FINGERPRINTED, Some(event % 3)));
         checker.tell(at + 1.0, sent(event));
         checker.tell(at + 2.0, over(event, Cut::Short));
         checker.tell(at + 400.0, sent(event));
