--- a/emulator/src/world/calls.rs
+++ b/emulator/src/world/calls.rs
@@ -453,7 +453,7 @@
         taken.map(|idle| idle.dropped)
     }
 
-    fn close_connections(&mut self, target: u32, closed: usize) {
+    pub(super) fn close_connections(&mut self, target: u32, closed: usize) {
         let it = &mut self.targets[target as usize];
         it.connections = it.connections.saturating_sub(closed as u32);
     }
--- a/experiments/src/compare.rs
+++ b/experiments/src/compare.rs
@@ -67,6 +67,7 @@
         Measure::ColdLoad => totals.cold_load,
         Measure::Tipped => totals.tipped as f64,
         Measure::CallsPerEvent => totals.calls as f64 / totals.events.max(1) as f64,
+        Measure::RoundsPerEvent => totals.rounds as f64 / totals.events.max(1) as f64,
         Measure::RefusedShare => totals.refused_calls as f64 / calls,
         Measure::FailedShare => totals.failed_calls as f64 / calls,
         Measure::MostHeld => totals.most_held as f64,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -495,6 +495,9 @@
     fn watch_health(&mut self, here: &mut Here, out: &mut impl Decisions) {
         let now = here.now;
         let (closes, wanted, usual) = (here.closes(self.kind), self.held() > 0, self.usual(here));
+        let lapsed = self.events.values().filter(|event| here.lapses_at(event) <= now);
+        let lapsed: Vec<u64> = lapsed.filter_map(|event| event.call).collect();
+        let lapsed: Vec<TargetId> = lapsed.iter().map(|call| self.calls[call].target.clone()).collect();
         for lane in &mut self.lanes {
             let news = lane.cold_since.filter(|at| std::mem::replace(&mut lane.noted_cold, *at) < *at);
             for target in &mut lane.targets {
@@ -502,8 +505,9 @@
                 if target.idle_since.take_if(|since| closes && *since + BRIEF <= now).is_some() {
                     out.close_idle(&target.id);
                 }
-                // A call whose connection is not up may be written after the grace or inside the wait.
-                if target.out > 0 && (target.listing != Listing::Running || lane.closed_until > now) {
+                // A call whose connection is not up may be written after the grace, the window or inside the wait.
+                let late = target.listing != Listing::Running || lane.closed_until > now;
+                if target.out > 0 && (late || lapsed.contains(&target.id)) {
                     out.take_back(&target.id);
                 }
             }
@@ -525,7 +529,9 @@
         let idle = self.lanes.iter().flat_map(|lane| &lane.targets).filter_map(|t| t.idle_since);
         let closing = idle.filter(|_| here.closes(self.kind)).map(|since| since + BRIEF);
         let forgotten = self.bare_since.map(|since| since + USUAL);
-        ends.chain(pings).chain(closing).chain(forgotten).fold(f64::INFINITY, f64::min)
+        let out = self.events.values().filter(|event| event.call.is_some());
+        let lapses = out.map(|event| here.lapses_at(event)).filter(|at| *at > here.now);
+        ends.chain(pings).chain(closing).chain(forgotten).chain(lapses).fold(f64::INFINITY, f64::min)
     }
 
     /// The heads that can go now, the targets (lane and place in it) that take a call now, and when the next
@@ -714,6 +720,13 @@
         match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
             _ if event.sends >= self.terms.sends_cap => f64::NEG_INFINITY,
             (Some(_), Effect::Binding) => f64::NEG_INFINITY,
+            _ => self.lapses_at(event),
+        }
+    }
+
+    /// When the destination forgets the fingerprint of an event that may have run.
+    fn lapses_at(&self, event: &Event) -> Ms {
+        match (event.may_have_run, self.terms.traffic[event.traffic.0].effect) {
             (Some((sent, _)), Effect::Fingerprinted { window, .. }) => sent + window,
             _ => f64::INFINITY,
         }
--- a/terms/src/experiment.rs
+++ b/terms/src/experiment.rs
@@ -57,6 +57,8 @@
     ColdLoad,
     Tipped,
     CallsPerEvent,
+    /// What a fleet's decisions cost: a round of one forwarder looks at what came in for it.
+    RoundsPerEvent,
     RefusedShare,
     FailedShare,
     MostHeld,
@@ -71,6 +73,7 @@
             Measure::ColdLoad => "most load on a returning destination, against the load that tips it",
             Measure::Tipped => "destinations pushed over, a day",
             Measure::CallsPerEvent => "calls for each event of a client",
+            Measure::RoundsPerEvent => "rounds of decisions for each event of a client",
             Measure::RefusedShare => "share of calls refused",
             Measure::FailedShare => "share of calls failed",
             Measure::MostHeld => "most events held at once",
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -709,3 +709,19 @@
     assert_eq!(dismissed > 10, gives_way, "{told:?}");
     assert!(!told.contains(&"dismiss new".into()), "it is worth the most");
 }
+
+/// Met in the emulator: a connection took its time to come up, and a repeat was written after the window.
+#[rstest]
+fn a_repeat_that_is_not_written_when_its_window_ends_is_taken_back() {
+    let mut host = plain();
+    assert_eq!(host.take(1.0, "a", FINGERPRINTED, 1, None), ["send a to t"]);
+    host.ends(500.0, "a", Fate::Reset);
+    let mut now = 500.0;
+    while sends(&host.idle(now)) == 0 {
+        now += 10.0;
+    }
+    assert!(host.idle(5000.0).is_empty(), "the window of 5 s is open");
+    assert_eq!(host.idle(5001.0), ["take back t"]);
+    let told = host.ends(5002.0, "a", Fate::NotSent);
+    assert_eq!(told, ["dismiss a"]);
+}
