A target at rest has no actor and no mailbox; the list is kept entry by entry, not as a tree

Need: 10,000 idle destinations took 106 MB at 4 slots, 270 MB at 64 and 2,852 MB at 1,024, since each target had an actor with a mailbox of 4 x slots + 16. An actor now starts with the first call to its target and ends once its last connection is closed and no call is out; its mailbox takes memory as words come, under the same cap. The configuration's list is let go once the list is had, and the list kept for the next process holds each entry as text: a change of one entry no longer copies all.

--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -11,10 +11,11 @@
 use plankhill::interface::*;
 use plankhill_terms::fields::*;
 use plankhill_terms::Names;
-use serde_json::{json, Value};
+use serde_json::Value;
 use slog::{debug, warn};
 
 use crate::exchange::{ask, until, Stream};
+use crate::kept::{self, Kept};
 use crate::rounds::CameIn;
 use crate::Common;
 
@@ -26,14 +27,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// The agent answers at once, if discovery is up.
 const AT_START: Duration = Duration::from_millis(200);
-/// The file in the folder that lasts.
-const KEPT: &str = "list";
 /// Longest list that is read: some thousands of targets.
 const LONGEST: usize = 2 << 20;
 
 /// What the agent has by now counts as told: it is asked before anything is sent. While it is silent, the
-/// list holds that an earlier process kept, or the one in the configuration if that is newer.
-pub async fn at_start(common: &Common) -> Value {
+/// list holds that an earlier process kept, or `known`, the one in the configuration, if that is newer.
+pub async fn at_start(common: &Common, known: Value) -> Value {
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
     let asked = until(Instant::now() + AT_START, watch(common, None, &mut stream, &mut bytes)).await;
     match asked {
@@ -41,44 +40,25 @@
         Some(Err(e)) => warn!(common.log, "discovery cannot be asked at the start"; "error" => %e),
         _ => warn!(common.log, "discovery is silent at the start"),
     }
-    let kept = std::fs::read(common.told.state.join(KEPT)).ok();
-    let kept = kept.and_then(|kept| serde_json::from_slice::<Value>(&kept).ok());
-    kept.filter(|kept| revision(kept) >= revision(&common.told.known)).unwrap_or(common.told.known.clone())
+    kept::read(&common.told.state).filter(|kept| revision(kept) >= revision(&known)).unwrap_or(known)
 }
 
 pub fn is_whole(page: &Value) -> bool {
     page.get("complete") == Some(&Value::Bool(true))
 }
 
-fn revision(page: &Value) -> Option<u64> {
+pub fn revision(page: &Value) -> Option<u64> {
     page.get("revision").and_then(Value::as_u64)
 }
 
-/// The whole list after a page of it.
-fn merged(list: &Value, page: &Value) -> Value {
-    let members = |page: &Value| page.get("members").and_then(Value::as_array).cloned().unwrap_or_default();
-    let (changed, mut all) = (members(page), if is_whole(page) { Vec::new() } else { members(list) });
-    all.retain(|old| changed.iter().all(|new| new.get("id") != old.get("id")));
-    all.extend(changed.into_iter().filter(|new| new.get("phase") != Some(&Value::from("removed"))));
-    json!({"revision": revision(page).or(revision(list)), "complete": true, "members": all})
-}
-
-/// Keeps the list for the next process.
-fn keep(common: &Common, list: &Value) {
-    let (path, new) = (common.told.state.join(KEPT), common.told.state.join("list.new"));
-    let bytes = list.to_string().into_bytes();
-    // It has a small part of the disk; a list too long for that is not kept.
-    let fits = 40 * bytes.len() as u64 <= common.told.disk;
-    if !fits || std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, &path)).is_err() {
-        let _ = std::fs::remove_file(&new);
-        let _ = std::fs::remove_file(&path);
-    }
-}
-
 /// Watches until the rounds end. When discovery moves, the watch goes on at its new address.
 pub async fn run(common: Common, known: Value, to_rounds: Sender<CameIn>, moved: Receiver<()>) {
-    let mut list = merged(&Value::Null, &known);
-    keep(&common, &list);
+    // It has a small part of the disk.
+    let most = common.told.disk / 40;
+    let mut list = Kept::default();
+    list.take(&known);
+    drop(known);
+    list.write(&common.told.state, most);
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
     let mut trouble = String::new();
     loop {
@@ -88,14 +68,14 @@
             }
             None
         };
-        let page = async { Some(watch(&common, revision(&list), &mut stream, &mut bytes).await) };
+        let page = async { Some(watch(&common, list.revision(), &mut stream, &mut bytes).await) };
         match future::or(moves, page).await {
             None => trouble.clear(),
             Some(Ok(page)) => {
                 trouble.clear();
                 debug!(common.log, "list"; "revision" => revision(&page));
-                list = merged(&list, &page);
-                keep(&common, &list);
+                list.take(&page);
+                list.write(&common.told.state, most);
                 if to_rounds.send(CameIn::List(page)).await.is_err() {
                     return;
                 }
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod counted;
 mod exchange;
+mod kept;
 mod list;
 mod notices;
 mod rounds;
@@ -50,7 +51,10 @@
 }
 
 fn run() -> Plain<()> {
-    let told = Rc::new(plankhill_terms::told(|name| std::env::var(name).ok())?);
+    let mut told = plankhill_terms::told(|name| std::env::var(name).ok())?;
+    // Needed until the list is had, and large.
+    let known = std::mem::take(&mut told.known);
+    let told = Rc::new(told);
     let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
     let log = Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
@@ -70,13 +74,14 @@
         told,
     };
     let executor = common.executor.clone();
-    async_io::block_on(executor.run(serve(common, ledger, owed, listener)))
+    async_io::block_on(executor.run(serve(common, ledger, owed, known, listener)))
 }
 
 async fn serve(
     common: Common,
     ledger: Ledger,
     owed: Vec<plankhill_ledger::Owed>,
+    known: serde_json::Value,
     listener: Async<std::net::TcpListener>,
 ) -> Plain<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
@@ -87,7 +92,7 @@
     let (to_notices, owed_notices) = async_channel::bounded(notices::MAILBOX);
     let (closing, closes) = async_channel::bounded::<()>(1);
     let mut decisions = rounds::Rounds::new(common.clone(), ledger, to_notices, to_rounds.clone());
-    let known = list::at_start(&common).await;
+    let known = list::at_start(&common, known).await;
     decisions.restore(&known, owed);
     let rounds = executor.spawn(decisions.run(came_in));
     let _notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -38,6 +38,8 @@
         fate: Fate,
     },
     List(Value),
+    /// The target's actor has ended: it had nothing left to own.
+    AtRest(TargetId),
     Heard(Vec<EventId>),
     Closing,
 }
@@ -81,7 +83,8 @@
 }
 
 struct Target {
-    mailbox: Sender<ToTarget>,
+    /// Of its actor, while it has one.
+    mailbox: Option<Sender<ToTarget>>,
     address: SocketAddr,
     zone: ZoneId,
 }
@@ -338,6 +341,10 @@
                 }
             }
             CameIn::List(page) => self.listed(to, &page),
+            CameIn::AtRest(target) => {
+                let target = self.targets.get_mut(&target);
+                target.and_then(|target| target.mailbox.take_if(|mailbox| mailbox.is_closed()));
+            }
             CameIn::Heard(events) => {
                 self.unheard -= events.len();
                 for id in events {
@@ -382,15 +389,36 @@
         if let Some(target) = self.targets.get_mut(id) {
             target.zone = zone;
             if std::mem::replace(&mut target.address, address) != address {
-                let _ = target.mailbox.try_send(ToTarget::Moved(address));
+                // An actor that starts later is told the address then.
+                target.mailbox.as_ref().map(|mailbox| mailbox.try_send(ToTarget::Moved(address)));
             }
             return;
         }
-        // Room for every call that may be out, its return, and as many words about idle connections.
-        let (mailbox, inbox) = async_channel::bounded(4 * self.common.told.terms.slots + 16);
-        let actor = targets::run(self.reach.clone(), id.clone(), address, inbox, mailbox.downgrade());
-        self.common.executor.spawn(actor).detach();
-        self.targets.insert(id.clone(), Target { mailbox, address, zone });
+        self.targets.insert(id.clone(), Target { mailbox: None, address, zone });
+    }
+
+    /// Gives a word to a target's actor, which starts with its first call; what can't be given comes back.
+    fn tell(&mut self, id: &TargetId, word: ToTarget) -> Result<(), ToTarget> {
+        // Room for every call that may be out, its return, and as many words about idle connections. The
+        // mailbox itself takes memory as words come, which a bounded one would take at once.
+        let most = 4 * self.common.told.terms.slots + 16;
+        let Some(target) = self.targets.get_mut(id) else { return Err(word) };
+        let mailbox = match target.mailbox.as_ref().filter(|mailbox| !mailbox.is_closed()) {
+            Some(mailbox) => mailbox,
+            None if matches!(word, ToTarget::Send(_) | ToTarget::Ping) => {
+                let (mailbox, inbox) = async_channel::unbounded();
+                let own = mailbox.downgrade();
+                let actor = targets::run(self.reach.clone(), id.clone(), target.address, inbox, own);
+                self.common.executor.spawn(actor).detach();
+                target.mailbox.insert(mailbox)
+            }
+            // No connection is idle and no call out: there is nothing to close or to take back.
+            None => return Ok(()),
+        };
+        if mailbox.len() >= most {
+            return Err(word);
+        }
+        mailbox.try_send(word).map_err(|e| e.into_inner())
     }
 
     /// Sends and pings that the ledger could not note never leave; their ends come in with the next round.
@@ -418,11 +446,7 @@
 
     fn carry_out(&mut self, to_notices: &Sender<Notice>) {
         for (id, word) in std::mem::take(&mut self.outbox) {
-            let refused = match self.targets.get(&id) {
-                Some(target) => target.mailbox.try_send(word).err().map(|e| e.into_inner()),
-                None => Some(word),
-            };
-            if let Some(word) = refused {
+            if let Err(word) = self.tell(&id, word) {
                 self.turn_back(id, word);
             }
         }
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -1,10 +1,12 @@
-//! One target: its actor owns the connections to it, lends one to each call and takes it back.
+//! One target: its actor owns the connections to it, lends one to each call and takes it back. It lives
+//! while there is something for it to own: it starts with a call and ends once the last connection is closed
+//! and no call is out, so that a target at rest costs an entry in a table.
 
 use std::cell::Cell;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender, WeakSender};
 use futures_lite::{future, AsyncWriteExt};
@@ -57,6 +59,10 @@
     _counted: Counted,
 }
 
+/// How long an actor without a connection waits for its next call, or looks again whether one is still out:
+/// past the pings of a target that is down.
+const AT_REST: Duration = Duration::from_secs(3);
+
 pub async fn run(
     reach: Reach,
     id: TargetId,
@@ -67,14 +73,19 @@
     let mut idle: Vec<Idle> = Vec::new(); // the one used last is last
     let (mut unwritten, mut taken_back) = async_channel::bounded::<()>(1);
     let limit = millis(reach.common.told.idle_limit);
+    let out = Rc::new(Cell::new(0)); // calls
     loop {
         let oldest = idle.first().map(|idle| idle.since + limit);
-        let next = match oldest {
-            Some(at) => until(at, mailbox.recv()).await,
-            None => Some(mailbox.recv().await),
-        };
+        let next = until(oldest.unwrap_or_else(|| Instant::now() + AT_REST), mailbox.recv()).await;
         let Some(next) = next else {
-            idle.remove(0);
+            if oldest.is_some() {
+                idle.remove(0);
+            } else if out.get() == 0 && mailbox.is_empty() {
+                // Closed here, with nothing awaited since it was seen empty: no word can be lost in it.
+                mailbox.close();
+                let _ = reach.to_rounds.send(CameIn::AtRest(id)).await;
+                return;
+            }
             continue;
         };
         let Ok(next) = next else { return };
@@ -110,6 +121,7 @@
             kept,
             taken_back: taken_back.clone(),
             own: own.clone(),
+            _counted: Counted::new(&out, usize::MAX),
         };
         reach.common.executor.spawn(call.run(send)).detach();
     }
@@ -122,6 +134,8 @@
     kept: Option<Stream>,
     taken_back: Receiver<()>,
     own: WeakSender<ToTarget>,
+    /// Among the calls that are out: its actor stays for it.
+    _counted: Option<Counted>,
 }
 
 /// How a call ended, and what its answer said.
