--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -704,3 +704,39 @@
     let told = String::from_utf8(out.stderr).expect("UTF-8");
     assert!(!out.status.success() && told.contains(said) && told.lines().count() == 1, "{told}");
 }
+
+/// At rest a target has no actor; the wait only makes sure of that, the verdict does not hang on it.
+#[rstest]
+fn a_target_that_came_to_rest_is_called_again() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    for id in ["a", "b"] {
+        forwarder.take(id, "job", "");
+        let call = next(&calls);
+        assert_eq!(call.id(), id);
+        call.answer(&format!("{OK}{BREAK}"));
+        thread::sleep(Duration::from_millis(3500));
+    }
+}
+
+/// Met before service: ten thousand idle targets took 270 MB, since each had an actor and its mailbox.
+#[rstest]
+#[case::few_slots(4)]
+#[case::many_slots(1024)]
+fn ten_thousand_destinations_at_rest_take_little_at_any_number_of_slots(#[case] slots: usize) {
+    let (forwarder, calls, _notices, _) = all(0, |config| {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        let members = config.pointer_mut("/known/members").and_then(Value::as_array_mut).expect("a list");
+        members.extend((2..10_002).map(|cell| {
+            let mut entry = member(&format!("t{cell}"), nobody, "up");
+            entry["cell"] = json!(cell);
+            entry
+        }));
+        config["settings"]["familyInfo"]["slots"] = json!(slots);
+    });
+    forwarder.take("a", "job", "");
+    next(&calls).answer(OK);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", forwarder.child.id())).expect("runs");
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("is told");
+    let kilobytes: u64 = resident.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(kilobytes < 50_000, "{kilobytes} kB for 10,000 destinations");
+}
