--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 
 use crate::interface::*;
@@ -32,7 +32,7 @@
     taken: u64,
     calls_made: u64,
     calls_out: usize,
-    destinations: BTreeMap<DestinationId, Destination>,
+    destinations: HashMap<DestinationId, Box<Destination>>,
     homes: HashMap<TargetId, DestinationId>,
     places: HashMap<EventId, (DestinationId, u64)>,
     keys: Keys,
@@ -80,8 +80,10 @@
             let (_, key) = self.resting.pop_front().expect("seen");
             self.forget_if_idle(key);
         }
-        self.changed.clone().into_iter().for_each(|id| self.tend(id, out));
-        self.changed.clone().into_iter().for_each(|id| self.keep_short(id, out));
+        for id in self.changed.iter().copied().collect::<Vec<_>>() {
+            self.tend(id, out);
+            self.keep_short(id, out);
+        }
         self.keep_room(out);
         while let Some(id) = self.changed.pop_first() {
             self.file(id);
@@ -369,7 +371,8 @@
         to.filed = (Moment(next.min(to.next_check(&self.here))), to.held(), ready);
         let (due, held, _) = to.filed;
         (due != Moment::default()).then(|| self.due.insert((due, id)));
-        self.waiting.insert((held, id));
+        // What is at rest stands in no roster.
+        (held > 0).then(|| self.waiting.insert((held, id)));
         ready.map(|turn| self.ready.insert((turn, id)));
     }
 
