--- a/emulator/src/bound.rs
+++ b/emulator/src/bound.rs
@@ -39,7 +39,7 @@
 /// By descending worth, each event in the latest step with room before its end: for jobs of one size that is
 /// the best there is, and leaving out when each came can only add.
 fn most_at(scenario: &Scenario, struck: &Struck, destination: u32, events: &[(Ms, u8)]) -> f64 {
-    let longest = scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
+    let longest = scenario.longest_patience();
     let steps = ((scenario.length + longest) / STEP).ceil() as usize + 1;
     let open: Vec<f64> =
         (0..steps).map(|at| capacity(scenario, struck, destination, at as f64 * STEP)).collect();
--- a/emulator/src/struck.rs
+++ b/emulator/src/struck.rs
@@ -20,8 +20,7 @@
     pub fn new(scenario: &Scenario, seed: u64) -> Self {
         let (weights, groups) = popularity(scenario);
         let mut chance = stream(seed, Concern::Struck);
-        let mut by_use: Vec<u32> = (0..weights.len() as u32).collect();
-        by_use.sort_by(|a, b| weights[*b as usize].total_cmp(&weights[*a as usize]).then(a.cmp(b)));
+        let by_use = by_use(&weights);
         let mut destinations = Vec::new();
         let mut forwarders = Vec::new();
         for trouble in &scenario.troubles {
@@ -55,6 +54,13 @@
     }
 }
 
+/// The destinations, the most used first.
+pub fn by_use(weights: &[f64]) -> Vec<u32> {
+    let mut all: Vec<u32> = (0..weights.len() as u32).collect();
+    all.sort_by(|a, b| weights[*b as usize].total_cmp(&weights[*a as usize]).then(a.cmp(b)));
+    all
+}
+
 fn struck_forwarders(scenario: &Scenario, trouble: &Trouble, draw: &mut dyn FnMut() -> f64) -> Vec<u32> {
     let count = scenario.forwarders.count;
     let zones = &scenario.network.zones;
--- a/emulator/src/tally.rs
+++ b/emulator/src/tally.rs
@@ -9,7 +9,7 @@
 
 use crate::clients::{worth, Ticket};
 use crate::outcome::*;
-use crate::struck::Struck;
+use crate::struck::{self, Struck};
 
 /// Steps of a series, and rows of the heat map: what a reader can tell apart on a page.
 const STEPS: usize = 200;
@@ -32,9 +32,8 @@
     causes: BTreeMap<Cause, f64>,
     rows: FxHashMap<u32, usize>,
     heat: Vec<HeatRow>,
-    /// Destinations that a trouble strikes.
+    /// Destinations that a trouble strikes, in order.
     pub struck: Vec<u32>,
-    struck_marks: FxHashMap<u32, ()>,
     width: Ms,
 }
 
@@ -73,10 +72,7 @@
             .collect();
         struck_ones.sort_unstable();
         struck_ones.dedup();
-        let mut by_use: Vec<u32> = (0..all as u32).collect();
-        by_use.sort_by(|a, b| {
-            struck.weights[*b as usize].total_cmp(&struck.weights[*a as usize]).then(a.cmp(b))
-        });
+        let by_use = struck::by_use(&struck.weights);
         let is_struck = |at: &u32| struck_ones.binary_search(at).is_ok();
         let half = by_use.iter().filter(|at| is_struck(at)).take(ROWS / 2);
         let mut shown: Vec<u32> = half.copied().collect();
@@ -100,7 +96,6 @@
             causes: BTreeMap::new(),
             rows: shown.iter().enumerate().map(|(row, at)| (*at, row)).collect(),
             heat,
-            struck_marks: struck_ones.iter().map(|at| (*at, ())).collect(),
             struck: struck_ones,
             width,
         }
@@ -166,7 +161,7 @@
     }
 
     pub fn load(&mut self, destination: u32, at: Ms) {
-        if self.struck_marks.contains_key(&destination) {
+        if self.struck.binary_search(&destination).is_ok() {
             let step = self.step(at);
             self.series.load[step] += 1.0;
         }
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -41,12 +41,12 @@
     /// The call's last byte is at its target.
     Reaches(CallKey),
     Served(CallKey),
-    /// The answer, as a place in the call, is at the forwarder.
+    /// The answer is at the forwarder.
     Answered(CallKey),
     TimeOut(CallKey),
     Reaped(u32, u32, Ms),
+    /// The notice of an event's end is heard.
     Heard(u32, u32, EventKey),
-    /// The client learns of the dismissal.
     ListHeard(u32),
     Begins(u16),
     Turns(u16),
@@ -90,6 +90,8 @@
     taken: u64,
     /// Events on their way to a forwarder: clients mean to hand them in again, or they lie unread.
     coming: usize,
+    /// The day ends then, whatever is still open: all patience is long over.
+    given_up_at: Ms,
     chance_answers: ChaCha8Rng,
     chance_network: ChaCha8Rng,
     chance_faults: ChaCha8Rng,
@@ -103,11 +105,10 @@
         let seed = scenario.seed;
         let struck = Struck::new(scenario, seed);
         let rules = &scenario.rules;
-        let longest = scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
         let bounds = Bounds {
             grace: rules.grace,
             key_rest: rules.key_rest,
-            remembered: 2.0 * longest + 120_000.0,
+            remembered: 2.0 * scenario.longest_patience() + 120_000.0,
             ..Bounds::default()
         };
         let (destinations, targets, lanes) = ground::build(scenario, &struck, seed);
@@ -138,6 +139,7 @@
             tally: Tally::new(scenario, &struck),
             taken: 0,
             coming: 0,
+            given_up_at: scenario.length + 2.0 * scenario.longest_patience() + 60_000.0,
             chance_answers: stream(seed, Concern::Answers),
             chance_network: stream(seed, Concern::Network),
             chance_faults: stream(seed, Concern::Faults),
@@ -158,9 +160,8 @@
     /// One step; false when the day is over: nothing new comes in then, and what was taken has its end.
     pub fn step(&mut self) -> bool {
         let Some((at, step)) = self.queue.pop() else { return false };
-        let longest = self.scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
         let quiet = self.events.is_empty() && self.coming == 0 && at > self.scenario.length;
-        if quiet || at > self.scenario.length + 2.0 * longest + 60_000.0 {
+        if quiet || at > self.given_up_at {
             self.queue.put(at, step);
             return false;
         }
--- a/experiments/src/compare.rs
+++ b/experiments/src/compare.rs
@@ -44,6 +44,13 @@
     pub days: Vec<&'a Record>,
 }
 
+impl<'a> Cell<'a> {
+    /// The cell of another variant at the same point.
+    pub fn beside<'c>(&self, cells: &'c [Cell<'a>], variant: &str) -> Option<&'c Cell<'a>> {
+        cells.iter().find(|other| other.variant == variant && other.point == self.point)
+    }
+}
+
 /// All cells in the order of the days.
 pub fn cells(records: &[Record]) -> Vec<Cell<'_>> {
     let mut cells: Vec<Cell> = Vec::new();
@@ -178,7 +185,7 @@
         row.push(own.days.to_string());
         row.extend([own.mean, own.low, own.high].map(|value| format!("{value:.6}")));
         let first = &plan.experiment.variants[0].name;
-        let reference = cells.iter().find(|other| other.variant == first && other.point == cell.point);
+        let reference = cell.beside(&cells, first);
         let over = reference.and_then(|reference| estimate(&paired(cell, reference, payoff)));
         let over = over.map_or([String::new(), String::new(), String::new()], |over| {
             [over.mean, over.low, over.high].map(|value| format!("{value:.6}"))
--- a/experiments/src/figures.rs
+++ b/experiments/src/figures.rs
@@ -45,6 +45,26 @@
     (low - air, high + air)
 }
 
+/// Draws the box in which each line has its name.
+fn name_lines<'a, DB, CT>(
+    chart: &mut ChartContext<'a, DB, CT>,
+    at: SeriesLabelPosition,
+) -> Result<(), Box<dyn Error>>
+where
+    DB: DrawingBackend + 'a,
+    DB::ErrorType: 'static,
+    CT: plotters::coord::CoordTranslate,
+{
+    chart
+        .configure_series_labels()
+        .label_font((FONT, 13))
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK.mix(0.3))
+        .position(at)
+        .draw()?;
+    Ok(())
+}
+
 /// Lines over time in seconds, with the troubles shaded.
 pub fn over_time(lines: &[Line], shades: &[Shade], y_words: &str, from_zero: bool) -> Drawn {
     let mut svg = String::new();
@@ -82,14 +102,7 @@
                 chart.draw_series(series)?.label(&line.name).legend(legend);
             }
         }
-        let labels = chart
-            .configure_series_labels()
-            .label_font((FONT, 13))
-            .background_style(WHITE.mix(0.8))
-            .border_style(BLACK.mix(0.3))
-            .position(SeriesLabelPosition::LowerLeft)
-            .draw();
-        labels?;
+        name_lines(&mut chart, SeriesLabelPosition::LowerLeft)?;
         root.present()?;
     }
     Ok(svg)
@@ -162,13 +175,7 @@
                 .map(|(x, e)| ErrorBar::new_vertical(spot(*x), e.low, e.mean, e.high, colour.filled(), 6));
             chart.draw_series(bars)?;
         }
-        chart
-            .configure_series_labels()
-            .label_font((FONT, 13))
-            .background_style(WHITE.mix(0.8))
-            .border_style(BLACK.mix(0.3))
-            .position(SeriesLabelPosition::LowerLeft)
-            .draw()?;
+        name_lines(&mut chart, SeriesLabelPosition::LowerLeft)?;
         root.present()?;
     }
     Ok(svg)
@@ -204,13 +211,7 @@
                 .label(&line.name)
                 .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
         }
-        chart
-            .configure_series_labels()
-            .label_font((FONT, 13))
-            .background_style(WHITE.mix(0.8))
-            .border_style(BLACK.mix(0.3))
-            .position(SeriesLabelPosition::LowerRight)
-            .draw()?;
+        name_lines(&mut chart, SeriesLabelPosition::LowerRight)?;
         root.present()?;
     }
     Ok(svg)
--- a/experiments/src/report.rs
+++ b/experiments/src/report.rs
@@ -80,7 +80,7 @@
             let bounds: Vec<f64> = cell.days.iter().filter_map(|day| day.bound).collect();
             write!(page, "<td>{:.4}</td>", estimate(&bounds).map_or(1.0, |bound| bound.mean))?;
         }
-        let first = cells.iter().find(|other| other.variant == reference && other.point == cell.point);
+        let first = cell.beside(cells, reference);
         let over = first.filter(|_| cell.variant != reference);
         match over.and_then(|first| estimate(&paired(cell, first, payoff))) {
             Some(over) => write!(
@@ -98,6 +98,12 @@
     Ok(())
 }
 
+/// Whether all sweeps but the one are at their first value.
+fn on_axis(cell: &Cell, cells: &[Cell], at: usize) -> bool {
+    let mut point = cell.point.iter().enumerate();
+    point.all(|(other, value)| other == at || value.1 == cells[0].point[other].1)
+}
+
 /// The figures over one sweep, the others being at their first value.
 fn swept(
     page: &mut String,
@@ -113,9 +119,7 @@
         }
         values
     });
-    let others_first = |cell: &&Cell| {
-        cell.point.iter().enumerate().all(|(other, value)| other == at || value.1 == cells[0].point[other].1)
-    };
+    let others_first = |cell: &&Cell| on_axis(cell, cells, at);
     let numbers: Option<Vec<f64>> = values.iter().map(|value| value.parse().ok()).collect();
     let names = if numbers.is_some() { Vec::new() } else { values.clone() };
     let place = |value: &str| {
@@ -189,11 +193,8 @@
     for variant in &experiment.variants {
         let mut points = Vec::new();
         for cell in cells.iter().filter(|cell| cell.variant == variant.name) {
-            let at_first = |(other, value): (usize, &(String, String))| {
-                other == at || value.1 == cells[0].point[other].1
-            };
-            let reference = cells.iter().find(|other| other.variant == first && other.point == cell.point);
-            if let Some(reference) = reference.filter(|_| cell.point.iter().enumerate().all(at_first)) {
+            let reference = cell.beside(cells, first);
+            if let Some(reference) = reference.filter(|_| on_axis(cell, cells, at)) {
                 let over = estimate(&paired(cell, reference, payoff));
                 points.extend(over.map(|over| (place(&cell.point[at].1), over)));
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -304,10 +304,12 @@
     fn keep_short(&mut self, id: DestinationId, out: &mut impl Decisions) {
         while let Some(to) = self.destinations.get(&id) {
             let (here, mut held) = (&self.here, to.events.iter().filter(|(_, event)| event.is_held()));
-            let late = held.next().is_some_and(|(_, event)| here.is_late(event));
+            if !held.next().is_some_and(|(_, event)| here.is_late(event)) {
+                return;
+            }
             let longest = here.terms.traffic.iter().map(|of| of.soft_limit).fold(0.0, f64::max);
             let most = to.paced(here).map(|rate| (rate * longest / 1000.0).max(SHORT));
-            if !late || most.is_none_or(|most| to.held() as f64 <= most) {
+            if most.is_none_or(|most| to.held() as f64 <= most) {
                 return;
             }
             let harmless = held.filter(|(_, event)| event.may_have_run.is_none());
@@ -499,8 +501,8 @@
         let now = here.now;
         let (closes, wanted, usual) = (here.closes(self.kind), self.held() > 0, self.usual(here));
         let lapsed = self.events.values().filter(|event| here.lapses_at(event) <= now);
-        let lapsed: Vec<u64> = lapsed.filter_map(|event| event.call).collect();
-        let lapsed: Vec<TargetId> = lapsed.iter().map(|call| self.calls[call].target.clone()).collect();
+        let calls = lapsed.filter_map(|event| event.call);
+        let lapsed: Vec<TargetId> = calls.map(|call| self.calls[&call].target.clone()).collect();
         for lane in &mut self.lanes {
             let news = lane.cold_since.filter(|at| std::mem::replace(&mut lane.noted_cold, *at) < *at);
             for target in &mut lane.targets {
--- a/terms/src/scenario.rs
+++ b/terms/src/scenario.rs
@@ -477,6 +477,10 @@
 }
 
 impl Scenario {
+    pub fn longest_patience(&self) -> Ms {
+        self.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max)
+    }
+
     /// Reads and checks. A message is one line with file, line, key and what is allowed.
     pub fn read(text: &Text) -> Result<Scenario, String> {
         let mut scenario: Scenario = text.holds()?;
--- a/terms/src/scenario/check.rs
+++ b/terms/src/scenario/check.rs
@@ -186,8 +186,8 @@
     Ok(())
 }
 
-/// What a held event takes in the model and the forwarder's memory together, in bytes; measured over
-/// scenarios with deep backlogs and rounded up.
+/// What a held event takes, about, in bytes, with its share of the model and the forwarder's memory. An estimate:
+/// `docs/emulator.md` has what was measured since, which is up to half more.
 const EVENT: f64 = 700.0;
 /// What a destination and a target take beside the forwarders, and what a forwarder keeps of them.
 const DESTINATION: f64 = 400.0;
@@ -199,7 +199,7 @@
 
 fn memory(scenario: &Scenario) -> Checked {
     let (forwarders, clients) = (&scenario.forwarders, &scenario.clients);
-    let longest = scenario.traffic.iter().map(|traffic| traffic.patience).fold(0.0, f64::max);
+    let longest = scenario.longest_patience();
     let floods = scenario.troubles.iter().filter(|t| t.kind == TroubleKind::Flood).map(|t| t.strength);
     let wakes = scenario.troubles.iter().filter(|t| t.kind == TroubleKind::MassWake).map(|t| t.strength);
     let destinations: f64 = scenario.destinations.iter().map(|g| g.count as f64).sum();
@@ -209,9 +209,8 @@
     let woken: f64 = wakes.sum::<f64>() * destinations;
     // All that could be waiting at once: the whole patience's traffic, or the whole day's if that is less.
     let waiting = rate * clump * longest.min(scenario.length) / 1000.0 + woken;
-    let room = (forwarders.count * forwarders.room) as f64;
-    // What was turned away waits at its client.
-    let events = waiting.max(waiting.min(room)) * EVENT;
+    // What a forwarder has no room for waits at its client.
+    let events = waiting * EVENT;
     // A forwarder is told of a destination when the first event goes there.
     let handed_in = rate * clump * scenario.length / 1000.0 + woken;
     let told = destinations.min(handed_in / forwarders.count as f64) * forwarders.count as f64;
