Operators' address: ready, targets left out and back, drain and resume

The orders and the bans are logic without I/O in operators/; the record of bans is a file of its own, written before the yes. A banned target is one that leaves, to the module; a ping whose connection is not up yet is taken back like a call. Drain and the planned end share one gate.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -165,7 +165,7 @@
     };
     let target = TargetId(text(item, "target")?.into());
     if listing == Listing::Gone {
-        to.left(&target);
+        to.relisted(&target, Listing::Gone);
         return Ok(());
     }
     to.listed(
--- a/emulator/src/deciders/module.rs
+++ b/emulator/src/deciders/module.rs
@@ -54,7 +54,7 @@
         Input::Listed { target, destination, kind, zone, listing } => {
             to.listed(name(target), DestinationId(destination as u64), KindId(kind), ZoneId(zone), listing)
         }
-        Input::Left { target } => to.left(&name(target)),
+        Input::Left { target } => to.relisted(&name(target), Listing::Gone),
         Input::Taken { event, destination, traffic, patience_ends, key, .. } => to.taken(
             event_id(event),
             DestinationId(destination as u64),
--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use plankhill::interface::*;
@@ -20,6 +20,7 @@
 
 use crate::counted::Counted;
 use crate::exchange::{is_gone, is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
+use crate::operators;
 use crate::rounds::{CameIn, Event, Handed, Verdict};
 use crate::targets::most_idle;
 use crate::Common;
@@ -56,14 +57,10 @@
     }
 }
 
-pub async fn listen(
-    common: Common,
-    listener: Async<TcpListener>,
-    to_rounds: Sender<CameIn>,
-    closing: Receiver<()>,
-) {
+pub async fn listen(common: Common, listener: Async<TcpListener>, to_rounds: Sender<CameIn>) {
     // What the targets, discovery and the files do not need; the last of them are told that it is full.
-    let others = most_idle(&common.told) + common.told.terms.slots + FILES;
+    let callers = common.told.mgmt.map_or(0, |_| operators::MOST + 1);
+    let others = most_idle(&common.told) + common.told.terms.slots + FILES + callers;
     let at_all = common.told.sockets.saturating_sub(others).max(1);
     let door = Rc::new(Door { most: at_all - at_all / 8, ..Door::default() });
     let mut incoming = Box::pin(listener.incoming());
@@ -94,7 +91,6 @@
                 let client = Client {
                     common: common.clone(),
                     to_rounds: to_rounds.clone(),
-                    closing: closing.clone(),
                     stream,
                     full,
                     door: door.clone(),
@@ -115,7 +111,6 @@
 struct Client {
     common: Common,
     to_rounds: Sender<CameIn>,
-    closing: Receiver<()>,
     stream: Stream,
     /// There are too many connections: this one is told so.
     full: bool,
@@ -246,10 +241,10 @@
             };
             waits = if waits == Waits::Silent { Waits::Once } else { Waits::Idle };
             by = Instant::now() + IDLE;
-            let closes = request.closes || self.full || self.closing.is_closed();
+            let closes = request.closes || self.full || self.common.gate.is_shut();
             begun = request.next;
             let answered = match request.asked {
-                Asked::Up if self.closing.is_closed() => self.respond(503, &[], "", true).await,
+                Asked::Up if self.common.gate.is_shut() => self.respond(503, &[], "", true).await,
                 Asked::Up => self.respond(200, &[], "", closes).await,
                 Asked::Event(event) => {
                     // The buffer goes back: an event may be held for long, and most bodies are short.
@@ -274,14 +269,18 @@
     /// Waits for the next request without a buffer; false if the connection has nothing more to serve.
     async fn has_more(&mut self, waits: Waits, by: Instant) -> bool {
         let closes = async {
-            let _ = self.closing.recv().await;
+            self.common.gate.shuts().await;
+            if waits == Waits::Silent {
+                // The front sent it here before it knew; its request comes right behind it.
+                Timer::after(JUST_CAME).await;
+            }
         };
         let readable = async {
             let _ = self.stream.readable().await;
         };
         let more = self.door.waits(waits, by, future::or(readable, closes)).await.is_ok();
         // What has come by then is still answered.
-        more && !self.closing.is_closed() || !is_quiet(&self.stream)
+        more && !self.common.gate.is_shut() || !is_quiet(&self.stream)
     }
 
     /// Reads one request; None if the client ends the connection instead.
--- /dev/null
+++ b/forwarder/src/left_out.rs
@@ -0,0 +1,58 @@
+//! The targets that operators leave out, with their record in the folder that lasts: a ban is in the file
+//! before anybody hears of it.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use plankhill::interface::Listing;
+use plankhill_operators::{Bans, Change};
+use plankhill_terms::fields::Plain;
+
+const FILE: &str = "bans";
+
+pub struct LeftOut {
+    pub bans: Bans,
+    folder: PathBuf,
+    /// The longest record that the disk has room for.
+    most: u64,
+}
+
+/// How an order on a target came out.
+pub enum Done {
+    NeverListed,
+    Already,
+    /// What the module is to hear, if the list names the target.
+    Changed(Option<Listing>),
+}
+
+impl LeftOut {
+    pub fn open(folder: &Path, disk: u64) -> Plain<Self> {
+        let bans = match std::fs::read_to_string(folder.join(FILE)) {
+            Ok(record) => Bans::read(&record).map_err(|damaged| format!("PROXY_STATE: {damaged}"))?,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Bans::default(),
+            Err(e) => return Err(format!("PROXY_STATE: the file '{FILE}' cannot be read: {e}")),
+        };
+        // Beside it stands the one that takes its place; the ledger and the list leave a twentieth.
+        Ok(LeftOut { bans, folder: folder.to_owned(), most: disk / 80 })
+    }
+
+    pub fn order(&mut self, id: &str, ban: bool) -> io::Result<Done> {
+        match self.bans.change(id, ban) {
+            Change::NeverListed => Ok(Done::NeverListed),
+            Change::Nothing => Ok(Done::Already),
+            Change::Record(record) => {
+                self.write(&record)?;
+                Ok(Done::Changed(self.bans.set(id, ban)))
+            }
+        }
+    }
+
+    fn write(&self, record: &str) -> io::Result<()> {
+        if record.len() as u64 > self.most {
+            return Err(io::Error::other("too many targets are left out for the disk"));
+        }
+        let new = self.folder.join("bans.new");
+        std::fs::write(&new, record)?;
+        std::fs::rename(&new, self.folder.join(FILE))
+    }
+}
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -118,13 +118,14 @@
     until(until_silent, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
-/// Hands a page of the list to the decisions; `place` learns where each target stands, `gone` which went.
+/// Hands a page of the list to the decisions; `place` learns where each target stands
+/// and says what the decisions hear of it, `gone` learns which went.
 /// An entry that can't be read is left out and told to `bad`.
 pub fn hand_over(
     page: &Value,
     names: &Names,
     to: &mut Forwarder,
-    mut place: impl FnMut(&TargetId, SocketAddr, ZoneId),
+    mut place: impl FnMut(&TargetId, SocketAddr, ZoneId, Listing) -> Listing,
     mut gone: impl FnMut(&TargetId),
     mut bad: impl FnMut(String),
 ) {
@@ -139,7 +140,7 @@
                 other => return Err(format!("phase: unknown word {other:?}")),
             };
             if listing == Listing::Gone {
-                to.left(&target);
+                to.relisted(&target, Listing::Gone);
                 gone(&target);
                 return Ok(());
             }
@@ -148,7 +149,7 @@
             let kind = KindId(self::place(&names.kinds, text(entry, "flavor")?, "flavor")?);
             let zone = ZoneId(self::place(&names.zones, text(entry, "locality")?, "locality")?);
             let destination = DestinationId(whole(entry, "cell")?);
-            place(&target, address, zone);
+            let listing = place(&target, address, zone, listing);
             to.listed(target, destination, kind, zone, listing);
             Ok(())
         };
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -11,11 +11,14 @@
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
 use plankhill_ledger::{Ledger, Outcome, Owed, Taken};
+use plankhill_operators::Order;
 use serde_json::Value;
 use slog::{debug, error, info, warn};
 
 use crate::exchange::{until, Body};
+use crate::left_out::{Done, LeftOut};
 use crate::notices::{self, Notice};
+use crate::operators::Reply;
 use crate::targets::{self, Reach, Sending, ToTarget};
 use crate::{list, Common};
 
@@ -41,6 +44,8 @@
     /// The target's actor has ended: it had nothing left to own.
     AtRest(TargetId),
     Heard(Vec<EventId>),
+    /// What operators ask; who asked waits for the reply.
+    Operator(Order, Sender<Reply>),
     Closing,
 }
 
@@ -121,6 +126,7 @@
     common: Common,
     reach: Reach,
     ledger: Ledger,
+    left_out: LeftOut,
     now: Ms,
     held: HashMap<EventId, Held>,
     /// Events with a send out, also those that are over: an id is not taken again before that has ended.
@@ -144,6 +150,7 @@
     pub fn new(
         common: Common,
         ledger: Ledger,
+        left_out: LeftOut,
         to_notices: Sender<Notice>,
         to_rounds: Sender<CameIn>,
     ) -> Self {
@@ -154,6 +161,7 @@
             common,
             reach,
             ledger,
+            left_out,
             now,
             held: HashMap::new(),
             out: HashSet::new(),
@@ -238,7 +246,8 @@
     }
 
     fn decide(&mut self, came_in: impl FnOnce(&mut Forwarder, &mut Hands)) {
-        let Rounds { hands, forwarder, to_notices, .. } = self;
+        let Rounds { hands, forwarder, to_notices, closing } = self;
+        let mut writes = true;
         hands.now = hands.common.clock.now();
         if hands.wake_at.is_some_and(|at| at <= hands.now) {
             hands.wake_at = None;
@@ -252,7 +261,9 @@
             // What is not on the disk does not go out: a restart must know of each send.
             error!(hands.common.log, "the ledger cannot be written"; "error" => %e);
             hands.unsend();
+            writes = false;
         }
+        hands.common.ready.set(writes && !*closing && !hands.targets.is_empty());
         hands.carry_out(to_notices);
     }
 }
@@ -352,6 +363,11 @@
                     to.heard(&id);
                 }
             }
+            // Who was told meanwhile that it failed waits no more: it is not done behind his back.
+            CameIn::Operator(_, reply) if reply.is_closed() => (),
+            CameIn::Operator(order, reply) => {
+                let _ = reply.try_send(self.order(to, order));
+            }
             CameIn::Closing => to.closing(self.now + self.common.told.closing_time),
         }
     }
@@ -368,9 +384,10 @@
             page,
             &told.names,
             to,
-            |id, address, zone| {
+            |id, address, zone, listing| {
                 named.insert(id.clone());
                 self.place(id, address, zone);
+                self.left_out.bans.listed(id, listing)
             },
             |id| gone.push(id.clone()),
             |what| warn!(log, "an entry of the list cannot be read"; "what" => what),
@@ -382,7 +399,39 @@
             // The actor ends with its mailbox, its connections with their calls.
             self.targets.remove(&id);
             self.ledger.forget_target(&id.0);
+            self.left_out.bans.left(&id);
+        }
+    }
+
+    fn order(&mut self, to: &mut Forwarder, order: Order) -> Reply {
+        let log = self.common.log.clone();
+        let (id, ban) = match order {
+            Order::Drain | Order::Resume => {
+                let drains = order == Order::Drain;
+                self.common.gate.drain(drains);
+                info!(log, "{}", if drains { "is being emptied of clients" } else { "takes clients again" });
+                return Reply::Done;
+            }
+            Order::Disable(id) => (id, true),
+            Order::Enable(id) => (id, false),
+        };
+        match self.left_out.order(&id, ban) {
+            Ok(Done::NeverListed) => return Reply::NeverListed,
+            Ok(Done::Already) => (),
+            Ok(Done::Changed(listing)) => {
+                info!(log, "{}", if ban { "a target is left out" } else { "a target may serve again" };
+                    "target" => &*id);
+                let target = TargetId((&*id).into());
+                listing.into_iter().for_each(|listing| to.relisted(&target, listing));
+                // It was restarted meanwhile.
+                (!ban).then(|| to.restarted(&target));
+            }
+            Err(e) => {
+                error!(log, "the targets left out cannot be written"; "error" => %e);
+                return Reply::NotRecorded;
+            }
         }
+        Reply::Done
     }
 
     fn place(&mut self, id: &TargetId, address: SocketAddr, zone: ZoneId) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -115,10 +115,11 @@
         }
     }
 
-    pub fn left(&mut self, id: &TargetId) {
+    /// What the list, or the operators, say now of a target that was listed before.
+    pub fn relisted(&mut self, id: &TargetId, listing: Listing) {
         let Some(&of) = self.homes.get(id) else { return };
         let target = self.destinations.get_mut(&of).and_then(|home| home.target_mut(id));
-        target.expect("at home").listing = Listing::Gone;
+        target.expect("at home").listing = listing;
         self.changed.insert(of);
     }
 
@@ -191,6 +192,15 @@
         to.noted = usual;
     }
 
+    /// It was restarted and serves again: what it did before says nothing, and what is new to it is cold.
+    pub fn restarted(&mut self, id: &TargetId) {
+        let home = self.homes.get(id).and_then(|of| self.destinations.get_mut(of));
+        let Some((to, at)) = home.and_then(|to| to.lane_of(id).map(|at| (to, at))) else { return };
+        to.lanes[at].chill(self.here.now);
+        let target = to.lanes[at].target_mut(id).expect("at home");
+        (target.failures, target.shunned_until) = (0, 0.0);
+    }
+
     /// The process ends then; a call still out may have run, so that none begins in the last moments.
     pub fn closing(&mut self, ends: Ms) {
         self.sends_until = Moment(ends - LEAST_TIME);
@@ -512,7 +522,7 @@
                 }
                 // A call whose connection is not up may be written after the grace, the window or inside the wait.
                 let late = target.listing != Listing::Running || lane.closed_until > now;
-                if target.out > 0 && (late || lapsed.contains(&target.id)) {
+                if (target.out > 0 || lane.ping_out) && (late || lapsed.contains(&target.id)) {
                     out.take_back(&target.id);
                 }
             }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -25,6 +25,8 @@
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub mgmt: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     pub memory: u64,
@@ -79,6 +81,14 @@
     let address = |(name, value): (String, String)| -> Plain<SocketAddr> {
         value.parse().map_err(|_| format!("{name}: {value:?} is not an address with a port"))
     };
+    let listen = address(either("PROXY_LISTEN", "listen")?)?;
+    let there = variable("PROXY_MGMT").is_some() || present(root, "mgmt").is_some();
+    let mgmt = there.then(|| either("PROXY_MGMT", "mgmt")).transpose()?;
+    let mgmt = mgmt.map(|(name, value)| match address((name.clone(), value))? {
+        // Any port is another one each time.
+        same if same == listen && same.port() != 0 => Err(format!("{name}: {same} is the clients' address")),
+        other => Ok(other),
+    });
     let seed = text(root, "seed")?;
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?;
     let limits = object(root, "limits")?;
@@ -95,7 +105,8 @@
     let (terms, names) = terms(settings, "settings", seed)?;
     Ok(Told {
         name: either("PROXY_NAME", "name")?.1,
-        listen: address(either("PROXY_LISTEN", "listen")?)?,
+        listen,
+        mgmt: mgmt.transpose()?,
         discovery: address(either("PROXY_DISCOVERY", "discovery")?)?,
         state: variable("PROXY_STATE").ok_or("PROXY_STATE: is not set")?.into(),
         memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 
 fn config() -> Value {
-    json!({"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+    json!({"name": "n3", "listen": "127.0.0.1:7", "mgmt": "127.0.0.1:8", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
         "known": {"revision": 1, "complete": true, "members": []},
         "settings": {"me": 0, "balancers": 2, "shapes": ["k"], "zones": ["z"], "zone": "z",
@@ -39,6 +39,8 @@
 
 #[rstest]
 #[case("/listen", json!("here"), "listen: \"here\" is not an address")]
+#[case("/mgmt", json!("127.0.0.1:7"), "mgmt: 127.0.0.1:7 is the clients' address")]
+#[case("/mgmt", json!("there"), "mgmt: \"there\" is not an address")]
 #[case("/seed", json!("xyz"), "seed: \"xyz\" is not hexadecimal")]
 #[case("/limits/disk_mb", json!(0), "limits.disk_mb: 0 is under")]
 #[case("/limits/sockets", json!("many"), "limits.sockets: a number is missing")]
@@ -51,7 +53,7 @@
 fn the_faulty_key_is_named(#[case] at: &str, #[case] value: Value, #[case] message: &str) {
     let mut config = config();
     *config.pointer_mut(at).expect("stands there") = value;
-    let name = at.replace('/', "-");
+    let name = format!("{at}{value}").replace(|c: char| !c.is_alphanumeric(), "-");
     let said = read(&name, &config).map(|_| ()).expect_err("is wrong");
     assert!(said.contains(message), "{said}");
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -457,7 +457,7 @@
     let mut host = plain();
     let known = |host: &Host, of| host.forwarder.knows(DestinationId(of));
     assert!(known(&host, 1) && !known(&host, 70_000));
-    host.at(10.0, |f| f.left(&target("t")));
+    host.at(10.0, |f| f.relisted(&target("t"), Listing::Gone));
     host.idle(50_000.0);
     assert!(known(&host, 1), "its next targets may be on the way");
     host.idle(70_100.0);
@@ -528,10 +528,10 @@
 #[rstest]
 fn a_route_that_left_and_came_back_is_still_waited_for() {
     let mut host = plain();
-    host.at(0.0, |f| f.left(&target("w")));
+    host.at(0.0, |f| f.relisted(&target("w"), Listing::Gone));
     host.take(1.0, "a", RETRIABLE, 3, None);
     host.ends_with(2.0, "a", Fate::Full, 5000.0);
-    host.at(3.0, |f| f.left(&target("v")));
+    host.at(3.0, |f| f.relisted(&target("v"), Listing::Gone));
     host.at(4.0, |f| f.listed(target("v"), DestinationId(3), KindId(1), ZoneId(0), Listing::Running));
     assert!(host.idle(4000.0).is_empty());
     assert_eq!(sends(&host.take(60_000.0, "b", RETRIABLE, 3, None)), 1);
