--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -52,8 +52,8 @@
 #[case("/settings/zone", json!("nowhere"), "settings.zone: \"nowhere\" is not in the settings")]
 fn the_faulty_key_is_named(#[case] at: &str, #[case] value: Value, #[case] message: &str) {
     let mut config = config();
-    *config.pointer_mut(at).expect("stands there") = value;
     let name = format!("{at}{value}").replace(|c: char| !c.is_alphanumeric(), "-");
+    *config.pointer_mut(at).expect("stands there") = value;
     let said = read(&name, &config).map(|_| ()).expect_err("is wrong");
     assert!(said.contains(message), "{said}");
 }
