A new version takes over from the running process on a Unix socket in the state folder

The process that holds the folder's lock stands still at the end of a round, hands over its module's state, listener and connections, and relays what it still has out; the change of owner is one frame in the ledger.

--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -14,16 +14,17 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use plankhill::interface::*;
 use plankhill_buffers::Buffer;
+use plankhill_handover::{Verdict, Word};
 use plankhill_http1::{self as http1, Chunks, HeadSearch, Malformed, RequestHead};
 use plankhill_terms::Told;
 use slog::{debug, info, warn};
 
 use crate::counted::Counted;
 use crate::exchange::{is_gone, is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
-use crate::operators;
-use crate::rounds::{CameIn, Event, Handed, Verdict};
+use crate::rounds::{CameIn, Event, Handed};
 use crate::targets::most_idle;
 use crate::Common;
+use crate::{operators, passes};
 
 /// A request has to be whole so long after its first byte, the first one so long after it could come: a
 /// client that sends none hears so within the three seconds that it is owed.
@@ -57,55 +58,81 @@
     }
 }
 
-pub async fn listen(common: Common, listener: Async<TcpListener>, to_rounds: Sender<CameIn>) {
-    // What the targets, discovery and the files do not need; the last of them are told that it is full.
-    let callers = common.told.mgmt.map_or(0, |_| operators::MOST + 1);
-    let others = most_idle(&common.told) + common.told.terms.slots + FILES + callers;
-    let at_all = common.told.sockets.saturating_sub(others).max(1);
-    let door = Rc::new(Door { most: at_all - at_all / 8, ..Door::default() });
-    let mut incoming = Box::pin(listener.incoming());
-    loop {
-        match incoming.next().await {
-            None => return,
-            Some(Ok(stream)) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                let full = !door.has_room();
-                let mut counted = Counted::new(&door.open, at_all);
-                // Some that were to make room go on with what just came, but once only.
-                while counted.is_none() && door.has_room() {
-                    future::yield_now().await;
-                    counted = Counted::new(&door.open, at_all);
-                }
-                let Some(counted) = counted else {
-                    // All of them are being served.
-                    let mut message = Vec::with_capacity(128);
-                    let _ = http1::response(
-                        &mut message,
-                        503,
-                        &[("Retry-After", &1), ("Connection", &"close")],
-                        0,
-                    );
-                    let _ = (&mut stream.get_ref()).write(&message);
+/// The clients' connections, those that are accepted and those that another process passes on.
+#[derive(Clone)]
+pub struct Clients {
+    common: Common,
+    to_rounds: Sender<CameIn>,
+    door: Rc<Door>,
+}
+
+impl Clients {
+    pub fn new(common: Common, to_rounds: Sender<CameIn>) -> Self {
+        let door = Rc::new(Door { open: common.clients.clone(), ..Door::default() });
+        Clients { common, to_rounds, door }
+    }
+
+    /// As many are served at most: what the targets, discovery, the files and operators do not need, nor the
+    /// process that this one took over from.
+    fn most(&self) -> usize {
+        let told = &self.common.told;
+        let callers = told.mgmt.map_or(0, |_| operators::MOST + 1);
+        let others = most_idle(told) + told.terms.slots + FILES + callers + self.common.aside.get();
+        told.sockets.saturating_sub(others).max(1)
+    }
+
+    pub async fn listen(self, listener: Async<TcpListener>) {
+        let door = &self.door;
+        let mut incoming = Box::pin(listener.incoming());
+        while let Some(came) = incoming.next().await {
+            let stream = match came {
+                Ok(stream) => stream,
+                Err(e) => {
+                    warn!(self.common.log, "a connection cannot be accepted"; "error" => %e);
+                    Timer::after(PAUSE).await;
                     continue;
-                };
-                let client = Client {
-                    common: common.clone(),
-                    to_rounds: to_rounds.clone(),
-                    stream,
-                    full,
-                    door: door.clone(),
-                    _counted: counted,
-                };
-                common.executor.spawn(client.run()).detach();
-                // Those that made room end now, and what was accepted is read before more is.
+                }
+            };
+            let _ = stream.get_ref().set_nodelay(true);
+            // The last of them are told that it is full.
+            let most = self.most();
+            door.most.set(most - most / 8);
+            let full = !door.has_room();
+            let mut counted = Counted::new(&door.open, most);
+            // Some that were to make room go on with what just came, but once only.
+            while counted.is_none() && door.has_room() {
                 future::yield_now().await;
+                counted = Counted::new(&door.open, most);
             }
-            Some(Err(e)) => {
-                warn!(common.log, "a connection cannot be accepted"; "error" => %e);
-                Timer::after(PAUSE).await;
-            }
+            let Some(counted) = counted else {
+                // All of them are being served.
+                let mut message = Vec::with_capacity(128);
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("Retry-After", &1), ("Connection", &"close")];
+                let _ = http1::response(&mut message, 503, &fields, 0);
+                let _ = (&mut stream.get_ref()).write(&message);
+                continue;
+            };
+            self.serve(stream, full, counted, Waits::Silent, READING);
+            // Those that made room end now, and what was accepted is read before more is.
+            future::yield_now().await;
+        }
+    }
+
+    /// A connection on which another process waited for the next request.
+    pub fn take_over(&self, stream: Stream, asked: u64, left: Duration) {
+        let waits = [Waits::Silent, Waits::Once, Waits::Idle][asked.min(2) as usize];
+        if let Some(counted) = Counted::new(&self.door.open, self.most()) {
+            self.serve(stream, false, counted, waits, left);
         }
     }
+
+    fn serve(&self, stream: Stream, full: bool, counted: Counted, waits: Waits, left: Duration) {
+        let Clients { common, to_rounds, door } = self.clone();
+        let executor = common.executor.clone();
+        let client = Client { common, to_rounds, stream, full, door, _counted: counted };
+        executor.spawn(client.run(waits, Instant::now() + left)).detach();
+    }
 }
 
 struct Client {
@@ -147,7 +174,7 @@
 struct Door {
     open: Rc<Cell<usize>>,
     /// With as many open, others make room for each that comes.
-    most: usize,
+    most: Cell<usize>,
     entered: Cell<u64>,
     waiting: RefCell<BTreeMap<(Waits, u64), Waiting>>,
     unsaid: Cell<usize>,
@@ -158,7 +185,7 @@
     /// Whether one more finds room. Those that have waited for the least, longest, stop waiting for it: as
     /// many as are open too many, for some of them go on with what just came.
     fn has_room(&self) -> bool {
-        let too_many = (self.open.get() + 1).saturating_sub(self.most);
+        let too_many = (self.open.get() + 1).saturating_sub(self.most.get());
         too_many == 0 || (0..too_many).filter(|_| self.make_room()).count() > 0
     }
 
@@ -214,13 +241,18 @@
 }
 
 impl Client {
-    async fn run(mut self) {
+    async fn run(mut self, mut waits: Waits, mut by: Instant) {
         let mut begun = None;
-        let (mut waits, mut by) = (Waits::Silent, Instant::now() + READING);
         let door = self.door.clone();
         loop {
-            if begun.is_none() && !self.has_more(waits, by).await {
-                return;
+            if begun.is_none() {
+                let more = self.has_more(waits, by).await;
+                if let Some(to) = self.common.passes.to() {
+                    return self.pass(to, waits, by).await;
+                }
+                if !more {
+                    return;
+                }
             }
             if waits != Waits::Silent {
                 by = Instant::now() + READING;
@@ -259,6 +291,19 @@
         }
     }
 
+    /// The process that takes over serves it on, with what lies unread in it.
+    async fn pass(self, to: Sender<passes::Told>, waits: Waits, by: Instant) {
+        let asked = match waits {
+            Waits::Silent => 0,
+            Waits::Once => 1,
+            _ => 2,
+        };
+        let left = by.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        if let Ok(stream) = self.stream.into_inner() {
+            let _ = to.send((Word::Client { asked, left }, Some(stream.into()))).await;
+        }
+    }
+
     fn fresh(&self) -> Option<Begun> {
         // Calls are not to want for one, nor clients where the memory is small for the slots.
         let pool = &self.common.pool;
@@ -278,7 +323,8 @@
         let readable = async {
             let _ = self.stream.readable().await;
         };
-        let more = self.door.waits(waits, by, future::or(readable, closes)).await.is_ok();
+        let over = future::or(closes, self.common.passes.opens());
+        let more = self.door.waits(waits, by, future::or(readable, over)).await.is_ok();
         // What has come by then is still answered.
         more && !self.common.gate.is_shut() || !is_quiet(&self.stream)
     }
@@ -379,7 +425,7 @@
         let (answer, verdict) = async_channel::bounded(1);
         let id = event.id.clone();
         let patience_ends = self.common.clock.now() + event.patience;
-        let number = self.door.number();
+        let number = self.common.number();
         let handed = Handed { number, event, patience_ends, body, answer };
         if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
             return self.tell(Verdict::Refused(None), true).await;
--- a/forwarder/src/clock.rs
+++ b/forwarder/src/clock.rs
@@ -1,31 +1,47 @@
 //! The system clock's time at the start, carried on by the monotonic clock: it never jumps in a life, and
 //! what is written down with it can be read in the next.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
 use plankhill::interface::Ms;
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct Clock {
     started: Instant,
-    unix: Ms,
+    unix: Rc<Cell<Ms>>,
 }
 
 impl Clock {
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
+        Clock { started: Instant::now(), unix: Rc::new(Cell::new(system())) }
+    }
+
+    /// Goes by the clock of a process that this one takes over from, which is so far ahead of the system's.
+    pub fn follow(&self, ahead: Ms) {
+        self.unix.set(self.unix.get() + ahead - self.ahead());
+    }
+
+    /// Of the system's clock, which may have been set since the start.
+    pub fn ahead(&self) -> Ms {
+        self.now() - system()
     }
 
     pub fn now(&self) -> Ms {
-        self.unix + self.started.elapsed().as_secs_f64() * 1000.0
+        self.unix.get() + self.started.elapsed().as_secs_f64() * 1000.0
     }
 
     pub fn instant(&self, at: Ms) -> Instant {
-        self.started + millis(at - self.unix)
+        self.started + millis(at - self.unix.get())
     }
 }
 
+fn system() -> Ms {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    unix.as_secs_f64() * 1000.0
+}
+
 /// A span for the timers: none ends before it begins, and none is longer than a year.
 pub fn millis(span: Ms) -> Duration {
     Duration::from_secs_f64((span / 1000.0).clamp(0.0, 365.0 * 86_400.0))
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -4,18 +4,24 @@
 mod clients;
 mod clock;
 mod counted;
+mod elder;
 mod exchange;
 mod gate;
+mod heir;
 mod kept;
 mod left_out;
 mod list;
 mod notices;
 mod operators;
+mod passes;
+mod relay;
+mod roster;
 mod rounds;
 mod targets;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixListener;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -23,15 +29,18 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{future, StreamExt};
 use plankhill_buffers::Pool;
-use plankhill_ledger::Ledger;
+use plankhill_handover::Lock;
+use plankhill_ledger::{Ledger, Owed};
 use plankhill_terms::{fields::Plain, Told};
 use slog::{info, o, warn, Drain, Logger};
 
+use crate::clients::Clients;
 use crate::clock::{millis, Clock};
 use crate::gate::Gate;
 use crate::left_out::LeftOut;
+use crate::passes::Passes;
 
 /// What every actor is given.
 #[derive(Clone)]
@@ -47,6 +56,21 @@
     pub gate: Rc<Gate>,
     /// Whether this process decides, can write down what it takes on, and knows where to deliver it.
     pub ready: Rc<Cell<bool>>,
+    /// Clients' connections.
+    pub clients: Rc<Cell<usize>>,
+    /// Descriptors that the process it took over from still holds.
+    pub aside: Rc<Cell<usize>>,
+    /// Of the last request that handed in an event.
+    pub numbers: Rc<Cell<u64>>,
+    /// To the process that takes over.
+    pub passes: Rc<Passes>,
+}
+
+impl Common {
+    pub fn number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
 }
 
 /// As many connections wait to be accepted: several times what clients open in a burst.
@@ -67,17 +91,6 @@
     let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
     let log = Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
-    let (ledger, owed) = Ledger::open(&told.state, told.disk)
-        .map_err(|e| format!("PROXY_STATE: the ledger in {}: {e}", told.state.display()))?;
-    let left_out = LeftOut::open(&told.state, told.disk)?;
-    let bind = |name: &str, address| {
-        Async::<std::net::TcpListener>::bind(address)
-            .map_err(|e| format!("{name}: {address} cannot be listened on: {e}"))
-    };
-    let callers = told.mgmt.map(|address| bind("PROXY_MGMT", address)).transpose()?;
-    let listener = bind("PROXY_LISTEN", told.listen)?;
-    // The library's queue of 128 would overflow when many connect at once, and all others wait a second.
-    rustix::net::listen(&listener, QUEUE).map_err(|e| format!("PROXY_LISTEN: {e}"))?;
     let common = Common {
         executor: Rc::new(LocalExecutor::new()),
         // Half of the memory is for bodies and messages under way.
@@ -87,53 +100,143 @@
         discovery: Rc::new(Cell::new(told.discovery)),
         gate: Rc::default(),
         ready: Rc::default(),
+        clients: Rc::default(),
+        aside: Rc::default(),
+        numbers: Rc::default(),
+        passes: Rc::default(),
         told,
     };
     let executor = common.executor.clone();
-    let starts = Starts { ledger, owed, left_out, known, listener, callers };
-    async_io::block_on(executor.run(serve(common, starts)))
+    async_io::block_on(executor.run(serve(common, known)))
+}
+
+fn bind(key: &str, address: SocketAddr) -> Plain<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: {address} cannot be listened on: {e}"))
 }
 
-/// What a process starts from.
-struct Starts {
+/// What a process starts from when no other holds the folder.
+struct Alone {
+    lock: Option<Lock>,
     ledger: Ledger,
-    owed: Vec<plankhill_ledger::Owed>,
+    owed: Vec<Owed>,
     left_out: LeftOut,
-    known: serde_json::Value,
-    listener: Async<std::net::TcpListener>,
-    callers: Option<Async<std::net::TcpListener>>,
+    listener: Async<TcpListener>,
 }
 
-async fn serve(common: Common, starts: Starts) -> Plain<()> {
-    let Starts { ledger, owed, left_out, known, listener, callers } = starts;
+impl Alone {
+    fn start(told: &Told, lock: Option<Lock>) -> Plain<Self> {
+        let (ledger, owed) = Ledger::open(&told.state, told.disk)
+            .map_err(|e| format!("PROXY_STATE: the ledger in {}: {e}", told.state.display()))?;
+        let left_out = LeftOut::open(&told.state, told.disk)?;
+        let listener = bind("PROXY_LISTEN", told.listen)?;
+        // The library's queue of 128 would overflow when many connect at once, and all others wait a second.
+        rustix::net::listen(&listener, QUEUE).map_err(|e| format!("PROXY_LISTEN: {e}"))?;
+        Ok(Alone { lock, ledger, owed, left_out, listener })
+    }
+}
+
+async fn serve(common: Common, known: serde_json::Value) -> Plain<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("signals cannot be waited for: {e}"))?;
-    let (log, executor) = (common.log.clone(), common.executor.clone());
-    info!(log, "starts"; "listen" => %listener.get_ref().local_addr().unwrap_or(common.told.listen), "owed" => owed.len());
+    let (log, executor, told) = (common.log.clone(), common.executor.clone(), common.told.clone());
     let (to_rounds, came_in) = async_channel::bounded(rounds::MAILBOX);
     let (to_notices, owed_notices) = async_channel::bounded(notices::MAILBOX);
+    let lock = Lock::take(&told.state);
+    let alone = match lock {
+        Ok(None) => None,
+        Ok(lock) => Some(Alone::start(&told, lock)?),
+        Err(e) => {
+            // Nobody can be told from its absence: as it was before there were hand-overs.
+            warn!(log, "the folder cannot be locked"; "error" => %e);
+            Some(Alone::start(&told, None)?)
+        }
+    };
+    let callers = told.mgmt.map(|address| bind("PROXY_MGMT", address)).transpose()?;
     let mgmt = callers.as_ref().and_then(|callers| callers.get_ref().local_addr().ok());
+    let _callers = callers.map(|c| executor.spawn(operators::listen(common.clone(), c, to_rounds.clone())));
+    // Before the folder is asked for: nobody decides while a process takes over.
+    let known = list::at_start(&common, known).await;
+    let start = match alone {
+        Some(alone) => Ok(alone),
+        None => match heir::take_over(&common).await? {
+            heir::Start::Alone(lock) => Ok(Alone::start(&told, Some(lock))?),
+            heir::Start::Inherits(inherited) => Err(inherited),
+        },
+    };
+    let clients = Clients::new(common.clone(), to_rounds.clone());
+    let new_rounds = |ledger, left_out| {
+        rounds::Rounds::new(common.clone(), ledger, left_out, to_notices, to_rounds.clone())
+    };
+    let (decisions, lock, listener) = match start {
+        Ok(Alone { lock, ledger, owed, left_out, listener }) => {
+            info!(log, "starts"; "listen" => %address_of(&listener, told.listen), "owed" => owed.len());
+            let mut decisions = new_rounds(ledger, left_out);
+            decisions.restore(&known, owed);
+            (decisions, lock, listener)
+        }
+        Err(inherited) => {
+            let heir::Inherited { state, forwarder, listener, ledger, owed, left_out, lock, passage, ears } =
+                *inherited;
+            info!(log, "takes over"; "listen" => %address_of(&listener, told.listen), "owed" => owed.len(),
+                "calls_out" => state.out.len());
+            let (to_elder, words) = async_channel::bounded(heir::MAILBOX);
+            let elder = heir::Elder {
+                common: common.clone(),
+                clients: clients.clone(),
+                to_rounds: to_rounds.clone(),
+                to: to_elder.clone(),
+                out: state.out.iter().cloned().collect(),
+                pings: state.pings.iter().cloned().collect(),
+            };
+            let mut decisions = new_rounds(ledger, left_out);
+            decisions.inherit(forwarder, state, owed, to_elder);
+            decisions.resume(&known);
+            executor.spawn(heir::tells(passage, words)).detach();
+            executor.spawn(elder.run(ears)).detach();
+            (decisions, Some(lock), listener)
+        }
+    };
     if let Some(mgmt) = mgmt {
         info!(log, "operators may call"; "mgmt" => %mgmt);
     }
-    let _callers = callers.map(|c| executor.spawn(operators::listen(common.clone(), c, to_rounds.clone())));
-    let mut decisions = rounds::Rounds::new(common.clone(), ledger, left_out, to_notices, to_rounds.clone());
-    let known = list::at_start(&common, known).await;
-    decisions.restore(&known, owed);
     let rounds = executor.spawn(decisions.run(came_in));
-    let _notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
+    let notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
     let (moves, moved) = async_channel::bounded(1);
-    let _list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
-    let _clients = executor.spawn(clients::listen(common.clone(), listener, to_rounds.clone()));
+    let list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
+    let heirs = lock.and_then(|lock| hall(&common, lock, &listener, &to_rounds));
+    let accepts = executor.spawn(clients.listen(listener));
 
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        read_again(&common, &moves);
+    let handed_over = async {
+        match heirs {
+            Some((hall, asked)) => elder::listen(hall, asked).await,
+            None => future::pending().await,
+        }
+        None
+    };
+    let mut handed_over = executor.spawn(handed_over);
+    loop {
+        match future::or(async { Some(signals.next().await) }, &mut handed_over).await {
+            Some(Some(Ok(Signal::Hup))) => read_again(&common, &moves),
+            Some(_) => break,
+            None => {
+                // The new process does all that now; what is left here ends by itself, or as it is told to.
+                drop((notices, list, accepts));
+                let told = async {
+                    while let Some(Ok(Signal::Hup)) = signals.next().await {}
+                    info!(log, "closes");
+                    Timer::after(millis(told.closing_time)).await;
+                };
+                future::or(rounds, told).await;
+                info!(log, "ends");
+                return Ok(());
+            }
+        }
     }
     info!(log, "closes");
     common.gate.end();
     let _ = to_rounds.send(rounds::CameIn::Closing).await;
     // Requests still come for a moment; each of them is answered.
-    let (least, most) = (Timer::after(millis(common.told.closing_least)), millis(common.told.closing_time));
+    let (least, most) = (Timer::after(millis(told.closing_least)), millis(told.closing_time));
     let all_ended = async {
         rounds.await;
         least.await;
@@ -143,6 +246,33 @@
     Ok(())
 }
 
+fn address_of(listener: &Async<TcpListener>, told: SocketAddr) -> SocketAddr {
+    listener.get_ref().local_addr().unwrap_or(told)
+}
+
+/// Where a new version asks; none where there is no Unix socket to be had.
+fn hall(
+    common: &Common,
+    lock: Lock,
+    listener: &Async<TcpListener>,
+    to_rounds: &Sender<rounds::CameIn>,
+) -> Option<(elder::Hall, Async<UnixListener>)> {
+    let made = plankhill_handover::bind(&common.told.state)
+        .and_then(|asked| Ok((asked, elder::listener_of(listener)?)));
+    match made {
+        Ok((asked, listener)) => {
+            let (common, to_rounds) = (common.clone(), to_rounds.clone());
+            Some((elder::Hall { common, to_rounds, lock, listener }, asked))
+        }
+        Err(e) => {
+            warn!(common.log, "no new version can take over"; "error" => %e);
+            // The folder stays locked as long as the process lives.
+            std::mem::forget(lock);
+            None
+        }
+    }
+}
+
 /// What the file of the configuration says now: discovery may have moved, the rest waits for a new start.
 fn read_again(common: &Common, moves: &Sender<()>) {
     let told = match plankhill_terms::told_again(|name| std::env::var(name).ok()) {
--- a/forwarder/src/operators.rs
+++ b/forwarder/src/operators.rs
@@ -12,7 +12,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use plankhill_http1::{self as http1, HeadSearch, RequestHead};
-use plankhill_operators::{asked, Asked, Order, Refused};
+use plankhill_operators::{asked, Asked, Order, Refused, Reply};
 use slog::warn;
 
 use crate::counted::Counted;
@@ -33,14 +33,6 @@
 /// A head and a body that means nothing.
 const LONGEST: usize = 8 * 1024;
 
-/// What came of an order.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Reply {
-    Done,
-    NeverListed,
-    NotRecorded,
-}
-
 #[derive(Clone)]
 struct Desk {
     common: Common,
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -4,22 +4,25 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
+use plankhill_handover::{State, Verdict, Word};
 use plankhill_ledger::{Ledger, Outcome, Owed, Taken};
-use plankhill_operators::Order;
+use plankhill_operators::{Order, Reply};
 use serde_json::Value;
 use slog::{debug, error, info, warn};
 
-use crate::exchange::{until, Body};
+use crate::exchange::{until, Body, Stream};
 use crate::left_out::{Done, LeftOut};
 use crate::notices::{self, Notice};
-use crate::operators::Reply;
-use crate::targets::{self, Reach, Sending, ToTarget};
+use crate::passes::Told;
+use crate::relay::Relay;
+use crate::roster::Roster;
+use crate::targets::{Reach, Sending, ToTarget};
 use crate::{list, Common};
 
 /// Those who wait to be heard beyond that wait at their end.
@@ -43,6 +46,13 @@
     List(Value),
     /// The target's actor has ended: it had nothing left to own.
     AtRest(TargetId),
+    /// The process that this one took over from had a connection to the target, idle since then.
+    Kept(TargetId, Stream, Instant),
+    /// A new process is to take over: stand still once this round is over.
+    HandOver {
+        state: Sender<StoodStill>,
+        outcome: Receiver<After>,
+    },
     Heard(Vec<EventId>),
     /// What operators ask; who asked waits for the reply.
     Operator(Order, Sender<Reply>),
@@ -68,13 +78,21 @@
     pub answer: Sender<Verdict>,
 }
 
-/// What the client is to be told.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Verdict {
-    TakenOn,
-    /// It may come again, after that time if one is told.
-    Refused(Option<Ms>),
-    Failed,
+/// The decisions stand still, and so does the ledger.
+pub struct StoodStill {
+    pub state: State,
+    /// The ledger's length in bytes.
+    pub ledger: u64,
+    pub since: Instant,
+}
+
+/// How they go on.
+pub enum After {
+    GoesOn,
+    /// Another process decides: words to it, and from it.
+    Relays(Sender<Told>, Receiver<Word>),
+    /// Another process decided, and has ended.
+    Ends,
 }
 
 /// What is kept of an event until it ends.
@@ -87,13 +105,6 @@
     answer: Option<Sender<Verdict>>,
 }
 
-struct Target {
-    /// Of its actor, while it has one.
-    mailbox: Option<Sender<ToTarget>>,
-    address: SocketAddr,
-    zone: ZoneId,
-}
-
 /// The ids of events that are over: a copy of one, handed in by whomever, must not be taken for a new event.
 #[derive(Default)]
 struct Past {
@@ -103,6 +114,8 @@
 
 /// A copy comes at about the time of its event; patience on the longest of days is less.
 const REMEMBERED: Ms = 30_000.0;
+/// Requests that a process numbers after it handed over: far fewer.
+const NUMBERED_AFTER: u64 = 1 << 32;
 /// Past that many the oldest go first: some megabyte.
 const MOST_PAST: usize = 8192;
 
@@ -124,15 +137,18 @@
 /// All that the decisions are carried out with.
 struct Hands {
     common: Common,
-    reach: Reach,
     ledger: Ledger,
     left_out: LeftOut,
     now: Ms,
     held: HashMap<EventId, Held>,
+    /// Targets with a ping out.
+    pings: HashSet<TargetId>,
+    /// The process that this one took over from, while it has calls out.
+    elder: Option<Sender<Told>>,
     /// Events with a send out, also those that are over: an id is not taken again before that has ended.
     out: HashSet<EventId>,
     past: Past,
-    targets: HashMap<TargetId, Target>,
+    targets: Roster,
     outbox: Vec<(TargetId, ToTarget)>,
     notices: Vec<Notice>,
     unheard: usize,
@@ -144,6 +160,8 @@
     forwarder: Forwarder,
     to_notices: Sender<Notice>,
     closing: bool,
+    /// A new process is to take over once the round is over.
+    asked: Option<(Sender<StoodStill>, Receiver<After>)>,
 }
 
 impl Rounds {
@@ -159,20 +177,21 @@
         let reach = Reach { common: common.clone(), to_rounds, idle: Rc::new(Cell::new(0)) };
         let hands = Hands {
             common,
-            reach,
             ledger,
             left_out,
             now,
             held: HashMap::new(),
+            pings: HashSet::new(),
+            elder: None,
             out: HashSet::new(),
             past: Past::default(),
-            targets: HashMap::new(),
+            targets: Roster::new(reach),
             outbox: Vec::new(),
             notices: Vec::new(),
             unheard: 0,
             wake_at: None,
         };
-        Rounds { hands, forwarder, to_notices, closing: false }
+        Rounds { hands, forwarder, to_notices, closing: false, asked: None }
     }
 
     /// Serves until it is closing and nothing is held or unheard.
@@ -191,15 +210,44 @@
                 came_in.push(next);
             }
             self.round(came_in);
+            if let Some((state, outcome)) = self.asked.take() {
+                match self.stand_still(state, outcome).await {
+                    After::GoesOn => self.hands.wake_at = Some(self.hands.common.clock.now()),
+                    After::Relays(to, from) => return self.relay(to, from).run(mailbox).await,
+                    After::Ends => return,
+                }
+            }
+        }
+    }
+
+    async fn stand_still(&self, state: Sender<StoodStill>, outcome: Receiver<After>) -> After {
+        let (since, ledger) = (Instant::now(), self.hands.ledger.length());
+        match self.hands.state(&self.forwarder) {
+            Ok(own) => {
+                let _ = state.try_send(StoodStill { state: own, ledger, since });
+                drop(state);
+                outcome.recv().await.unwrap_or(After::GoesOn)
+            }
+            Err(e) => {
+                error!(self.hands.common.log, "the state cannot be handed over"; "error" => %e);
+                After::GoesOn
+            }
         }
     }
 
+    /// Ledger, bodies and decisions go with it: they are the other's now.
+    fn relay(self, to: Sender<Told>, from: Receiver<Word>) -> Relay {
+        let Hands { common, targets, out, pings, .. } = self.hands;
+        common.ready.set(false);
+        Relay { common, targets, out, pings, to, from }
+    }
+
     /// The first round: the list, and what an earlier process noted of its targets and still owes.
     pub fn restore(&mut self, list: &Value, owed: Vec<Owed>) {
         self.decide(|forwarder, hands| {
             hands.listed(forwarder, list);
             // What went while no process ran is not in the list, and no word of it will come.
-            hands.ledger.forget_targets(|target| hands.targets.contains_key(&TargetId(target.into())));
+            hands.ledger.forget_targets(|target| hands.targets.holds(&TargetId(target.into())));
             for (target, since, usual) in hands.ledger.cold() {
                 forwarder.was_cold(&TargetId(target.into()), since, usual);
             }
@@ -207,11 +255,34 @@
         });
     }
 
+    /// The first round of a process that takes over: the list may have news. What the module kept is read
+    /// before, by `Rounds::inherit`.
+    pub fn resume(&mut self, list: &Value) {
+        self.decide(|forwarder, hands| {
+            hands.listed(forwarder, list);
+            hands.ledger.forget_targets(|target| hands.targets.holds(&TargetId(target.into())));
+        });
+        // Much may be due.
+        self.hands.wake_at = Some(self.hands.common.clock.now());
+    }
+
+    /// Goes on from what another process handed over, of which `elder` still has calls out.
+    pub fn inherit(&mut self, forwarder: Forwarder, state: State, owed: Vec<Owed>, elder: Sender<Told>) {
+        self.forwarder = forwarder.resumed(self.hands.common.told.terms.clone());
+        self.hands.inherit(state, owed);
+        self.hands.elder = Some(elder);
+    }
+
     fn round(&mut self, came_in: Vec<CameIn>) {
         self.closing |= came_in.iter().any(|what| matches!(what, CameIn::Closing));
         let mut accepted = Vec::with_capacity(came_in.len());
         let mut fresh = Vec::new();
         for what in came_in {
+            if let CameIn::HandOver { state, outcome } = what {
+                // One that ends hands nothing over: the folder is free soon.
+                self.asked = (!self.closing).then_some((state, outcome));
+                continue;
+            }
             if let CameIn::Event(handed) = &what {
                 let known = self.forwarder.knows(handed.event.destination);
                 if self.closing || !known || !self.hands.takes(handed) {
@@ -246,7 +317,7 @@
     }
 
     fn decide(&mut self, came_in: impl FnOnce(&mut Forwarder, &mut Hands)) {
-        let Rounds { hands, forwarder, to_notices, closing } = self;
+        let Rounds { hands, forwarder, to_notices, closing, .. } = self;
         let mut writes = true;
         hands.now = hands.common.clock.now();
         if hands.wake_at.is_some_and(|at| at <= hands.now) {
@@ -269,6 +340,43 @@
 }
 
 impl Hands {
+    /// What another process needs besides what stands in the folder.
+    fn state(&self, forwarder: &Forwarder) -> Result<State, rmp_serde::encode::Error> {
+        Ok(State {
+            ahead: self.common.clock.ahead(),
+            module: rmp_serde::to_vec(forwarder)?,
+            numbers: self.held.iter().map(|(id, held)| (id.clone(), held.number)).collect(),
+            next_number: self.common.numbers.get() + NUMBERED_AFTER,
+            out: self.out.iter().cloned().collect(),
+            pings: self.pings.iter().cloned().collect(),
+            past: self.past.by_end.iter().cloned().collect(),
+            once_listed: self.left_out.bans.remembered().map(str::to_owned).collect(),
+            drained: self.common.gate.is_drained(),
+        })
+    }
+
+    /// Goes on where another process stood still; what it owed stands in the ledger.
+    fn inherit(&mut self, state: State, owed: Vec<Owed>) {
+        let numbers: HashMap<EventId, u64> = state.numbers.into_iter().collect();
+        for Owed { taken, ended, .. } in owed {
+            let id = EventId(taken.id.as_ref().into());
+            if let Some((outcome, come_back_after)) = ended {
+                // It may have been heard already; told twice it does no harm.
+                self.notices.push(Notice { event: id, outcome, come_back_after });
+                continue;
+            }
+            let number = numbers.get(&id).copied().unwrap_or(0);
+            let fingerprint = taken.fingerprint.map(|f| f.as_ref().into());
+            let held = Held { number, fingerprint, body: taken.body.as_ref().into(), answer: None };
+            self.held.insert(id, held);
+        }
+        self.out = state.out.into_iter().collect();
+        self.pings = state.pings.into_iter().collect();
+        state.past.iter().for_each(|(at, id)| self.past.add(id, *at));
+        state.once_listed.iter().for_each(|id| self.left_out.bans.remember(id.as_str().into()));
+        self.common.gate.drain(state.drained);
+    }
+
     fn restore(&mut self, to: &mut Forwarder, owed: Owed) {
         let Owed { taken, sends, may_have_run, was_out, ended } = owed;
         let told = self.common.told.clone();
@@ -347,15 +455,20 @@
                 }
             }
             CameIn::PingEnded { target, fate } => {
+                self.pings.remove(&target);
                 if to.ping_ended(&target, fate).is_err() {
                     debug!(self.common.log, "a ping ended at a target that is gone"; "target" => &*target.0);
                 }
             }
             CameIn::List(page) => self.listed(to, &page),
-            CameIn::AtRest(target) => {
-                let target = self.targets.get_mut(&target);
-                target.and_then(|target| target.mailbox.take_if(|mailbox| mailbox.is_closed()));
+            CameIn::AtRest(target) => self.targets.at_rest(&target),
+            CameIn::Kept(target, stream, since) => {
+                let goes_there = stream.get_ref().peer_addr().ok() == self.targets.address(&target);
+                if goes_there {
+                    let _ = self.targets.tell(&target, ToTarget::Returned(stream, since));
+                }
             }
+            CameIn::HandOver { .. } => (), // kept for the end of the round
             CameIn::Heard(events) => {
                 self.unheard -= events.len();
                 for id in events {
@@ -386,18 +499,18 @@
             to,
             |id, address, zone, listing| {
                 named.insert(id.clone());
-                self.place(id, address, zone);
+                self.targets.place(id, address, zone);
                 self.left_out.bans.listed(id, listing)
             },
             |id| gone.push(id.clone()),
             |what| warn!(log, "an entry of the list cannot be read"; "what" => what),
         );
         if whole {
-            gone.extend(self.targets.keys().filter(|id| !named.contains(*id)).cloned());
+            gone.extend(self.targets.ids().filter(|id| !named.contains(*id)).cloned());
         }
         for id in gone {
-            // The actor ends with its mailbox, its connections with their calls.
             self.targets.remove(&id);
+            self.tell_elder(&id);
             self.ledger.forget_target(&id.0);
             self.left_out.bans.left(&id);
         }
@@ -434,69 +547,20 @@
         Reply::Done
     }
 
-    fn place(&mut self, id: &TargetId, address: SocketAddr, zone: ZoneId) {
-        if let Some(target) = self.targets.get_mut(id) {
-            target.zone = zone;
-            if std::mem::replace(&mut target.address, address) != address {
-                // An actor that starts later is told the address then.
-                target.mailbox.as_ref().map(|mailbox| mailbox.try_send(ToTarget::Moved(address)));
-            }
-            return;
-        }
-        self.targets.insert(id.clone(), Target { mailbox: None, address, zone });
-    }
-
-    /// Gives a word to a target's actor, which starts with its first call; what can't be given comes back.
-    fn tell(&mut self, id: &TargetId, word: ToTarget) -> Result<(), ToTarget> {
-        // Room for every call that may be out, its return, and as many words about idle connections. The
-        // mailbox itself takes memory as words come, which a bounded one would take at once.
-        let most = 4 * self.common.told.terms.slots + 16;
-        let Some(target) = self.targets.get_mut(id) else { return Err(word) };
-        let mailbox = match target.mailbox.as_ref().filter(|mailbox| !mailbox.is_closed()) {
-            Some(mailbox) => mailbox,
-            None if matches!(word, ToTarget::Send(_) | ToTarget::Ping) => {
-                let (mailbox, inbox) = async_channel::unbounded();
-                let own = mailbox.downgrade();
-                let actor = targets::run(self.reach.clone(), id.clone(), target.address, inbox, own);
-                self.common.executor.spawn(actor).detach();
-                target.mailbox.insert(mailbox)
-            }
-            // No connection is idle and no call out: there is nothing to close or to take back.
-            None => return Ok(()),
-        };
-        if mailbox.len() >= most {
-            return Err(word);
-        }
-        mailbox.try_send(word).map_err(|e| e.into_inner())
-    }
-
     /// Sends and pings that the ledger could not note never leave; their ends come in with the next round.
     fn unsend(&mut self) {
         for (target, word) in std::mem::take(&mut self.outbox) {
-            self.turn_back(target, word);
+            self.targets.turn_back(target, word);
         }
     }
 
-    fn turn_back(&self, target: TargetId, word: ToTarget) {
-        let ended = match word {
-            ToTarget::Send(send) => CameIn::SendEnded {
-                event: send.event,
-                fate: Fate::NotSent,
-                took: 0.0,
-                over: false,
-                wait: 0.0,
-            },
-            ToTarget::Ping => CameIn::PingEnded { target, fate: Fate::NotSent },
-            _ => return,
-        };
-        let to_rounds = self.reach.to_rounds.clone();
-        self.common.executor.spawn(async move { to_rounds.send(ended).await }).detach();
-    }
-
     fn carry_out(&mut self, to_notices: &Sender<Notice>) {
         for (id, word) in std::mem::take(&mut self.outbox) {
-            if let Err(word) = self.tell(&id, word) {
-                self.turn_back(id, word);
+            if matches!(word, ToTarget::TakeBack) {
+                self.tell_elder(&id);
+            }
+            if let Err(word) = self.targets.tell(&id, word) {
+                self.targets.turn_back(id, word);
             }
         }
         for notice in self.notices.drain(..) {
@@ -507,6 +571,13 @@
         }
     }
 
+    /// The calls of the process before are taken back there.
+    fn tell_elder(&mut self, id: &TargetId) {
+        if let Some(elder) = &self.elder {
+            let _ = elder.try_send((Word::TakeBack(id.clone()), None));
+        }
+    }
+
     fn over(&mut self, event: &EventId) {
         self.ledger.over(&event.0);
         self.past.add(event, self.now);
@@ -532,7 +603,7 @@
 impl Decisions for Hands {
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
         let Some(held) = self.held.get(event) else { return };
-        let zone = self.targets.get(target).map_or(ZoneId(0), |target| target.zone);
+        let zone = self.targets.zone(target);
         self.ledger.sent(&event.0, self.now, &self.common.told.names.zones[zone.0]);
         self.out.insert(event.clone());
         debug!(self.common.log, "sends"; "event" => &*event.0, "target" => &*target.0, "time_out" => time_out);
@@ -547,6 +618,7 @@
         self.ended(event, Outcome::WrittenOff, None)
     }
     fn ping(&mut self, target: &TargetId) {
+        self.pings.insert(target.clone());
         self.outbox.push((target.clone(), ToTarget::Ping));
     }
     fn close_idle(&mut self, target: &TargetId) {
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender, WeakSender};
 use futures_lite::{future, AsyncWriteExt};
 use plankhill::interface::*;
+use plankhill_handover::Word;
 use plankhill_http1::{self as http1, ResponseHead};
 use plankhill_terms::Told;
 use slog::debug;
@@ -28,8 +29,10 @@
     /// Calls of which nothing is written yet are not to be written.
     TakeBack,
     Moved(SocketAddr),
-    /// A connection that a call has done with.
-    Returned(Stream),
+    /// A connection that no call uses since then.
+    Returned(Stream, Instant),
+    /// Idle connections go to the process that takes over.
+    PassIdle,
 }
 
 pub struct Sending {
@@ -106,9 +109,19 @@
                 idle.clear();
                 continue;
             }
-            ToTarget::Returned(stream) => {
+            ToTarget::PassIdle => {
+                for Idle { stream, since, .. } in idle.drain(..) {
+                    pass(&reach, &id, stream, since).await;
+                }
+                continue;
+            }
+            ToTarget::Returned(stream, since) if reach.common.passes.to().is_some() => {
+                pass(&reach, &id, stream, since).await;
+                continue;
+            }
+            ToTarget::Returned(stream, since) => {
                 if let Some(_counted) = Counted::new(&reach.idle, most_idle(&reach.common.told)) {
-                    idle.push(Idle { stream, since: Instant::now(), _counted });
+                    idle.push(Idle { stream, since, _counted });
                 }
                 continue;
             }
@@ -127,6 +140,14 @@
     }
 }
 
+async fn pass(reach: &Reach, target: &TargetId, stream: Stream, since: Instant) {
+    let Some(to) = reach.common.passes.to() else { return };
+    let age = since.elapsed().as_secs_f64() * 1000.0;
+    if let Ok(stream) = stream.into_inner() {
+        let _ = to.send((Word::Idle { target: target.clone(), age }, Some(stream.into()))).await;
+    }
+}
+
 struct Call {
     reach: Reach,
     target: TargetId,
@@ -224,7 +245,7 @@
             Err(_) => End::plain(Fate::Cancelled),
         };
         if let Some(own) = self.own.upgrade().filter(|_| whole.reusable) {
-            let _ = own.try_send(ToTarget::Returned(stream));
+            let _ = own.try_send(ToTarget::Returned(stream, Instant::now()));
         }
         end
     }
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -226,6 +226,19 @@
         self.live -= NOTE * (before - self.cold.len());
     }
 
+    /// Written by a process that takes over, before it decides anything: whoever wrote before sees that the
+    /// record has grown, and stops. It says that an event without an id is over, which every text that reads
+    /// the record passes over.
+    pub fn change_owner(&mut self) -> io::Result<()> {
+        Mark::Over { id: "".into() }.write(&mut self.pending);
+        self.commit()
+    }
+
+    /// What is written, in bytes.
+    pub fn length(&self) -> u64 {
+        self.written as u64
+    }
+
     /// Writes what was marked since the last call; it outlasts the process from now on.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.pending.is_empty() {
@@ -262,6 +275,11 @@
     }
 }
 
+/// Whether the record in the folder has another length than it had: another process writes it.
+pub fn has_grown(folder: &Path, length: u64) -> io::Result<bool> {
+    Ok(fs::metadata(folder.join("ledger"))?.len() != length)
+}
+
 impl Owed {
     fn new(taken: Taken<'static>) -> Self {
         Owed { taken, sends: 0, may_have_run: None, was_out: None, ended: None }
--- a/operators/src/calls.rs
+++ b/operators/src/calls.rs
@@ -1,9 +1,10 @@
 //! A call at the operators' address: its method and path, read into what is asked.
 
 use percent_encoding::percent_decode_str;
+use serde::{Deserialize, Serialize};
 
 /// What operators tell a forwarder to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Leave the target out.
     Disable(Box<str>),
@@ -20,6 +21,14 @@
     Order(Order),
 }
 
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    Done,
+    NeverListed,
+    NotRecorded,
+}
+
 /// Why a call asks for nothing that there is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
--- a/operators/src/lib.rs
+++ b/operators/src/lib.rs
@@ -5,4 +5,4 @@
 mod calls;
 
 pub use bans::{Bans, Change, Damaged};
-pub use calls::{asked, Asked, Order, Refused};
+pub use calls::{asked, Asked, Order, Refused, Reply};
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,12 +9,15 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::*;
 use crate::state::*;
 
 /// What the decisions about one destination read besides it.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Here {
+    #[serde(skip)]
     terms: Terms,
     started: Ms,
     now: Ms,
@@ -26,7 +29,8 @@
     cramped: Vec<Fading>, // by kind: connections refused by targets that were well
 }
 
-#[derive(Default)]
+/// Its serialised form is what a process that takes over decides on from.
+#[derive(Default, Serialize, Deserialize)]
 pub struct Forwarder {
     here: Here,
     taken: u64,
@@ -63,6 +67,12 @@
         Forwarder { here: Here { terms, started: now, now, cramped, ..Here::default() }, ..Self::default() }
     }
 
+    /// Goes on, in another process, with terms of the same names.
+    pub fn resumed(mut self, terms: Terms) -> Self {
+        self.here.terms = terms;
+        self
+    }
+
     /// One round: `came_in` hands over all that arrived, then the decisions are written.
     pub fn round<E, D: Decisions>(
         &mut self,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,31 +3,33 @@
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 /// Milliseconds with fractions, on the clock of the host.
 pub type Ms = f64;
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EventId(pub Rc<str>);
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TargetId(pub Rc<str>);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OrderKey(pub u64);
 
 /// Position in [`Terms::traffic`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrafficId(pub usize);
 
 /// Position in [`Terms::kinds`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KindId(pub usize);
 
 /// Position in the host's list of zones.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneId(pub usize);
 
 /// What a repeat of an event does at its destination.
@@ -79,7 +81,7 @@
 }
 
 /// How the list speaks of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     Running,
     Leaving,
@@ -87,7 +89,7 @@
 }
 
 /// How a send or a ping ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fate {
     Delivered,
     Error,
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,10 +3,12 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::*;
 
 /// A time that can be sorted.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Moment(pub(crate) Ms);
 
 impl Eq for Moment {}
@@ -31,7 +33,7 @@
 }
 
 /// A sum that fades with a given time constant, brought up to date when it is read.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Fading {
     sum: f64,
     at: Ms,
@@ -47,7 +49,7 @@
 }
 
 /// Answers and the time that they took.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct AnswerTimes {
     count: Fading,
     time: Fading,
@@ -64,7 +66,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Event {
     pub(crate) id: EventId,
     pub(crate) traffic: TrafficId,
@@ -85,7 +87,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct KeyLine {
     pub(crate) queue: VecDeque<(u64, DestinationId)>,
     pub(crate) rests_until: Ms,
@@ -93,6 +95,7 @@
 
 pub(crate) type Keys = HashMap<OrderKey, KeyLine>;
 
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Call {
     pub(crate) target: TargetId,
     pub(crate) sent: Ms,
@@ -102,6 +105,7 @@
     pub(crate) reuses: bool, // a connection that had been idle for some time
 }
 
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Target {
     pub(crate) id: TargetId,
     pub(crate) zone: ZoneId,
@@ -121,7 +125,7 @@
 }
 
 /// What shares one limit, one health and one wait: a destination, or one of its routes where they are apart.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Lane {
     pub(crate) targets: Vec<Target>,
     pub(crate) failures: i32,
@@ -147,7 +151,7 @@
 /// In doubt, calls out, and when it last had a turn: the least is next.
 pub(crate) type Turn = (bool, usize, u64);
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub(crate) kind: KindId,
     pub(crate) lanes: Vec<Lane>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -49,6 +49,11 @@
 }
 
 impl Told {
+    /// Traffic types, kinds and zones, whose positions the decisions keep.
+    pub fn all_names(&self) -> [Vec<String>; 3] {
+        [self.names.traffic.clone(), self.names.kinds.clone(), self.names.zones.clone()]
+    }
+
     /// The keys of the file with another value than before that take effect only with a new start.
     pub fn needs_restart<'a>(&'a self, before: &'a Told) -> impl Iterator<Item = &'a str> {
         let differs = |a: &'a Told, b: &'a Told| a.fixed.iter().filter(|pair| !b.fixed.contains(pair));
