Stories of an upgrade: each side ended at each step of the hand-over, on real processes

Two processes on one folder: ordered binding events, half-read requests, connections that stay; a stand-in heir that ends after each word and after its frame; SIGKILL of the old process after the change; another version, a held folder.

--- /dev/null
+++ b/forwarder/tests/upgrade.rs
@@ -0,0 +1,223 @@
+//! A new version starts beside a running process: real processes on one folder, each side ended at each step.
+
+mod peers;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::Path;
+use std::process::Command;
+
+use async_io::block_on;
+use plankhill_handover::{connect, Ears, Passage, Word, VERSION};
+use rstest::rstest;
+
+use peers::*;
+
+const CHARGE: &str = "Cookie: about=5\r\n";
+
+fn names() -> [Vec<String>; 3] {
+    [&["job", "order", "charge"][..], &["k"], &["z"]]
+        .map(|names| names.iter().map(|n| n.to_string()).collect())
+}
+
+/// A new process that says hello.
+fn hello(folder: &Path, version: u32) -> (Passage, Ears) {
+    let passage = block_on(connect(folder)).expect("somebody hears");
+    block_on(passage.tell(&Word::Hello { version, names: names() }, None)).expect("told");
+    let ears = passage.ears();
+    (passage, ears)
+}
+
+#[rstest]
+fn order_connections_and_half_read_requests_go_on_in_the_new_process() {
+    let (first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    let mut regular = TcpStream::connect(first.address).expect("listens");
+    regular.write_all(&event("a", "charge", CHARGE)).expect("takes it");
+    assert_eq!(answer(&mut regular).0, 202);
+    let out = next(&calls);
+    first.take("b", "charge", CHARGE);
+    let whole = event("c", "charge", CHARGE);
+    let mut half = TcpStream::connect(first.address).expect("listens");
+    half.write_all(&whole[..40]).expect("takes it");
+    let silent = TcpStream::connect(first.address).expect("listens");
+
+    let second = Forwarder::over(first.folder.clone());
+    second.until_ready();
+    assert_eq!(first.call("GET", "/-/ready"), 503, "one decides");
+    assert_eq!(second.address, first.address, "the listener is the same");
+    half.write_all(&whole[40..]).expect("takes it");
+    assert_eq!(answer(&mut half).0, 202, "read here, decided there");
+    // These never had to connect again.
+    regular.write_all(&event("d", "job", "")).expect("stays open");
+    assert_eq!(answer(&mut regular).0, 202);
+    let mut silent = silent;
+    silent.write_all(&event("e", "job", "")).expect("stays open");
+    assert_eq!(answer(&mut silent).0, 202);
+    let free = [next(&calls), next(&calls)];
+    let mut ids = free.each_ref().map(|call| call.id().to_owned());
+    ids.sort();
+    assert_eq!(ids, ["d", "e"], "nothing of the key goes while its head is out");
+    free.into_iter().for_each(|call| call.answer(OK));
+    // A copy of an id that the first process has.
+    assert_eq!(second.ask(&event("a", "charge", CHARGE)).0, 503);
+    out.answer(OK);
+    for id in ["b", "c"] {
+        let call = next(&calls);
+        assert_eq!(call.id(), id);
+        call.answer(OK);
+    }
+    // Nothing is left in the first.
+    let mut first = first;
+    assert!(first.child.wait().expect("ends by itself").success());
+}
+
+/// What the old process had out when it was killed may have run.
+#[rstest]
+fn killed_after_the_change_the_old_process_loses_nothing() {
+    let (first, calls, notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    first.take("b", "charge", CHARGE);
+    let second = Forwarder::over(first.folder.clone());
+    second.until_ready();
+    first.signal("-KILL");
+    assert_eq!(next(&notices), given_up("a"), "it may have run");
+    drop(out);
+    let call = next(&calls);
+    assert_eq!(call.id(), "b");
+    call.answer(OK);
+}
+
+/// After which step it ends.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Ends {
+    Hello,
+    State,
+    Prepared,
+    Yours,
+    ItsFrame,
+}
+
+/// The new process ends at each step: before its frame the old one goes on as if nothing had been.
+#[rstest]
+fn the_new_process_may_end_at_any_step(
+    #[values(Ends::Hello, Ends::State, Ends::Prepared, Ends::Yours, Ends::ItsFrame)] ends: Ends,
+) {
+    let (mut first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    first.take("b", "charge", CHARGE);
+    let (passage, mut ears) = hello(&first.folder, VERSION);
+    if ends >= Ends::State {
+        assert!(matches!(block_on(ears.next()), Ok((Word::State(_), Some(_)))));
+    }
+    if ends >= Ends::Prepared {
+        block_on(passage.tell(&Word::Prepared, None)).expect("told");
+    }
+    if ends >= Ends::Yours {
+        assert!(matches!(block_on(ears.next()), Ok((Word::Yours, Some(_)))));
+    }
+    if ends == Ends::ItsFrame {
+        let ledger = first.folder.join("ledger");
+        let (mut own, _) = plankhill_ledger::Ledger::open(&first.folder, 3_000_000).expect("opens");
+        let before = std::fs::metadata(&ledger).expect("there").len();
+        own.change_owner().expect("writes");
+        assert!(std::fs::metadata(&ledger).expect("there").len() > before);
+    }
+    drop((passage, ears));
+    if ends == Ends::ItsFrame {
+        // Who wrote last has ended; a third start reads what there is.
+        first.child.wait().expect("ends");
+        let third = Forwarder::over(first.folder.clone());
+        let call = next(&calls);
+        assert_eq!(call.id(), "b", "the charge that was out is written off, its key goes on");
+        call.answer(OK);
+        drop((out, third));
+        return;
+    }
+    out.answer(OK);
+    let call = next(&calls);
+    assert_eq!(call.id(), "b");
+    call.answer(OK);
+    first.take("c", "job", "");
+    assert_eq!(next(&calls).id(), "c");
+    // And hands over to the next that asks.
+    let second = Forwarder::over(first.folder.clone());
+    second.until_ready();
+}
+
+#[rstest]
+#[case(VERSION + 1, "another version")]
+fn one_that_speaks_otherwise_is_told_no(#[case] version: u32, #[case] why: &str) {
+    let (first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    let (_passage, mut ears) = hello(&first.folder, version);
+    assert!(matches!(block_on(ears.next()), Ok((Word::No { why: said }, _)) if said.contains(why)));
+    first.take("a", "job", "");
+    assert_eq!(next(&calls).id(), "a");
+}
+
+/// The old process dies before it hands over: the new one takes the lock, and starts from the ledger.
+#[rstest]
+fn an_old_process_that_says_nothing_is_waited_for_until_it_has_gone() {
+    let (mut first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "job", "");
+    drop(next(&calls));
+    first.stop();
+    let folder = first.folder.clone();
+    let second = std::thread::spawn(move || Forwarder::over(folder));
+    // It waits beside the one that stands still, and never decides beside it.
+    first.signal("-KILL");
+    first.child.wait().expect("ends");
+    let second = second.join().expect("starts");
+    let call = next(&calls);
+    assert_eq!(call.id(), "a");
+    call.answer(OK);
+    second.take("b", "job", "");
+    assert_eq!(next(&calls).id(), "b");
+}
+
+#[rstest]
+fn a_folder_that_another_holds_and_does_not_hand_over_ends_the_start_with_one_line() {
+    let (first, _calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    std::fs::remove_file(first.folder.join("handover")).expect("there");
+    let ended = Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder"))
+        .env("PROXY_CONFIG", first.folder.join("config.json"))
+        .env("PROXY_STATE", &first.folder)
+        .output()
+        .expect("runs");
+    let said = String::from_utf8_lossy(&ended.stderr);
+    assert!(!ended.status.success() && said.lines().count() == 1, "{said}");
+    assert!(said.contains("PROXY_STATE") && said.contains("hands nothing over"), "{said}");
+    first.take("a", "job", "");
+}
+
+#[rstest]
+fn a_drain_and_a_ban_go_to_the_new_process_and_operators_at_the_old_one_are_heard() {
+    let (first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    assert_eq!(first.call("POST", "/-/targets/t/disable"), 200);
+    // A request half read keeps the first process there.
+    let whole = event("a", "job", "");
+    let mut half = TcpStream::connect(first.address).expect("listens");
+    half.write_all(&whole[..40]).expect("takes it");
+    assert_eq!(first.call("POST", "/-/drain"), 200);
+    let second = Forwarder::over(first.folder.clone());
+    second.until_ready();
+    assert_eq!(second.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").0, 503, "it is still being emptied");
+    assert_eq!(first.call("POST", "/-/resume"), 200, "asked at the old address, done in the new process");
+    assert_eq!(second.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").0, 200);
+    half.write_all(&whole[40..]).expect("takes it");
+    assert_eq!(answer(&mut half).0, 202);
+    second.take("b", "job", "");
+    assert!(calls.try_recv().is_err(), "the target is still left out");
+    assert_eq!(second.call("POST", "/-/targets/t/enable"), 200);
+    let mut ids = [next(&calls), next(&calls)].map(|call| call.id().to_owned());
+    ids.sort();
+    assert_eq!(ids, ["a", "b"]);
+}
