--- a/buffers/src/lib.rs
+++ b/buffers/src/lib.rs
@@ -10,19 +10,19 @@
 
 struct Shelf {
     size: usize,
-    most: usize,
+    most: Cell<usize>,
     out: Cell<usize>,
     free: RefCell<Vec<Box<[u8]>>>,
 }
 
 impl Pool {
     pub fn new(size: usize, most: usize) -> Self {
-        Pool(Rc::new(Shelf { size, most, out: Cell::new(0), free: RefCell::default() }))
+        Pool(Rc::new(Shelf { size, most: Cell::new(most), out: Cell::new(0), free: RefCell::default() }))
     }
 
     /// None at the cap.
     pub fn take(&self) -> Option<Buffer> {
-        if self.0.out.get() >= self.0.most {
+        if self.left() == 0 {
             return None;
         }
         let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| vec![0; self.0.size].into());
@@ -31,12 +31,17 @@
     }
 
     pub fn most(&self) -> usize {
-        self.0.most
+        self.0.most.get()
+    }
+
+    /// From now on; buffers that are out over it stay so until they are dropped.
+    pub fn set_most(&self, most: usize) {
+        self.0.most.set(most);
     }
 
     /// As many can still be taken.
     pub fn left(&self) -> usize {
-        self.0.most - self.0.out.get()
+        self.0.most.get().saturating_sub(self.0.out.get())
     }
 
     pub fn out(&self) -> usize {
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -149,6 +149,9 @@
 impl Elder {
     /// Hears it until it ends.
     pub async fn run(mut self, mut ears: Ears) {
+        // Both are within the limit of one: the other keeps the memory that it had.
+        let most = self.common.pool.most();
+        self.common.pool.set_most((most / 2).max(1));
         while let Ok((word, descriptor)) = ears.next().await {
             if self.hear(word, descriptor).await.is_none() {
                 break;
@@ -157,6 +160,7 @@
         info!(self.common.log, "the process before has ended";
             "calls_cut" => self.out.len(), "pings_cut" => self.pings.len());
         self.common.aside.set(0);
+        self.common.pool.set_most(most);
         // Its calls may have run, and say nothing of their targets.
         for event in self.out {
             let ended = CameIn::SendEnded { event, fate: Fate::Cancelled, took: 0.0, over: false, wait: 0.0 };
