--- a/forwarder/tests/sockets.rs
+++ b/forwarder/tests/sockets.rs
@@ -407,7 +407,7 @@
 fn where_many_are_open_one_that_asked_once_is_closed_long_before_a_regular() {
     let (forwarder, _calls, _notices, _) = all(0, |_| ());
     let up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
-    let mut asked = |times: usize| {
+    let asked = |times: usize| {
         let mut stream = TcpStream::connect(forwarder.address).expect("listens");
         for _ in 0..times {
             stream.write_all(up).expect("takes it");
