--- a/forwarder/src/clients.rs
+++ b/forwarder/src/clients.rs
@@ -14,14 +14,14 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use plankhill::interface::*;
 use plankhill_buffers::Buffer;
-use plankhill_handover::{Verdict, Word};
+use plankhill_handover::{Event, Verdict, Word};
 use plankhill_http1::{self as http1, Chunks, HeadSearch, Malformed, RequestHead};
 use plankhill_terms::Told;
 use slog::{debug, info, warn};
 
 use crate::counted::Counted;
 use crate::exchange::{is_gone, is_quiet, until, Body, Stream, LONGEST_BODY, LONGEST_HEAD};
-use crate::rounds::{CameIn, Event, Handed};
+use crate::rounds::{CameIn, Handed};
 use crate::targets::most_idle;
 use crate::Common;
 use crate::{operators, passes};
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -21,7 +21,7 @@
 use crate::exchange::until;
 use crate::left_out::LeftOut;
 use crate::passes::Told;
-use crate::rounds::{CameIn, Event, Handed};
+use crate::rounds::{CameIn, Handed};
 use crate::Common;
 
 /// So long a start waits for the folder while another process holds it and hands nothing over.
@@ -198,14 +198,7 @@
                 self.common.executor.spawn(told).detach();
                 CameIn::Event(Handed {
                     number,
-                    event: Event {
-                        id: handed.id,
-                        destination: handed.destination,
-                        traffic: handed.traffic,
-                        patience: handed.patience,
-                        key: handed.key,
-                        fingerprint: handed.fingerprint.map(Into::into),
-                    },
+                    event: handed.event,
                     patience_ends: handed.patience_ends,
                     body: handed.body.into(),
                     answer,
--- a/forwarder/src/relay.rs
+++ b/forwarder/src/relay.rs
@@ -84,17 +84,7 @@
         Some(match came {
             CameIn::Event(rounds::Handed { number, event, patience_ends, body, answer }) => {
                 waiting.verdicts.insert(number, answer);
-                Word::Event(Handed {
-                    number,
-                    id: event.id,
-                    destination: event.destination,
-                    traffic: event.traffic,
-                    patience: event.patience,
-                    patience_ends,
-                    key: event.key,
-                    fingerprint: event.fingerprint.as_deref().map(str::to_owned),
-                    body: body.to_vec(),
-                })
+                Word::Event(Handed { number, event, patience_ends, body: body.to_vec() })
             }
             CameIn::Withdrawn(event, number) => Word::Withdrawn { event, number },
             CameIn::SendEnded { event, fate, took, over, wait } => {
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
-use plankhill_handover::{State, Verdict, Word};
+use plankhill_handover::{Event, State, Verdict, Word};
 use plankhill_ledger::{Ledger, Outcome, Owed, Taken};
 use plankhill_operators::{Order, Reply};
 use serde_json::Value;
@@ -59,16 +59,6 @@
     Closing,
 }
 
-/// What the head of a request says of its event.
-pub struct Event {
-    pub id: EventId,
-    pub destination: DestinationId,
-    pub traffic: TrafficId,
-    pub patience: Ms,
-    pub key: Option<OrderKey>,
-    pub fingerprint: Option<Rc<str>>,
-}
-
 /// An event that a client hands in.
 pub struct Handed {
     pub number: u64,
--- a/handover/src/lib.rs
+++ b/handover/src/lib.rs
@@ -10,4 +10,4 @@
 pub use lock::Lock;
 pub use passage::{bind, connect, Ears, Passage};
 pub use roles::{Does, Elder, Happens, Heir};
-pub use words::{Handed, Names, State, Verdict, Word, VERSION};
+pub use words::{Event, Handed, Names, State, Verdict, Word, VERSION};
--- a/handover/src/words.rs
+++ b/handover/src/words.rs
@@ -1,6 +1,8 @@
 //! What two processes of one forwarder say to each other. Times are milliseconds on the clock of the elder,
 //! which the heir takes over.
 
+use std::rc::Rc;
+
 use plankhill::interface::*;
 use plankhill_operators::{Order, Reply};
 use serde::{Deserialize, Serialize};
@@ -97,17 +99,23 @@
     pub drained: bool,
 }
 
-/// An event that was read by the elder and is to be decided by the heir.
+/// What the head of a request says of its event.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Handed {
-    pub number: u64,
+pub struct Event {
     pub id: EventId,
     pub destination: DestinationId,
     pub traffic: TrafficId,
     pub patience: Ms,
-    pub patience_ends: Ms,
     pub key: Option<OrderKey>,
-    pub fingerprint: Option<String>,
+    pub fingerprint: Option<Rc<str>>,
+}
+
+/// An event that was read by the elder and is to be decided by the heir.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Handed {
+    pub number: u64,
+    pub event: Event,
+    pub patience_ends: Ms,
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
 }
--- a/handover/tests/words.rs
+++ b/handover/tests/words.rs
@@ -8,19 +8,21 @@
 use async_io::{block_on, Async};
 use futures_lite::future;
 use plankhill::interface::*;
-use plankhill_handover::{Handed, Passage, Word};
+use plankhill_handover::{Event, Handed, Passage, Word};
 use rstest::rstest;
 
 fn event(number: u64, length: usize) -> Word {
     Word::Event(Handed {
         number,
-        id: EventId("e".into()),
-        destination: DestinationId(7),
-        traffic: TrafficId(0),
-        patience: f64::INFINITY,
+        event: Event {
+            id: EventId("e".into()),
+            destination: DestinationId(7),
+            traffic: TrafficId(0),
+            patience: f64::INFINITY,
+            key: Some(OrderKey(9)),
+            fingerprint: None,
+        },
         patience_ends: 1.5,
-        key: Some(OrderKey(9)),
-        fingerprint: None,
         body: vec![number as u8; length],
     })
 }
