A connection that goes over to the new process counts once

With most of what may be open passed on, the new process took connections off its cap twice, as its own and as the old one's, and closed some of them. The story fails without the mend.

--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -176,6 +176,8 @@
         let stream = descriptor.and_then(|descriptor| Async::new(TcpStream::from(descriptor)).ok());
         let came = match word {
             Word::Client { asked, left } => {
+                // What was held there is held here now.
+                self.common.aside.set(self.common.aside.get().saturating_sub(1));
                 self.clients.take_over(stream?, asked, millis(left));
                 return Some(());
             }
--- a/forwarder/tests/upgrade.rs
+++ b/forwarder/tests/upgrade.rs
@@ -72,6 +72,25 @@
     assert!(first.child.wait().expect("ends by itself").success());
 }
 
+/// Most of what may be open: while they go over, each counts once.
+#[rstest]
+fn regulars_by_the_hundred_keep_their_connections() {
+    let (first, _calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    let up = |stream: &mut TcpStream| {
+        stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("stays open");
+        answer(stream).0
+    };
+    let mut regulars: Vec<_> =
+        (0..150).map(|_| TcpStream::connect(first.address).expect("listens")).collect();
+    for _ in 0..2 {
+        assert!(regulars.iter_mut().all(|stream| up(stream) == 200));
+    }
+    let second = Forwarder::over(first.folder.clone());
+    assert!(regulars.iter_mut().all(|stream| up(stream) == 200));
+    drop(second);
+}
+
 /// What the old process had out when it was killed may have run.
 #[rstest]
 fn killed_after_the_change_the_old_process_loses_nothing() {
