The cold budget goes by what went to a destination before its outage

Seen in a debug log by destination; ruled out: the hand-over (no call cut, no request turned back), limits, slots. Lines at fault: Destination::usual, which is bounded by the calls of the last minute: in an outage hardly any.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -199,7 +199,7 @@
         let home = self.homes.get(target).and_then(|of| self.destinations.get_mut(of));
         let Some((to, at)) = home.and_then(|to| to.lane_of(target).map(|at| (to, at))) else { return };
         to.lanes[at].chill(since);
-        to.noted = usual;
+        to.noted = (usual, self.here.now);
     }
 
     /// It was restarted and serves again: what it did before says nothing, and what is new to it is cold.
@@ -524,7 +524,12 @@
         let calls = lapsed.filter_map(|event| event.call);
         let lapsed: Vec<TargetId> = calls.map(|call| self.calls[&call].target.clone()).collect();
         for lane in &mut self.lanes {
+            let before = lane.noted_cold;
             let news = lane.cold_since.filter(|at| std::mem::replace(&mut lane.noted_cold, *at) < *at);
+            // What went there before is what it can take: in an outage little goes, and much comes again.
+            if news.is_some_and(|at| before == 0.0 || at - before > here.terms.warm_after) {
+                self.noted = (usual, now);
+            }
             for target in &mut lane.targets {
                 news.into_iter().for_each(|since| out.note_cold(&target.id, since, usual));
                 if target.idle_since.take_if(|since| closes && *since + BRIEF <= now).is_some() {
@@ -632,11 +637,11 @@
         Some(sum)
     }
 
-    /// What usually goes to each lane a second, here or in an earlier process: events taken, or calls, if far
+    /// What usually goes to each lane a second, now or before it was cold, also in an earlier process: events taken, or calls, if far
     /// fewer, as one may carry several; what comes again in an outage is not usual. Half more: calls are few.
     fn usual(&self, here: &Here) -> f64 {
         let counted = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
-        counted.max(self.noted * (-(here.now - here.started) / USUAL).exp())
+        counted.max(self.noted.0 * (-(here.now - self.noted.1) / USUAL).exp())
     }
 
     fn a_second(&self, here: &Here, sum: &Fading) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -160,7 +160,7 @@
     pub(crate) offered: Fading, // events
     pub(crate) called: Fading,  // calls, of one event or several
     pub(crate) turn: u64,
-    pub(crate) noted: f64, // what usually went to each lane a second in an earlier process
+    pub(crate) noted: (f64, Ms), // what usually went to each lane a second before it was cold, and when that was
     pub(crate) bare_since: Option<Ms>, // nothing is held for it and no target listed
     pub(crate) filed: (Moment, usize, Option<Turn>), // its places in the three rosters
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -342,6 +342,21 @@
     assert!((1..=6).contains(&sent), "{sent} in a second");
 }
 
+/// Met on days of upgrades: shut for 15 s from the second second on, it got a call in two seconds afterwards, as
+/// hardly any had gone there meanwhile.
+#[rstest]
+fn what_went_there_before_a_long_told_wait_is_what_the_cold_budget_goes_by() {
+    let mut host = Host::new(|terms| (terms.slots, terms.room) = (400, 400));
+    host.runs_well(1_500.0);
+    host.take(1_510.0, "a", RETRIABLE, 1, None);
+    host.ends_with(1_511.0, "a", Fate::Full, 15_000.0);
+    for at in 0..40 {
+        host.take(14_000.0 + at as f64, &format!("held{at}"), RETRIABLE, 1, None);
+    }
+    let sent: usize = (0..80).map(|step| sends(&host.idle(16_520.0 + 50.0 * step as f64))).sum();
+    assert!((5..=14).contains(&sent), "{sent} in four seconds");
+}
+
 #[rstest]
 fn a_refusal_without_a_wait_holds_all_heads_for_a_moment() {
     let mut host = plain();
