The change of owner is appended, never part of a record written anew

Found by reading: with the ledger at half of the disk the heir's frame made it write the record anew, in another file of the same length. The old process saw no change, and would have gone on in a file that is gone had the new one ended then. Line at fault: commit in Ledger::change_owner. The story fails with it.

--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -231,7 +231,8 @@
     /// the record passes over.
     pub fn change_owner(&mut self) -> io::Result<()> {
         Mark::Over { id: "".into() }.write(&mut self.pending);
-        self.commit()
+        // Never written anew here: who wrote before would go on in a file that is not there any more.
+        self.append()
     }
 
     /// What is written, in bytes.
@@ -247,6 +248,10 @@
         if (self.written + self.pending.len()) as f64 > self.most as f64 * REWRITE {
             return self.rewrite();
         }
+        self.append()
+    }
+
+    fn append(&mut self) -> io::Result<()> {
         if let Err(e) = self.file.write_all(&self.pending) {
             // Half a frame would hide all that follows it.
             self.file.set_len(self.written as u64)?;
--- a/ledger/tests/lives.rs
+++ b/ledger/tests/lives.rs
@@ -155,3 +155,25 @@
     let error = Ledger::open(&folder.0, 1_000_000).map(|_| ()).expect_err("is no ledger");
     assert!(error.to_string().contains("not a ledger"));
 }
+
+#[rstest]
+fn a_change_of_owner_is_seen_by_who_wrote_before_and_passed_over_by_who_reads() {
+    let folder = Folder::new("owner");
+    let (mut elder, _) = folder.open();
+    let before = elder.length();
+    // Half of the disk to the byte: the next commit writes it anew.
+    elder.taken(event("held", b""));
+    elder.commit().expect("writes");
+    let frame = (elder.length() - before) as usize;
+    let rest = 500_000 - elder.length() as usize - frame;
+    elder.taken(event("fill", vec![7; rest].leak()));
+    elder.commit().expect("writes");
+    assert_eq!(elder.length(), 500_000);
+    assert!(!has_grown(&folder.0, elder.length()).expect("there"));
+    let (mut heir, owed) = folder.open();
+    assert_eq!(ids(&owed), ["held", "fill"]);
+    heir.change_owner().expect("writes");
+    assert!(has_grown(&folder.0, elder.length()).expect("there"));
+    assert!(heir.length() > elder.length(), "the same file, and longer");
+    assert_eq!(ids(&folder.open().1), ["held", "fill"]);
+}
