--- a/forwarder/src/elder.rs
+++ b/forwarder/src/elder.rs
@@ -1,7 +1,6 @@
 //! The part of the process that is there when a new version starts: it hears who asks, has the decisions
 //! stand still, and hands over. What it does next is decided in `plankhill_handover::Elder`.
 
-use std::net::TcpListener;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{Duration, Instant};
@@ -152,8 +151,3 @@
         (to, from)
     }
 }
-
-/// A descriptor of the clients' listener that outlasts its actor.
-pub fn listener_of(listener: &Async<TcpListener>) -> std::io::Result<OwnedFd> {
-    listener.as_fd().try_clone_to_owned()
-}
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -21,6 +21,7 @@
 
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
 use std::os::unix::net::UnixListener;
 use std::rc::Rc;
 use std::time::Instant;
@@ -203,7 +204,8 @@
     let notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
     let (moves, moved) = async_channel::bounded(1);
     let list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
-    let heirs = lock.and_then(|lock| hall(&common, lock, &listener, &to_rounds));
+    // Held as long as the process lives, whether a new version can ask or not.
+    let heirs = lock.as_ref().and_then(|lock| hall(&common, lock, &listener, &to_rounds));
     let accepts = executor.spawn(clients.listen(listener));
 
     let handed_over = async {
@@ -253,24 +255,18 @@
 /// Where a new version asks; none where there is no Unix socket to be had.
 fn hall(
     common: &Common,
-    lock: Lock,
+    lock: &Lock,
     listener: &Async<TcpListener>,
     to_rounds: &Sender<rounds::CameIn>,
 ) -> Option<(elder::Hall, Async<UnixListener>)> {
-    let made = plankhill_handover::bind(&common.told.state)
-        .and_then(|asked| Ok((asked, elder::listener_of(listener)?)));
-    match made {
-        Ok((asked, listener)) => {
-            let (common, to_rounds) = (common.clone(), to_rounds.clone());
-            Some((elder::Hall { common, to_rounds, lock, listener }, asked))
-        }
-        Err(e) => {
-            warn!(common.log, "no new version can take over"; "error" => %e);
-            // The folder stays locked as long as the process lives.
-            std::mem::forget(lock);
-            None
-        }
-    }
+    let made = || {
+        let asked = plankhill_handover::bind(&common.told.state)?;
+        let (common, to_rounds) = (common.clone(), to_rounds.clone());
+        let (lock, listener) = (Lock::passed(lock.share()?), listener.as_fd().try_clone_to_owned()?);
+        Ok((elder::Hall { common, to_rounds, lock, listener }, asked))
+    };
+    let trouble = |e: std::io::Error| warn!(common.log, "no new version can take over"; "error" => %e);
+    made().map_err(trouble).ok()
 }
 
 /// What the file of the configuration says now: discovery may have moved, the rest waits for a new start.
