--- a/forwarder/tests/upgrade.rs
+++ b/forwarder/tests/upgrade.rs
@@ -8,7 +8,7 @@
 use std::process::Command;
 
 use async_io::block_on;
-use plankhill_handover::{connect, Ears, Passage, Word, VERSION};
+use plankhill_handover::{bind, connect, Ears, Lock, Passage, Word, VERSION};
 use rstest::rstest;
 
 use peers::*;
@@ -168,6 +168,47 @@
     second.until_ready();
 }
 
+/// The old process ends at each step; its state, listener and folder are those of a real one. Either way the new
+/// process goes on alone, and what was out may have run.
+#[rstest]
+fn the_old_process_may_end_at_any_step(#[values(Ends::Hello, Ends::State, Ends::Yours)] ends: Ends) {
+    let (mut first, calls, notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    first.take("b", "charge", CHARGE);
+    let (_heir, mut ears) = hello(&first.folder, VERSION);
+    let Ok((state @ Word::State(_), Some(listener))) = block_on(ears.next()) else { panic!("a state") };
+    first.signal("-KILL");
+    first.child.wait().expect("ends");
+    let lock = Lock::take(&first.folder).expect("locks").expect("is free");
+    let asked = bind(&first.folder).expect("a socket");
+    let folder = first.folder.clone();
+    let second = std::thread::spawn(move || Forwarder::over(folder));
+    block_on(async {
+        let passage = Passage::new(asked.accept().await.expect("asks").0);
+        let mut ears = passage.ears();
+        assert!(matches!(ears.next().await, Ok((Word::Hello { .. }, _))));
+        if ends >= Ends::State {
+            passage.tell(&state, Some(listener)).await.expect("told");
+            assert!(matches!(ears.next().await, Ok((Word::Prepared, _))));
+        }
+        if ends >= Ends::Yours {
+            passage.tell(&Word::Yours, Some(lock.share().expect("open"))).await.expect("told");
+            assert!(matches!(ears.next().await, Ok((Word::Begun, _))));
+        }
+    });
+    drop((asked, lock));
+    let second = second.join().expect("starts");
+    assert_eq!(next(&notices), given_up("a"), "it may have run");
+    drop(out);
+    let call = next(&calls);
+    assert_eq!(call.id(), "b");
+    call.answer(OK);
+    second.take("c", "job", "");
+    assert_eq!(next(&calls).id(), "c");
+}
+
 #[rstest]
 #[case(VERSION + 1, "another version")]
 fn one_that_speaks_otherwise_is_told_no(#[case] version: u32, #[case] why: &str) {
