Words to the other process are told in one place, and its answers passed on in one

The loop that tells them stood on both sides of the hand-over, and the hearing of a verdict and of a reply side by side.

--- a/forwarder/src/elder.rs
+++ b/forwarder/src/elder.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 
 use crate::exchange::until;
-use crate::passes::Told;
+use crate::passes::{tell_all, Told};
 use crate::rounds::{After, CameIn, StoodStill};
 use crate::Common;
 
@@ -132,13 +132,6 @@
         let (to, told) = async_channel::bounded::<Told>(MAILBOX);
         let (heard, from) = async_channel::bounded(MAILBOX);
         self.common.passes.open(to.clone());
-        let tells = async move {
-            while let Ok((word, descriptor)) = told.recv().await {
-                if passage.tell(&word, descriptor).await.is_err() {
-                    return;
-                }
-            }
-        };
         let hears = async move {
             while let Ok((word, _)) = ears.next().await {
                 if heard.send(word).await.is_err() {
@@ -146,7 +139,7 @@
                 }
             }
         };
-        self.common.executor.spawn(tells).detach();
+        self.common.executor.spawn(tell_all(passage, told)).detach();
         self.common.executor.spawn(hears).detach();
         (to, from)
     }
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -7,7 +7,7 @@
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use plankhill::decide::Forwarder;
 use plankhill::interface::*;
@@ -137,15 +137,6 @@
     pub pings: HashSet<TargetId>,
 }
 
-/// Tells it all that is said, in order.
-pub async fn tells(passage: Passage, told: Receiver<Told>) {
-    while let Ok((word, _)) = told.recv().await {
-        if passage.tell(&word, None).await.is_err() {
-            return;
-        }
-    }
-}
-
 impl Elder {
     /// Hears it until it ends.
     pub async fn run(mut self, mut ears: Ears) {
@@ -171,6 +162,19 @@
         }
     }
 
+    /// What is answered there goes to the other process as that word.
+    fn passes_on<T: 'static>(&self, word: impl FnOnce(T) -> Word + 'static) -> Sender<T> {
+        let (answer, answers) = async_channel::bounded(1);
+        let to = self.to.clone();
+        let told = async move {
+            if let Ok(answer) = answers.recv().await {
+                let _ = to.send((word(answer), None)).await;
+            }
+        };
+        self.common.executor.spawn(told).detach();
+        answer
+    }
+
     /// None once nobody decides any more.
     async fn hear(&mut self, word: Word, descriptor: Option<OwnedFd>) -> Option<()> {
         let stream = descriptor.and_then(|descriptor| Async::new(TcpStream::from(descriptor)).ok());
@@ -190,14 +194,8 @@
                 CameIn::Kept(target, stream?, since)
             }
             Word::Event(handed) => {
-                let (answer, verdicts) = async_channel::bounded(1);
-                let (number, to) = (handed.number, self.to.clone());
-                let told = async move {
-                    if let Ok(verdict) = verdicts.recv().await {
-                        let _ = to.send((Word::Verdict { number, verdict }, None)).await;
-                    }
-                };
-                self.common.executor.spawn(told).detach();
+                let number = handed.number;
+                let answer = self.passes_on(move |verdict| Word::Verdict { number, verdict });
                 CameIn::Event(Handed {
                     number,
                     event: handed.event,
@@ -216,15 +214,7 @@
                 CameIn::PingEnded { target, fate }
             }
             Word::Operator { number, order } => {
-                let (reply, replies) = async_channel::bounded(1);
-                let to = self.to.clone();
-                let told = async move {
-                    if let Ok(reply) = replies.recv().await {
-                        let _ = to.send((Word::Reply { number, reply }, None)).await;
-                    }
-                };
-                self.common.executor.spawn(told).detach();
-                CameIn::Operator(order, reply)
+                CameIn::Operator(order, self.passes_on(move |reply| Word::Reply { number, reply }))
             }
             // What it says before it hands over, or what this one says itself.
             _ => return Some(()),
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -192,7 +192,7 @@
             let mut decisions = new_rounds(ledger, left_out);
             decisions.inherit(forwarder, state, owed, to_elder);
             decisions.resume(&known);
-            executor.spawn(heir::tells(passage, words)).detach();
+            executor.spawn(passes::tell_all(passage, words)).detach();
             executor.spawn(elder.run(ears)).detach();
             (decisions, Some(lock), listener)
         }
--- a/forwarder/src/passes.rs
+++ b/forwarder/src/passes.rs
@@ -4,11 +4,20 @@
 use std::os::fd::OwnedFd;
 
 use async_channel::{Receiver, Sender};
-use plankhill_handover::Word;
+use plankhill_handover::{Passage, Word};
 
 /// A word, with a descriptor that is closed here once it is told.
 pub type Told = (Word, Option<OwnedFd>);
 
+/// Tells the other process all that is said, in order, until it has gone.
+pub async fn tell_all(passage: Passage, told: Receiver<Told>) {
+    while let Ok((word, descriptor)) = told.recv().await {
+        if passage.tell(&word, descriptor).await.is_err() {
+            return;
+        }
+    }
+}
+
 pub struct Passes {
     to: RefCell<Option<Sender<Told>>>,
     /// Who waits for the way to open holds a receiver; the sender goes when it does.
