Discovery is asked again after a pause that grows with failures and the fleet's size

At the release the targets were replaced, and the forwarders went on with the list they started with: the old targets refused connections (1,639 sends, instant NoConnection), the six new ones got 2 to 19 calls, and 8,873 events were dismissed at the end of their patience without a single send.

Probe of the watch: 0 lists with the pause of 50 ms, 0 with a doubling one up to 2 s, 31 (mostly at 33 s) up to 10 s; an overbooked discovery answered one ask in about 55 ms, the rest at once with 503 or after 2 s.

At fault: forwarder/src/list.rs, `PAUSE` of 50 ms after each failure, the same for every forwarder: a hundred of them asked 2,000 times a second and kept discovery overbooked for all.

Change: forwarder/src/pause.rs, a pause drawn between half and the whole of a bound that doubles from 20 ms a forwarder (2 s for 100) to 100 ms a forwarder (10 s), from the forwarder's seed and name.

--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -16,6 +16,7 @@
 
 use crate::exchange::{ask, until, Stream};
 use crate::kept::{self, Kept};
+use crate::pause::Pause;
 use crate::rounds::CameIn;
 use crate::Common;
 
@@ -23,8 +24,6 @@
 const WATCH: u64 = 20_000;
 /// Past that discovery is silent, and the watch is asked for anew, on a new connection.
 const SILENT: Duration = Duration::from_millis(WATCH + 2_000);
-/// Between tries while discovery refuses; a watch must be renewed within 200 ms.
-const PAUSE: Duration = Duration::from_millis(50);
 /// The agent answers at once, if discovery is up.
 const AT_START: Duration = Duration::from_millis(200);
 /// Longest list that is read: some thousands of targets.
@@ -61,6 +60,7 @@
     list.write(&common.told.state, most);
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
     let mut trouble = String::new();
+    let mut pause = Pause::new(common.told.terms.seed, &common.told.name, common.told.terms.forwarders);
     loop {
         let moves = async {
             if moved.recv().await.is_err() {
@@ -70,9 +70,14 @@
         };
         let page = async { Some(watch(&common, list.revision(), &mut stream, &mut bytes).await) };
         match future::or(moves, page).await {
-            None => trouble.clear(),
+            None => {
+                // Another address: its first refusal is its own.
+                trouble.clear();
+                pause.answered();
+            }
             Some(Ok(page)) => {
                 trouble.clear();
+                pause.answered();
                 debug!(common.log, "list"; "revision" => revision(&page));
                 list.take(&page);
                 list.write(&common.told.state, most);
@@ -86,7 +91,7 @@
                 if std::mem::replace(&mut trouble, e.to_string()) != trouble {
                     warn!(common.log, "discovery cannot be asked"; "error" => %e);
                 }
-                Timer::after(PAUSE).await;
+                Timer::after(pause.next()).await;
             }
         }
     }
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod operators;
 mod passes;
+mod pause;
 mod relay;
 mod roster;
 mod rounds;
