PROXY_HANDOVER=off starts a process that neither takes over nor can be taken over

Change: `PROXY_HANDOVER` (`on` unless `off`; another word is a faulty key with its name) is read in terms; off, the process starts alone whoever holds the folder's lock, binds no socket, and says so in one line naming the key. A refused socket's warning names the key too.

--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -144,7 +144,12 @@
     let (to_rounds, came_in) = async_channel::bounded(rounds::MAILBOX);
     let (to_notices, owed_notices) = async_channel::bounded(notices::MAILBOX);
     let lock = Lock::take(&told.state);
+    if !told.handover {
+        info!(log, "no new version can take over, nor this process from an old one"; "key" => "PROXY_HANDOVER");
+    }
     let alone = match lock {
+        // Without the hand-over the folder is ours, as it was before there were hand-overs.
+        Ok(None) if !told.handover => Some(Alone::start(&told, None)?),
         Ok(None) => None,
         Ok(lock) => Some(Alone::start(&told, lock)?),
         Err(e) => {
@@ -206,7 +211,8 @@
     let (moves, moved) = async_channel::bounded(1);
     let list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
     // Held as long as the process lives, whether a new version can ask or not.
-    let heirs = lock.as_ref().and_then(|lock| hall(&common, lock, &listener, &to_rounds));
+    let heirs =
+        lock.as_ref().filter(|_| told.handover).and_then(|lock| hall(&common, lock, &listener, &to_rounds));
     let accepts = executor.spawn(clients.listen(listener));
 
     let handed_over = async {
@@ -266,7 +272,7 @@
         let (lock, listener) = (Lock::passed(lock.share()?), listener.as_fd().try_clone_to_owned()?);
         Ok((elder::Hall { common, to_rounds, lock, listener }, asked))
     };
-    let trouble = |e: std::io::Error| warn!(common.log, "no new version can take over"; "error" => %e);
+    let trouble = |e: std::io::Error| warn!(common.log, "no new version can take over"; "error" => %e, "key" => "PROXY_HANDOVER");
     made().map_err(trouble).ok()
 }
 
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -44,6 +44,9 @@
     pub closing_least: Ms,
     pub closing_time: Ms,
     pub log_level: slog::Level,
+    /// Whether a new version may take over from this process (`PROXY_HANDOVER`, `on` unless `off`). Off where
+    /// the platform gives no Unix socket: the process then starts and ends as one on its own.
+    pub handover: bool,
     /// What the file says that only a new start heeds.
     fixed: Vec<(String, Value)>,
 }
@@ -124,6 +127,11 @@
         idle_limit: 0.9 * span("keepaliveUs", 15_000.0)?,
         closing_least: 1_000.0,
         closing_time: 3_400.0,
+        handover: match variable("PROXY_HANDOVER").as_deref() {
+            None | Some("on") => true,
+            Some("off") => false,
+            Some(word) => return Err(format!("PROXY_HANDOVER: {word:?} is neither on nor off")),
+        },
         log_level: match variable("PROXY_LOG") {
             None => slog::Level::Info,
             Some(word) => word.parse().map_err(|()| format!("PROXY_LOG: {word:?} is not a log level"))?,
--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -17,12 +17,17 @@
 }
 
 fn read(name: &str, config: &Value) -> Result<plankhill_terms::Told, String> {
+    read_with(name, config, None)
+}
+
+fn read_with(name: &str, config: &Value, handover: Option<&str>) -> Result<plankhill_terms::Told, String> {
     let path = std::env::temp_dir().join(format!("plankhill-terms-{}-{name}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a file for the test");
     let told = told(|variable| match variable {
         "PROXY_CONFIG" => Some(path.display().to_string()),
         "PROXY_STATE" => Some("/state".into()),
         "PROXY_NAME" => Some("n4".into()),
+        "PROXY_HANDOVER" => handover.map(str::to_owned),
         _ => None,
     });
     std::fs::remove_file(&path).expect("written above");
@@ -65,3 +70,18 @@
     let said = told(|_| Some("/nowhere/config.json".into())).map(|_| ()).expect_err("is not there");
     assert!(said.contains("PROXY_CONFIG: /nowhere/config.json cannot be read"), "{said}");
 }
+
+/// The fleet's platform gives no Unix socket: the deploy file's `run` turns the hand-over off.
+#[rstest]
+#[case(None, Ok(true))]
+#[case(Some("on"), Ok(true))]
+#[case(Some("off"), Ok(false))]
+#[case(Some("no"), Err("PROXY_HANDOVER: \"no\" is neither on nor off"))]
+fn the_hand_over_is_on_unless_turned_off(#[case] said: Option<&str>, #[case] meant: Result<bool, &str>) {
+    let name = format!("handover-{}", said.unwrap_or("unset"));
+    match (read_with(&name, &config(), said).map(|told| told.handover), meant) {
+        (Ok(on), Ok(wanted)) => assert_eq!(on, wanted),
+        (Err(said), Err(message)) => assert!(said.contains(message), "{said}"),
+        (other, wanted) => panic!("{other:?} where {wanted:?} was meant"),
+    }
+}
