--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -205,6 +205,28 @@
     assert_eq!(still.ends(1600.0, "b", Fate::TimedOut), ["write off b"], "nothing waits, nothing is asked");
 }
 
+/// Met on zone+vast of the fleet days: of a hundred forwarders, one pinged a destination that was down, then
+/// not again for 10 s; the destination was back after 4, and what waited there ran out of patience.
+#[rstest]
+fn of_a_hundred_forwarders_each_learns_of_a_return_within_seconds() {
+    for seed in [1, 2, 3] {
+        let mut host = Host::new(|terms| (terms.seed, terms.forwarders) = (seed, 100.0));
+        host.goes_offline(1.0);
+        host.ping_ends(100.0, "t", Fate::NoConnection);
+        let (mut last, mut longest) = (100.0, 0.0_f64);
+        for step in 1..100 {
+            let now = 100.0 + 100.0 * step as f64;
+            if host.idle(now).contains(&"ping t".into()) {
+                longest = longest.max(now - last);
+                last = now;
+                host.ping_ends(now, "t", Fate::NoConnection);
+            }
+        }
+        assert!(longest <= 4_500.0, "seed {seed}: {longest} ms without a ping");
+        assert!(10_000.0 - last <= 4_500.0, "seed {seed}: no ping since {last}");
+    }
+}
+
 /// Met on id69158: released by its first ping, a parked destination was sent all that had waited.
 #[rstest]
 fn whatever_was_parked_returns_cold() {
