The first calls after a ping finds a destination back are spread over a cold spacing

Cause: src/decide.rs `ping_ended` releases the lane, and its next slot lies in the past, so each forwarder sends a call the moment its ping is answered; once the fleet learns within one pause, those calls come together, beside the cold budget.

Change: at a ping's answer the lane's next slot is drawn within one cold spacing (never past the ping's pause).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -274,9 +274,12 @@
         let to = self.destinations.get_mut(&of).expect("a home");
         let at = to.lane_of(target).expect("at home");
         let pause = to.ping_pause(&mut self.here, at);
+        // The fleet learns of a return within a ping's pause: its first calls are spread over a cold spacing.
+        let first = to.rate(&self.here, at).map_or(0.0, |rate| 1000.0 / rate) * self.here.draw(3);
         let (lane, now) = (&mut to.lanes[at], self.here.now);
         (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
+            lane.next_slot = lane.next_slot.max(now + first.min(pause)).max(now);
             lane.release(now);
             lane.target_mut(target).expect("at home").connects(&mut self.here, to.kind);
         } else {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -227,6 +227,20 @@
     }
 }
 
+/// Met on amman-tyre-centres-later rough-1 once pings came every 2 s: 44 forwarders learnt of a return
+/// within that, each sent a call at its ping's answer, and the destination fell over.
+#[rstest]
+fn a_fleet_that_learns_of_a_return_together_spreads_its_first_calls() {
+    let at_once = (0..20_u64).filter(|&seed| {
+        let mut host = Host::new(|terms| (terms.seed, terms.forwarders) = (seed, 44.0));
+        host.runs_well(20_000.0);
+        host.goes_offline(20_000.0);
+        host.take(20_100.0, "held", RETRIABLE, 1, None);
+        sends(&host.ping_ends(20_200.0, "t", Fate::Delivered)) > 0
+    });
+    assert!(at_once.count() <= 5, "most send at the moment their ping is answered");
+}
+
 /// Met on id69158: released by its first ping, a parked destination was sent all that had waited.
 #[rstest]
 fn whatever_was_parked_returns_cold() {
