--- a/src/decide.rs
+++ b/src/decide.rs
@@ -279,7 +279,7 @@
         let (lane, now) = (&mut to.lanes[at], self.here.now);
         (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
-            lane.next_slot = lane.next_slot.max(now + first.min(pause)).max(now);
+            lane.next_slot = lane.next_slot.max(now + first.min(pause));
             lane.release(now);
             lane.target_mut(target).expect("at home").connects(&mut self.here, to.kind);
         } else {
