--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -168,13 +168,17 @@
         to.relisted(&target, Listing::Gone);
         return Ok(());
     }
+    let of = DestinationId(whole(item, "belongsTo")?);
     to.listed(
         target,
-        DestinationId(whole(item, "belongsTo")?),
+        of,
         KindId(place(&names.kinds, text(item, "kind")?, "kind")?),
         ZoneId(place(&names.zones, text(item, "campus")?, "campus")?),
         listing,
     );
+    if names.sizes_are_rates {
+        to.rate_told(of, optional_number(item, "powerHint")?.max(0.0));
+    }
     Ok(())
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,13 +114,11 @@
     pub(crate) shunned_until: Ms,
     pub(crate) out: usize,             // calls of ours
     pub(crate) idle_since: Option<Ms>, // connections that no call uses may still be open
-    pub(crate) unconnected_at: Ms,
 }
 
 impl Target {
     pub(crate) fn new(id: TargetId, zone: ZoneId, listing: Listing) -> Self {
-        let (shunned_until, unconnected_at, idle_since) = (0.0, f64::NEG_INFINITY, None);
-        Target { id, zone, listing, failures: 0, shunned_until, out: 0, idle_since, unconnected_at }
+        Target { id, zone, listing, failures: 0, shunned_until: 0.0, out: 0, idle_since: None }
     }
 }
 
@@ -138,6 +136,7 @@
     pub(crate) refused_at: Ms,
     pub(crate) answered_at: Ms,
     pub(crate) delivered_at: Ms,
+    pub(crate) unconnected_at: Ms, // a connection was refused
     pub(crate) cold_since: Option<Ms>,
     pub(crate) noted_cold: Ms,          // what the host was last told of that
     pub(crate) trust: f64, // multiplies the cold budget: one and up, with answers at the usual pace
@@ -157,8 +156,9 @@
     pub(crate) lanes: Vec<Lane>,
     pub(crate) events: BTreeMap<u64, Event>, // in the order taken
     pub(crate) calls: BTreeMap<u64, Call>,
+    pub(crate) told_rate: f64, // calls a second that the list says it takes; 0 if it does not
     pub(crate) offered: Fading, // events
-    pub(crate) called: Fading,  // calls, of one event or several
+    pub(crate) called: Fading, // calls, of one event or several
     pub(crate) turn: u64,
     pub(crate) noted: (f64, Ms), // what usually went to each lane a second before it was cold, and when that was
     pub(crate) bare_since: Option<Ms>, // nothing is held for it and no target listed
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -19,6 +19,8 @@
     pub traffic: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
+    /// The sizes that the list gives are the rates that destinations take, in calls a second.
+    pub sizes_are_rates: bool,
 }
 
 /// All that a forwarder on sockets is told at its start.
@@ -161,7 +163,9 @@
             .map(|n| Ok(n.as_str().ok_or(format!("{field}: a name is no text"))?.to_owned()))
             .collect()
     };
-    let mut names = Names { traffic: Vec::new(), kinds: names_of("shapes")?, zones: names_of("zones")? };
+    let sizes_are_rates = optional_text(env, "weightKind")?.is_some_and(|kind| kind != "silent");
+    let mut names =
+        Names { traffic: Vec::new(), kinds: names_of("shapes")?, zones: names_of("zones")?, sizes_are_rates };
     let mut traffic = Vec::new();
     for (at, profile) in some(env, "profiles")?.iter().enumerate() {
         let within = |e: String| format!("profiles[{at}].{e}");
