--- a/src/decide.rs
+++ b/src/decide.rs
@@ -496,8 +496,8 @@
                     // limit; few forwarders spread less. By their number alone, 200 waited up to a minute.
                     let counts = &here.counts[self.kind.0];
                     let share = counts.full.read(now, REUSE) / (counts.answered.read(now, REUSE) + 4.0);
-                    let base = 1000.0 * (1.0 + EATEN * share * share);
-                    let base = base.min(250.0 * here.terms.forwarders.sqrt());
+                    let base =
+                        (250.0 * here.terms.forwarders.sqrt()).min(1000.0) * (1.0 + EATEN * share * share);
                     let spread = base * f64::powi(2.0, lane.refusals.min(4));
                     let spread = spread / (recent / OFTEN).max(1.0);
                     lane.held_until = now + wait + spread.max(cold_spacing) * chance;
