Idle connections are closed at a kind that refuses one call in two hundred

The threshold of one refused in fifty let idle connections come back until so many were refused. One in two hundred (Here::closes); the presumption in a crowded fleet lapses after 100 answers.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -777,11 +777,11 @@
 impl Here {
     /// Idle connections are closed for a while after calls on them were lost, or new ones were refused.
     /// Guards against all that makes idle ones a risk; harmful, by the price of new ones, if mistaken. Where
-    /// the fleet is a crowd, half a refusal is presumed: it lapses after 25 answers without any.
+    /// the fleet is a crowd, half a refusal is presumed: it lapses after 100 answers without any.
     fn closes(&self, kind: KindId, crowded: bool) -> bool {
         let KindCounts { unconnected, answered, .. } = &self.counts[kind.0];
         let refused = unconnected.read(self.now, REUSE) + if crowded { 0.5 } else { 0.0 };
-        self.now < self.stale_until || refused > 0.4_f64.max(0.02 * answered.read(self.now, REUSE))
+        self.now < self.stale_until || refused > 0.4_f64.max(0.005 * answered.read(self.now, REUSE))
     }
 
     /// What an answer takes at all destinations; until anything has answered, a second.
