--- a/src/decide.rs
+++ b/src/decide.rs
@@ -521,11 +521,11 @@
                 // Refused again, and served between: that is no outage, the target takes no more connections.
                 // One refused so, or broken off beside answers, tells of itself, not of its destination.
                 let unconnected = fate == Fate::NoConnection;
-                let served = lane.delivered_at > lane.unconnected_at && now - lane.unconnected_at < AGAIN;
-                if unconnected && (served || crowded && lane.failures == 0) {
+                let before = if unconnected { lane.unconnected_at.replace(now) } else { None };
+                let served = before.is_some_and(|at| lane.delivered_at > at && now - at < AGAIN);
+                if served || unconnected && crowded && lane.failures == 0 {
                     here.counts[self.kind.0].unconnected.add(now, REUSE, 1.0);
                 }
-                lane.unconnected_at = if unconnected { now } else { lane.unconnected_at };
                 let crammed = unconnected && here.closes(self.kind, crowded);
                 let lately = if crammed { BESIDE } else { PING };
                 let beside = (fate == Fate::Reset || crammed) && now - lane.delivered_at < lately;
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,7 +146,7 @@
     pub(crate) shut_signs: i32,   // refusals in a row that no used up limit explains
     pub(crate) answered_at: Ms,
     pub(crate) delivered_at: Ms,
-    pub(crate) unconnected_at: Ms, // a connection was refused
+    pub(crate) unconnected_at: Option<Ms>, // a connection was refused
     pub(crate) cold_since: Option<Ms>,
     pub(crate) noted_cold: Ms,          // what the host was last told of that
     pub(crate) trust: f64, // multiplies the cold budget: one and up, with answers at the usual pace
