The cold budget believes an even part of the told rate

An even part of the told rate is usual too, up to four times what was counted (Destination::usual), so that the sum over the fleet stays under the tipping load and a wrong rate pushes nobody over.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -696,10 +696,12 @@
 
     /// What usually goes to each lane a second, now or before it was cold, also in an earlier process: events
     /// taken, or calls, if far fewer, as one may carry several; what comes again in an outage is not usual.
-    /// Half more: calls are few.
+    /// Half more: calls are few. An even part of the told rate is usual too, as single counts say little; it
+    /// is believed up to some times what was counted, so that a wrong rate pushes nobody over.
     fn usual(&self, here: &Here) -> f64 {
         let counted = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
-        counted.max(self.noted.0 * (-(here.now - self.noted.1) / USUAL).exp())
+        let part = (self.told_rate / here.terms.forwarders / self.running_lanes()).min(BELIEVED * counted);
+        counted.max(self.noted.0 * (-(here.now - self.noted.1) / USUAL).exp()).max(part)
     }
 
     fn a_second(&self, here: &Here, sum: &Fading) -> f64 {
@@ -877,6 +879,8 @@
 /// The share of the tipping load that a forwarder allows itself, with its usual traffic for its part of the
 /// capacity. 0.6, 0.8 and 1 kept the rules alike and each step paid; a tenth is left for what pings weigh.
 const BUDGET: f64 = 0.9;
+/// Where one event comes in a minute its count is off by some times; a rate told a hundredfold must not count.
+const BELIEVED: f64 = 4.0;
 /// The share of the room that may fill before events make way: a tenth left over takes in a clump.
 const FILLED: f64 = 0.9;
 /// A backlog of so few events is kept whatever the pace: a clump of a partner that is seldom called.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -851,3 +851,24 @@
         host.ends(at + 10.0, &name, Fate::Delivered);
     }
 }
+
+/// Met on nairobi-relay big-1: a forwarder that sees one event in a minute counts next to nothing as usual, and
+/// what waited at partners back from being shut ran out of patience. A wrong rate must not push them over.
+#[rstest]
+fn the_cold_budget_believes_the_told_rate_up_to_a_bound() {
+    let sent = |rate: f64| {
+        let mut host = Host::new(|terms| terms.forwarders = 10.0);
+        host.at(0.0, |f| f.rate_told(DestinationId(1), rate));
+        host.take(60_000.0, "before", RETRIABLE, 1, None);
+        host.ends(60_001.0, "before", Fate::Delivered);
+        host.goes_offline(65_000.0);
+        for n in 0..8 {
+            host.take(65_010.0 + n as f64, &format!("held{n}"), RETRIABLE, 1, None);
+        }
+        host.ping_ends(65_100.0, "t", Fate::Delivered);
+        (0..90).map(|step| sends(&host.idle(65_200.0 + 100.0 * step as f64))).sum::<usize>()
+    };
+    let (untold, told, wrong) = (sent(0.0), sent(4.0), sent(4000.0));
+    assert!(untold < told, "{untold} untold, {told} told");
+    assert!(wrong <= 5, "{wrong} of eight at once at a rate that was never true");
+}
