--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -819,12 +819,14 @@
 /// seconds left an app of 5.7 calls a second 0.6. Held by the fleet's size, others waited a minute for nothing.
 #[rstest]
 fn a_hold_grows_with_the_share_of_calls_that_are_refused() {
-    let back = |refused: u64, seed: u64| {
+    let back = |refused: u64, left: Option<f64>, seed: u64| {
         let mut host = Host::new(|terms| (terms.seed, terms.forwarders) = (seed, 200.0));
         for n in 0..30 {
             let (other, name) = (DestinationId(n + 10), format!("other{n}"));
             host.at(n as f64, |f| f.listed(target(&name), other, KindId(0), ZoneId(0), Listing::Running));
             host.take(n as f64, &name, RETRIABLE, other.0, None);
+            left.into_iter()
+                .for_each(|share| drop(host.at(n as f64, |f| f.left_told(&target(&name), share))));
             host.ends(n as f64, &name, if n < refused { Fate::Full } else { Fate::Delivered });
             host.at(n as f64, |f| f.withdrawn(&event(&name)));
         }
@@ -832,9 +834,10 @@
         host.ends(101.0, "a", Fate::Full);
         (1..200).find(|step| sends(&host.idle(101.0 + 100.0 * *step as f64)) > 0).unwrap_or(200)
     };
-    let mean = |refused: u64| (0..20).map(|seed| back(refused, seed)).sum::<usize>() / 20;
-    assert!(mean(1) < 20, "{} tenths of a second", mean(1));
-    assert!(mean(29) > 2 * mean(1), "{} tenths of a second", mean(29));
+    let mean = |refused, left| (0..20).map(|seed| back(refused, left, seed)).sum::<usize>() / 20;
+    assert!(mean(1, None) < 20, "{} tenths of a second", mean(1, None));
+    assert!(mean(29, None) > 2 * mean(1, None), "{} tenths of a second", mean(29, None));
+    assert!(mean(12, Some(0.0)) > 2 * mean(12, Some(0.9)), "a limit that is not used up needs no long hold");
 }
 
 /// Met on nairobi-relay quiet: nine of ten events paid for a new connection, though one stood idle beside it.
