--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -134,6 +134,10 @@
                 time(arrival, "deadlineUs")?,
                 optional_text(arrival, "routeKey")?.map(order_key).transpose()?,
             );
+            if let Some(member) = optional_text(arrival, "project")? {
+                let member = place(&names.members, member, "project")?;
+                to.asked_by(&EventId(text(arrival, "xid")?.into()), member);
+            }
             Ok(())
         }
         "outcome" => {
--- a/emulator/src/world/forwarders.rs
+++ b/emulator/src/world/forwarders.rs
@@ -119,6 +119,8 @@
             room: scenario.forwarders.room,
             sends_cap: rules.sends_cap,
             pings_allowed: rules.pings,
+            shares: Vec::new(),
+            over_share_worth: 1.0,
             longest_advice: rules.longest_advice,
             cold_share: rules.cold_share,
             warm_after: rules.warm_after,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,7 @@
     stale: Fading,        // those of them that were lost
     stale_until: Ms,
     counts: Vec<KindCounts>,
+    asked: Vec<Fading>, // by member: events taken inside its share
 }
 
 /// Its serialised form is what a process that takes over decides on from.
@@ -176,6 +177,19 @@
         self.changed.insert(of);
     }
 
+    /// The member that asked for an event just taken. What it asks beyond its even part of the share is worth
+    /// little; a Poisson spread is allowed for, as a forwarder of many sees an event in a second or two.
+    pub fn asked_by(&mut self, id: &EventId, member: usize) {
+        let (here, Some((of, place))) = (&mut self.here, self.places.get(id)) else { return };
+        let Some(share) = here.terms.shares.get(member) else { return };
+        let part = share / here.terms.forwarders * SHARED / 1000.0;
+        here.asked.resize_with(here.terms.shares.len(), Fading::default);
+        let over = here.asked[member].read(here.now, SHARED) >= part + part.sqrt() + 1.0;
+        here.asked[member].add(here.now, SHARED, if over { 0.0 } else { 1.0 });
+        let events = &mut self.destinations.get_mut(of).expect("placed").events;
+        events.get_mut(place).expect("placed").over_share = over;
+    }
+
     pub fn withdrawn(&mut self, id: &EventId) {
         self.settle(id, |event| event.over = true);
     }
@@ -308,7 +322,11 @@
         to.forget_gone(here, &mut self.homes);
         let held = to.events.iter().filter(|(_, event)| event.is_held());
         let hopeless = |event: &Event| here.now.max(event.not_before) >= here.window_ends(event);
-        let ends = held.filter(|(_, e)| hopeless(e) || here.now >= e.patience_ends - LAST_MOMENT);
+        // Beyond its share an event takes no room that others need.
+        let scarce = 3 * self.places.len() > here.terms.room;
+        let excess = |event: &Event| event.over_share && scarce && event.may_have_run.is_none();
+        let ends =
+            held.filter(|(_, e)| hopeless(e) || excess(e) || here.now >= e.patience_ends - LAST_MOMENT);
         let ended: Vec<u64> = ends.map(|(&place, _)| place).collect();
         ended.into_iter().for_each(|place| self.end(id, place, out));
         let to = self.destinations.get_mut(&id).expect("tended");
@@ -829,7 +847,8 @@
         let of = &self.terms.traffic[event.traffic.0];
         let age = self.now - (event.patience_ends - of.patience);
         let late = ((age - of.soft_limit) / (of.patience - of.soft_limit).max(1.0)).clamp(0.0, 1.0);
-        of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
+        let share = if event.over_share { self.terms.over_share_worth } else { 1.0 };
+        share * of.payoff * (1.0 - late * (1.0 - of.payoff_at_end))
     }
 
     fn is_late(&self, event: &Event) -> bool {
@@ -870,6 +889,8 @@
 const BRIEF: Ms = 300.0;
 /// Answered so lately, a destination that refuses a connection is busy: its answers may be a second apart.
 const BESIDE: Ms = 2000.0;
+/// Long enough to count a member's events at one forwarder of many, short against a flood of some seconds.
+const SHARED: Ms = 10_000.0;
 /// How strongly holds grow with the square of the refused share. 4, 10 and 20 times the share itself served
 /// overloaded days worse or those on which refusals use up a limit: the square keeps it small for most.
 const EATEN: f64 = 15.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,10 @@
     pub sends_cap: u32,
     pub pings_allowed: bool,
     pub longest_advice: Option<Ms>,
+    /// Events a second that each member may ask of all forwarders together; none where there are no members.
+    pub shares: Vec<f64>,
+    /// What an event beyond its member's share is worth, of the usual.
+    pub over_share_worth: f64,
     pub cold_share: f64,
     pub warm_after: Ms,
     pub tip_multiple: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,7 @@
     pub(crate) traffic: TrafficId,
     pub(crate) key: Option<OrderKey>,
     pub(crate) patience_ends: Ms,
+    pub(crate) over_share: bool, // its member had used up its share
     pub(crate) sends: u32,
     pub(crate) call: Option<u64>,
     pub(crate) not_before: Ms,
--- a/terms/src/fields.rs
+++ b/terms/src/fields.rs
@@ -22,6 +22,17 @@
     present(from, field).and_then(Value::as_array).ok_or_else(|| format!("{field}: a list is missing"))
 }
 
+/// A list, empty where there is none.
+pub fn optional_list<'a>(from: &'a Object, field: &str) -> Plain<&'a [Value]> {
+    present(from, field).map_or(Ok(&[]), |_| list(from, field).map(Vec::as_slice))
+}
+
+/// A number above 0.
+pub fn positive(from: &Object, field: &str) -> Plain<f64> {
+    let value = number(from, field)?;
+    Some(value).filter(|v| *v > 0.0).ok_or_else(|| format!("{field}: {value} is not above 0"))
+}
+
 /// A list that is not empty.
 pub fn some<'a>(from: &'a Object, field: &str) -> Plain<&'a Vec<Value>> {
     Some(list(from, field)?).filter(|all| !all.is_empty()).ok_or_else(|| format!("{field}: is empty"))
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -19,6 +19,7 @@
     pub traffic: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
+    pub members: Vec<String>,
     /// The sizes that the list gives are the rates that destinations take, in calls a second.
     pub sizes_are_rates: bool,
     /// The place in a load report of the share of its limit that a target has left.
@@ -165,6 +166,13 @@
             .map(|n| Ok(n.as_str().ok_or(format!("{field}: a name is no text"))?.to_owned()))
             .collect()
     };
+    let (mut members, mut shares) = (Vec::new(), Vec::new());
+    for (at, member) in optional_list(env, "projects")?.iter().enumerate() {
+        let within = |e: String| format!("projects[{at}].{e}");
+        let member = member.as_object().ok_or_else(|| within("not an object".into()))?;
+        members.push(text(member, "name").map_err(within)?.to_owned());
+        shares.push(positive(member, "quotaPerS").map_err(within)?);
+    }
     let report = present(env, "report").and_then(|r| r.get("columns")).and_then(Value::as_array);
     let left_at = report.and_then(|all| all.iter().position(|column| column == "x0"));
     let sizes_are_rates = optional_text(env, "weightKind")?.is_some_and(|kind| kind != "silent");
@@ -172,6 +180,7 @@
         traffic: Vec::new(),
         kinds: names_of("shapes")?,
         zones: names_of("zones")?,
+        members,
         sizes_are_rates,
         left_at,
     };
@@ -212,6 +221,11 @@
         sends_cap: count(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
         pings_allowed: flag("probes"),
         longest_advice: flag("retryAfter").then(|| optional_time(allowed, "maxRetryAfterUs")).transpose()?,
+        shares,
+        over_share_worth: match present(env, "overShareWorth") {
+            Some(_) => number(env, "overShareWorth")?,
+            None => 1.0,
+        },
         cold_share: number(rules, "coldFrom").map_err(within("rules"))?,
         warm_after: time(rules, "coldUs").map_err(within("rules"))?,
         tip_multiple: number(rules, "tipMultiple").map_err(within("rules"))?,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -47,6 +47,8 @@
         sends_cap: 6,
         pings_allowed: true,
         longest_advice: Some(2000.0),
+        shares: Vec::new(),
+        over_share_worth: 1.0,
         cold_share: 0.2,
         warm_after: 10_000.0,
         tip_multiple: 2.0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -875,3 +875,30 @@
     assert!(untold < told, "{untold} untold, {told} told");
     assert!(wrong <= 5, "{wrong} of eight at once at a rate that was never true");
 }
+
+/// Met on incident i085332: one member sent five times its usual traffic, and events of all were dismissed alike.
+#[rstest]
+#[case::within_its_share(50.0, 0)]
+#[case::beyond_it(1.0, 5)]
+fn what_a_member_asks_beyond_its_share_makes_way_once_the_room_is_a_third_full(
+    #[case] share: f64,
+    #[case] least: usize,
+) {
+    let mut host = Host::new(|terms| {
+        (terms.shares, terms.over_share_worth) = (vec![share, 50.0], 0.05);
+        terms.room = 60;
+    });
+    host.goes_offline(1.0);
+    let mut dismissed = Vec::new();
+    for n in 0..30 {
+        let (name, now) = (format!("e{n}"), 10.0 + n as f64);
+        dismissed.extend(host.at(now, |f| {
+            f.taken(event(&name), DestinationId(1), RETRIABLE, now + 20_000.0, None);
+            f.asked_by(&event(&name), n % 2);
+            f.asked_by(&event(&name), 7); // no such member: as if none was named
+        }));
+    }
+    let odd = |word: &String| word.trim_start_matches("dismiss e").parse::<usize>().is_ok_and(|n| n % 2 == 1);
+    assert!(dismissed.len() >= least && (least > 0 || dismissed.is_empty()), "{dismissed:?}");
+    assert!(!dismissed.iter().any(odd), "the other member keeps its own: {dismissed:?}");
+}
