--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,11 +64,6 @@
     pub forwarders: f64,
     pub traffic: Vec<TrafficType>,
     pub kinds: Vec<DestinationKind>,
-    pub zone: ZoneId,
-    /// Taken off the result for each event that leaves the zone.
-    pub crossing_fee: f64,
-    /// Taken off for each event that a route apart in that zone takes on.
-    pub route_fees: Vec<f64>,
     pub slots: usize,
     pub room: usize,
     pub sends_cap: u32,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -207,15 +207,6 @@
         forwarders: number(env, "balancers")?,
         traffic,
         kinds,
-        zone: ZoneId(optional_text(env, "zone")?.map_or(Ok(0), |zone| place(&names.zones, zone, "zone"))?),
-        crossing_fee: match present(env, "prices") {
-            Some(_) => optional_number(object(env, "prices")?, "crossZone")?,
-            None => 0.0,
-        },
-        route_fees: match present(family, "carriage") {
-            Some(_) => list(family, "carriage")?.iter().map(|fee| fee.as_f64().unwrap_or(0.0)).collect(),
-            None => Vec::new(),
-        },
         slots: count(family, "slots").map_err(within("familyInfo"))? as usize,
         room: count(allowed, "maxOpen").map_err(within("allowed"))? as usize,
         sends_cap: count(allowed, "attemptsCap").map_err(within("allowed"))? as u32,
