The program reads rates, reports and members; `plankhill convert` turns an old configuration

What the module reads since the move comes from the configuration too, checked, with defaults that leave the present behaviour: `weightKind` (sizes in discovery's list are rates), `report.columns` (where `Srv-Load` tells the share of the limit left), `projects` and `overShareWorth`. What a target tells in an answer reaches the module ahead of the send's end; what can't be read or is no share reports nothing.

`plankhill convert OLD NEW [--retry-after on|off] [--dry-run]` writes the counterpart for the new shape whole or not at all, lists what it set and what it could not carry over, keeps keys that it does not know, gives a file of the new shape back as it was, and refuses what a forwarder would not start with, with the file and key in one line.

--- a/command/src/main.rs
+++ b/command/src/main.rs
@@ -1,6 +1,7 @@
 //! `plankhill`: the one command of the project for people. What is wrong with what it is given ends it with
 //! one line on standard error and exit status 2; anything else that fails, with 1.
 
+mod convert;
 mod emulate;
 mod experiment;
 mod summary;
@@ -9,7 +10,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{CommandFactory, Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
 #[derive(Parser)]
@@ -64,6 +65,24 @@
     },
     /// Writes DIR/report.html from the results of an experiment.
     Report { dir: PathBuf },
+    /// Writes the counterpart of a forwarder's configuration for a deployment without pings, whose targets
+    /// report their limits and whose list tells rates.
+    #[command(after_help = "Examples:
+  plankhill convert config.json new.json --dry-run
+  plankhill convert config.json new.json --retry-after off
+
+The input is never changed, and nothing that exists is overwritten. docs/migration.md has the steps.")]
+    Convert {
+        file: PathBuf,
+        /// The counterpart; must not exist.
+        to: PathBuf,
+        /// Whether a dismissal may say when to come back; as it was, if left out.
+        #[arg(long, value_name = "WORD")]
+        retry_after: Option<Switch>,
+        /// Tells what would be set and left, and writes nothing.
+        #[arg(long)]
+        dry_run: bool,
+    },
     /// Lists the scenarios that come with the program, or prints one.
     Scenarios {
         /// Prints this one, to be changed and played as a file.
@@ -73,6 +92,12 @@
     Completions { shell: Shell },
 }
 
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Switch {
+    On,
+    Off,
+}
+
 /// Why the command ends without having done its work.
 pub enum Fault {
     /// What it was given is wrong: status 2.
@@ -115,6 +140,9 @@
         Word::Experiment { file, out: dir, jobs, quiet } => {
             experiment::experiment(&mut out, &file, &dir, jobs, quiet)
         }
+        Word::Convert { file, to, retry_after, dry_run } => {
+            convert::convert(&mut out, &file, &to, retry_after.map(|word| word == Switch::On), dry_run)
+        }
         Word::Report { dir } => experiment::report(&mut out, &dir),
         Word::Scenarios { name } => emulate::scenarios(&mut out, name.as_deref()),
         Word::Completions { shell } => {
--- /dev/null
+++ b/command/tests/convert.rs
@@ -0,0 +1,140 @@
+//! `plankhill convert` as an operator meets it; what it writes must start the forwarder's reading.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use rstest::rstest;
+use serde_json::{json, Value};
+
+fn old() -> Value {
+    json!({"name": "n3", "listen": "127.0.0.1:7", "discovery": "127.0.0.1:9", "seed": "8c1f", "ours": {"kept": 1},
+        "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "known": {"revision": 1, "complete": true, "members": [{"id": "a", "size": 1.0}]},
+        "settings": {"me": 0, "balancers": 2, "shapes": ["k"], "zones": ["z"], "prices": {"probe": 0.01},
+            "allowed": {"attemptsCap": 6, "maxOpen": 20, "probes": true, "retryAfter": true},
+            "familyInfo": {"slots": 4, "losesWorth": "linear"}, "report": {"columns": [], "via": "silent"},
+            "profiles": [{"name": "p", "semantics": "pure", "aimUs": 1, "deadlineUs": 2, "credit": 1,
+                "lateWorth": 0.1}],
+            "rules": {"coldFrom": 0.2, "coldUs": 9000000, "tipMultiple": 2}}})
+}
+
+struct Desk(PathBuf);
+
+impl Desk {
+    fn new(name: &str, config: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("plankhill-convert-{}-{name}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a folder for the test");
+        fs::write(dir.join("old.json"), config).expect("a file for the test");
+        Desk(dir)
+    }
+
+    fn convert(&self, from: &str, to: &str, words: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_plankhill"));
+        command
+            .arg("convert")
+            .arg(self.0.join(from))
+            .arg(self.0.join(to))
+            .args(words)
+            .output()
+            .expect("starts")
+    }
+
+    fn text(&self, name: &str) -> String {
+        fs::read_to_string(self.0.join(name)).expect("was written")
+    }
+
+    fn files(&self) -> usize {
+        fs::read_dir(&self.0).expect("is there").count()
+    }
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn told(path: &Path) -> plankhill_terms::Told {
+    let told = plankhill_terms::told(|variable| match variable {
+        "PROXY_CONFIG" => Some(path.display().to_string()),
+        "PROXY_STATE" => Some("/state".into()),
+        _ => None,
+    });
+    told.expect("a forwarder starts with it")
+}
+
+#[rstest]
+fn an_old_file_gets_a_counterpart_that_starts_a_forwarder() {
+    let desk = Desk::new("old", &old().to_string());
+    let output = desk.convert("old.json", "new.json", &["--retry-after", "off"]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let said = String::from_utf8(output.stdout).expect("text");
+    for line in [
+        "set   settings.allowed.probes: true is false now",
+        "set   settings.allowed.retryAfter: true is false now",
+        "left  known: 1 sizes are no rates and are dropped",
+        "left  settings.prices.probe: kept, but pings are barred",
+    ] {
+        assert!(said.contains(line), "{line}\n{said}");
+    }
+    let new = told(&desk.0.join("new.json"));
+    assert!(!new.terms.pings_allowed && new.terms.longest_advice.is_none());
+    assert!(new.names.sizes_are_rates && new.names.left_at == Some(0));
+    let text: Value = serde_json::from_str(&desk.text("new.json")).expect("is JSON");
+    assert_eq!(text["ours"], json!({"kept": 1}), "what it does not know it keeps");
+    assert_eq!(desk.text("old.json"), old().to_string(), "the input is as it was");
+    assert!(told(&desk.0.join("old.json")).terms.pings_allowed, "an old file reads as ever");
+}
+
+#[rstest]
+fn a_file_of_the_new_shape_comes_back_the_same() {
+    let desk = Desk::new("again", &old().to_string());
+    desk.convert("old.json", "new.json", &[]);
+    let output = desk.convert("new.json", "newer.json", &[]);
+    assert!(output.status.success() && !String::from_utf8_lossy(&output.stdout).contains("set "));
+    assert_eq!(desk.text("new.json"), desk.text("newer.json"));
+}
+
+#[rstest]
+#[case::dry("new.json", &["--dry-run"], 0, "")]
+#[case::itself("old.json", &[], 2, "old.json: exists already")]
+fn nothing_is_written_or_overwritten(
+    #[case] to: &str,
+    #[case] words: &[&str],
+    #[case] status: i32,
+    #[case] message: &str,
+) {
+    let desk = Desk::new(&format!("nothing-{status}"), &old().to_string());
+    let output = desk.convert("old.json", to, words);
+    assert_eq!(output.status.code(), Some(status));
+    assert!(String::from_utf8_lossy(&output.stderr).contains(message));
+    assert_eq!((desk.files(), desk.text("old.json")), (1, old().to_string()));
+}
+
+#[rstest]
+#[case::no_json("/name", None, "old.json: not JSON")]
+#[case::slots("/settings/familyInfo/slots", Some(json!(0)), "old.json: settings.familyInfo.slots: is 0")]
+#[case::report("/settings/report", Some(json!(7)), "old.json: settings.report.via: not in an object")]
+#[case::shares("/settings/projects", Some(json!([{"name": "a", "quotaPerS": 0}])),
+    "old.json: settings.projects[0].quotaPerS: 0 is not above 0")]
+fn what_is_wrong_is_one_line_and_leaves_nothing(
+    #[case] at: &str,
+    #[case] value: Option<Value>,
+    #[case] message: &str,
+) {
+    let mut config = old();
+    let text = match value {
+        None => "{".into(),
+        Some(value) => {
+            let (table, key) = at.rsplit_once('/').expect("a path");
+            config.pointer_mut(table).expect("is there")[key] = value;
+            config.to_string()
+        }
+    };
+    let desk = Desk::new(&at.replace('/', "-"), &text);
+    let output = desk.convert("old.json", "new.json", &[]);
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert!(output.status.code() == Some(2) && said.contains(message), "{said}");
+    assert_eq!((said.trim_end().lines().count(), desk.files()), (1, 1));
+}
--- a/emulator/src/world/forwarders.rs
+++ b/emulator/src/world/forwarders.rs
@@ -1,7 +1,7 @@
 //! Forwarders and their lives: rounds, what comes in between them, the list as each has heard it, the
 //! record that outlasts a process, and what happens to what was held when one ends.
 
-use plankhill::interface::{self as names, DestinationKind, Fate, Listing, Ms, Terms, TrafficType, ZoneId};
+use plankhill::interface::{self as names, DestinationKind, Fate, Listing, Ms, Terms, TrafficType};
 use plankhill_rules::{Cut, End, Fact};
 use plankhill_terms::scenario::Repeats;
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/forwarder/src/relay.rs
+++ b/forwarder/src/relay.rs
@@ -104,8 +104,10 @@
                 self.targets.at_rest(&target);
                 return None;
             }
-            // The new process watches the list, tells the notices and ends on its own.
+            // The new process watches the list, tells the notices and ends on its own. A report of these
+            // moments is a measure that the next one makes good.
             CameIn::List(_)
+            | CameIn::Left(..)
             | CameIn::Heard(_)
             | CameIn::Kept(..)
             | CameIn::HandOver { .. }
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -43,6 +43,8 @@
         target: TargetId,
         fate: Fate,
     },
+    /// The share of its limit that a target reported beside the end of a send, which follows.
+    Left(TargetId, f64),
     List(Value),
     /// The target's actor has ended: it had nothing left to own.
     AtRest(TargetId),
@@ -450,6 +452,7 @@
                     debug!(self.common.log, "a ping ended at a target that is gone"; "target" => &*target.0);
                 }
             }
+            CameIn::Left(target, share) => to.left_told(&target, share),
             CameIn::List(page) => self.listed(to, &page),
             CameIn::AtRest(target) => self.targets.at_rest(&target),
             CameIn::Kept(target, stream, since) => {
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -13,7 +13,7 @@
 use plankhill::interface::*;
 use plankhill_handover::Word;
 use plankhill_http1::{self as http1, ResponseHead};
-use plankhill_terms::Told;
+use plankhill_terms::{Told, LEFT};
 use slog::debug;
 
 use crate::clock::millis;
@@ -164,11 +164,13 @@
     fate: Fate,
     over: bool,
     wait: Ms,
+    /// The share of its limit that the target reports as left.
+    left: Option<f64>,
 }
 
 impl End {
     fn plain(fate: Fate) -> Self {
-        End { fate, over: fate == Fate::Delivered, wait: 0.0 }
+        End { fate, over: fate == Fate::Delivered, wait: 0.0, left: None }
     }
 }
 
@@ -177,13 +179,16 @@
         let began = Instant::now();
         let time_out = send.as_ref().map_or(self.reach.common.told.connect_time_out, |send| send.time_out);
         let reused = self.kept.is_some();
-        let End { fate, over, wait } = self.exchange(began, time_out, send.as_ref()).await;
+        let End { fate, over, wait, left } = self.exchange(began, time_out, send.as_ref()).await;
         let took = began.elapsed().as_secs_f64() * 1000.0;
         let ended = match send {
             Some(send) => {
                 debug!(self.reach.common.log, "send ended"; "event" => &*send.event.0,
                     "target" => &*self.target.0, "fate" => ?fate, "wait" => wait, "took" => took,
                     "reused" => reused);
+                if let Some(share) = left {
+                    let _ = self.reach.to_rounds.send(CameIn::Left(self.target.clone(), share)).await;
+                }
                 CameIn::SendEnded { event: send.event, fate, took, over, wait }
             }
             None => {
@@ -242,7 +247,10 @@
             }
         };
         let end = match ResponseHead::read(&buffer[whole.head]) {
-            Ok(head) => judge(&head, send.is_none()),
+            Ok(head) => End {
+                left: Some(&head).filter(|_| told.names.left_at.is_some()).and_then(left),
+                ..judge(&head, send.is_none())
+            },
             Err(_) => End::plain(Fate::Cancelled),
         };
         if let Some(own) = self.own.upgrade().filter(|_| whole.reusable) {
@@ -272,6 +280,14 @@
     }
 }
 
+/// The share of its limit that an answer reports as left, `Srv-Load: TEXT x0=0.4, x1=25`; what can't be read, or
+/// is no share, reports nothing.
+fn left(head: &ResponseHead) -> Option<f64> {
+    let values = head.fields.one("Srv-Load").ok()??.strip_prefix("TEXT ")?;
+    let value = values.split(',').find_map(|pair| pair.trim().strip_prefix(LEFT)?.strip_prefix('='))?;
+    value.parse().ok().filter(|share| (0.0..=1.0).contains(share))
+}
+
 /// What the wire's statuses mean. An answer to a ping says no more than that.
 fn judge(head: &ResponseHead, ping: bool) -> End {
     let field = |name| head.fields.one(name).ok().flatten();
@@ -288,3 +304,22 @@
         _ => End::plain(Fate::Error),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::told("Srv-Load: TEXT x0=0.4, x1=25", Some(0.4))]
+    #[case::other_order("srv-load: TEXT x1=25, x0=1", Some(1.0))]
+    #[case::absent("Other: 1", None)]
+    #[case::no_share("Srv-Load: TEXT x0=25", None)]
+    #[case::no_number("Srv-Load: TEXT x0=NaN, x1=1", None)]
+    #[case::spoilt("Srv-Load: \u{1}", None)]
+    #[case::another_form("Srv-Load: 0.4", None)]
+    fn the_share_that_is_left_is_read_or_nothing_is(#[case] line: &str, #[case] left: Option<f64>) {
+        let head = format!("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n{line}\r\n\r\n");
+        let head = super::ResponseHead::read(head.as_bytes()).expect("is a head");
+        assert_eq!(super::left(&head), left);
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -520,8 +520,8 @@
                     let spread = base * wide / (recent / OFTEN).max(1.0);
                     lane.held_until = now + wait + spread.max(cold_spacing) * chance;
                 }
-                // Refused again, much of a told limit left, nothing delivered between: it may be shut, to return
-                // cold. Guards whatever refuses all; harmful where a tight limit looks the same for long.
+                // Refused again, much of a told limit left, nothing delivered between: it may be shut, and cold
+                // then. Guards whatever refuses all; harmful where a tight limit looks the same for long.
                 lane.shut_signs = if left.is_none_or(|left| left >= 0.5) { lane.shut_signs + 1 } else { 0 };
                 let shut = lane.shut_signs >= 2 && now - lane.delivered_at > 1.5 * PING;
                 if shut || lane.is_cold(here) && lane.shut_signs > 0 {
@@ -697,9 +697,8 @@
     }
 
     /// What usually goes to each lane a second, now or before it was cold, also in an earlier process: events
-    /// taken, or calls, if far fewer, as one may carry several (half more: calls are few); what comes again in
-    /// an outage is not usual. An even part of the told rate is, as single counts say little, but up to some
-    /// times of what was counted, so that a wrong rate pushes nobody over.
+    /// taken, or calls, if far fewer, as one may carry several (half more: calls are few). What comes again
+    /// in an outage is not usual; an even part of the told rate is, up to some times what was counted.
     fn usual(&self, here: &Here) -> f64 {
         let counted = self.a_second(here, &self.offered).min(1.5 * self.a_second(here, &self.called));
         let part = (self.told_rate / here.terms.forwarders / self.running_lanes()).min(BELIEVED * counted);
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place that reads, checks and defaults what a forwarder is told: the settings that both wires
 //! share, and `config.json` with the `PROXY_*` variables. Every message names the faulty key.
 
+pub mod convert;
 pub mod experiment;
 pub mod fields;
 pub mod scenario;
@@ -56,6 +57,9 @@
     fixed: Vec<(String, Value)>,
 }
 
+/// The name, in load reports, of the share of its limit that a target has left.
+pub const LEFT: &str = "x0";
+
 impl Told {
     /// Traffic types, kinds and zones, whose positions the decisions keep.
     pub fn all_names(&self) -> [Vec<String>; 3] {
@@ -174,7 +178,10 @@
         shares.push(positive(member, "quotaPerS").map_err(within)?);
     }
     let report = present(env, "report").and_then(|r| r.get("columns")).and_then(Value::as_array);
-    let left_at = report.and_then(|all| all.iter().position(|column| column == "x0"));
+    let left_at = report.and_then(|all| all.iter().position(|column| column == LEFT));
+    if let Some(zone) = optional_text(env, "zone")? {
+        place(&names_of("zones")?, zone, "zone")?;
+    }
     let sizes_are_rates = optional_text(env, "weightKind")?.is_some_and(|kind| kind != "silent");
     let mut names = Names {
         traffic: Vec::new(),
--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -8,7 +8,7 @@
     json!({"name": "n3", "listen": "127.0.0.1:7", "mgmt": "127.0.0.1:8", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
         "known": {"revision": 1, "complete": true, "members": []},
-        "settings": {"me": 0, "balancers": 2, "shapes": ["k"], "zones": ["z"], "zone": "z",
+        "settings": {"me": 0, "balancers": 2, "shapes": ["k"], "zones": ["z"], "zone": "z", "projects": [], "overShareWorth": null,
             "allowed": {"attemptsCap": 6, "maxOpen": 20, "probes": true, "connectTimeoutUs": 1000000},
             "familyInfo": {"slots": 4},
             "profiles": [{"name": "p", "semantics": "pure", "aimUs": 1, "deadlineUs": 2, "credit": 1,
@@ -42,6 +42,25 @@
     assert_eq!(told.terms.seed, 0x8c1f30d27a5be964);
 }
 
+#[rstest]
+fn without_rates_reports_and_members_nothing_changes() {
+    let told = read("defaults", &config()).expect("right");
+    assert!(!told.names.sizes_are_rates && told.names.left_at.is_none() && told.names.members.is_empty());
+    assert!(told.terms.shares.is_empty() && told.terms.over_share_worth == 1.0);
+}
+
+#[rstest]
+fn rates_reports_and_members_are_read() {
+    let mut config = config();
+    config["settings"]["weightKind"] = json!("nominal");
+    config["settings"]["report"] = json!({"columns": ["x1", "x0"], "via": "piggyback"});
+    config["settings"]["projects"] = json!([{"name": "a", "quotaPerS": 66.0, "share": 0.08}]);
+    config["settings"]["overShareWorth"] = json!(0.05);
+    let told = read("new", &config).expect("right");
+    assert!(told.names.sizes_are_rates && told.names.left_at == Some(1) && told.names.members == ["a"]);
+    assert_eq!((told.terms.shares, told.terms.over_share_worth), (vec![66.0], 0.05));
+}
+
 #[rstest]
 #[case("/listen", json!("here"), "listen: \"here\" is not an address")]
 #[case("/mgmt", json!("127.0.0.1:7"), "mgmt: 127.0.0.1:7 is the clients' address")]
@@ -54,6 +73,8 @@
 #[case("/settings/shapes", json!([]), "settings.shapes: is empty")]
 #[case("/settings/rules/coldFrom", Value::Null, "settings.rules.coldFrom: a number is missing")]
 #[case("/settings/profiles/0/semantics", json!("odd"), "settings.profiles[0].semantics: unknown word")]
+#[case("/settings/projects", json!([{"name": "a", "quotaPerS": -1}]), "settings.projects[0].quotaPerS: -1 is not above 0")]
+#[case("/settings/overShareWorth", json!("much"), "settings.overShareWorth: a number is missing")]
 #[case("/settings/zone", json!("nowhere"), "settings.zone: \"nowhere\" is not in the settings")]
 fn the_faulty_key_is_named(#[case] at: &str, #[case] value: Value, #[case] message: &str) {
     let mut config = config();
