--- a/src/decide.rs
+++ b/src/decide.rs
@@ -501,7 +501,7 @@
                 lane.trust = 1.0;
                 lane.release(now);
                 // Where refused calls use up the limit, nearly all report it used up; 3 in 10 do elsewhere.
-                let weight = left.map_or(1.0, |left| if left < 0.2 { 2.0 } else { 0.2 });
+                let weight = if left.is_none_or(|left| left < 0.2) { 2.0 } else { 0.2 };
                 here.counts[self.kind.0].full.add(now, REUSE, weight);
                 if sent >= lane.refused_at {
                     (lane.refusals, lane.refused_at) = (lane.refusals + 1, now);
