--- a/src/decide.rs
+++ b/src/decide.rs
@@ -514,7 +514,7 @@
                     // All that were refused, or told the same wait, must not come back together: the more of
                     // a kind's calls are refused, the wider they spread, as these may use up the limit.
                     let KindCounts { full, answered, .. } = &here.counts[self.kind.0];
-                    let share = full.read(now, REUSE) / (answered.read(now, REUSE) + 4.0);
+                    let share = full.read(now, REUSE) / (answered.read(now, REUSE) + 8.0);
                     let wide = (1.0 + EATEN * share * share) * f64::powi(2.0, lane.refusals.min(4));
                     let base = (250.0 * here.terms.forwarders.sqrt()).min(1000.0);
                     let spread = base * wide / (recent / OFTEN).max(1.0);
