What is a share or a rate is checked in one place; sizes count as rates only where said so

Both hosts checked the range of a reported share and the sign of a rate; the module does now, with the story's cases. Sizes are rates where weightKind says nominal or rough, not for any word but silent. No decision changes for a legal figure.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -165,10 +165,9 @@
     told.map_err(|Unknown(what)| format!("{word}: {what} was never named to this instance"))
 }
 
-/// A value of a load report; late, noisy or missing, it is believed only as a share.
+/// A value of a load report, which may be missing.
 fn reported(arrival: &Object, at: usize) -> Option<f64> {
-    let value = arrival.get("stats")?.as_array()?.get(at)?.as_f64()?;
-    (0.0..=1.0).contains(&value).then_some(value)
+    arrival.get("stats")?.as_array()?.get(at)?.as_f64()
 }
 
 fn listed(names: &Names, to: &mut Forwarder, item: &Object) -> Plain<()> {
@@ -192,7 +191,7 @@
         listing,
     );
     if names.sizes_are_rates {
-        to.rate_told(of, optional_number(item, "powerHint")?.max(0.0));
+        to.rate_told(of, optional_number(item, "powerHint")?);
     }
     Ok(())
 }
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -158,7 +158,7 @@
             to.listed(target, destination, kind, zone, listing);
             if names.sizes_are_rates {
                 // An entry is not lost over its size: it counts as untold.
-                to.rate_told(destination, optional_number(entry, "size").unwrap_or(0.0).max(0.0));
+                to.rate_told(destination, optional_number(entry, "size").unwrap_or(0.0));
             }
             Ok(())
         };
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -280,12 +280,12 @@
     }
 }
 
-/// The share of its limit that an answer reports as left, `Srv-Load: TEXT x0=0.4, x1=25`; what can't be read, or
-/// is no share, reports nothing.
+/// The share of its limit that an answer reports as left, `Srv-Load: TEXT x0=0.4, x1=25`; what can't be read
+/// reports nothing.
 fn left(head: &ResponseHead) -> Option<f64> {
     let values = head.fields.one("Srv-Load").ok()??.strip_prefix("TEXT ")?;
     let value = values.split(',').find_map(|pair| pair.trim().strip_prefix(LEFT)?.strip_prefix('='))?;
-    value.parse().ok().filter(|share| (0.0..=1.0).contains(share))
+    value.parse().ok()
 }
 
 /// What the wire's statuses mean. An answer to a ping says no more than that.
@@ -313,8 +313,7 @@
     #[case::told("Srv-Load: TEXT x0=0.4, x1=25", Some(0.4))]
     #[case::other_order("srv-load: TEXT x1=25, x0=1", Some(1.0))]
     #[case::absent("Other: 1", None)]
-    #[case::no_share("Srv-Load: TEXT x0=25", None)]
-    #[case::no_number("Srv-Load: TEXT x0=NaN, x1=1", None)]
+    #[case::no_number("Srv-Load: TEXT x0=much, x1=1", None)]
     #[case::spoilt("Srv-Load: \u{1}", None)]
     #[case::another_form("Srv-Load: 0.4", None)]
     fn the_share_that_is_left_is_read_or_nothing_is(#[case] line: &str, #[case] left: Option<f64>) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -152,14 +152,14 @@
 
     /// What the list says that the destination takes from all forwarders together, in calls a second.
     pub fn rate_told(&mut self, of: DestinationId, rate: f64) {
-        self.destinations.entry(of).or_default().told_rate = rate;
+        self.destinations.entry(of).or_default().told_rate = rate.max(0.0);
     }
 
-    /// What an answer reports beside its outcome, which follows: the share of its limit that is left.
+    /// What an answer reports beside its outcome, which follows: the share of its limit left, if it is one.
     pub fn left_told(&mut self, id: &TargetId, share: f64) {
         let home = self.homes.get(id).and_then(|of| self.destinations.get_mut(of));
         let lane = home.and_then(|to| to.lane_of(id).map(|at| &mut to.lanes[at]));
-        lane.into_iter().for_each(|lane| lane.left = Some(share));
+        lane.into_iter().for_each(|lane| lane.left = Some(share).filter(|share| (0.0..=1.0).contains(share)));
     }
 
     /// The list names the destination, or did so lately: an event for any other could only wait for its end.
@@ -520,7 +520,7 @@
                     let spread = base * wide / (recent / OFTEN).max(1.0);
                     lane.held_until = now + wait + spread.max(cold_spacing) * chance;
                 }
-                // Refused again, much of a told limit left, nothing delivered between: it may be shut, and cold
+                // Refused again, much of a told limit left, nothing served between: it may be shut, and cold
                 // then. Guards whatever refuses all; harmful where a tight limit looks the same for long.
                 lane.shut_signs = if left.is_none_or(|left| left >= 0.5) { lane.shut_signs + 1 } else { 0 };
                 let shut = lane.shut_signs >= 2 && now - lane.delivered_at > 1.5 * PING;
@@ -749,7 +749,7 @@
         self.cold_since = Some(self.cold_since.unwrap_or(now).max(now).max(self.closed_until));
     }
 
-    /// Offline, and asked at once. What was parked returns cold, whatever it was parked for.
+    /// Offline, and asked at once, or by a trial after a pause. What was parked returns cold in any case.
     fn park(&mut self, now: Ms, trial: Ms) {
         self.ping_at = if self.offline && trial == 0.0 { self.ping_at } else { now + trial };
         self.offline = true;
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -182,7 +182,8 @@
     if let Some(zone) = optional_text(env, "zone")? {
         place(&names_of("zones")?, zone, "zone")?;
     }
-    let sizes_are_rates = optional_text(env, "weightKind")?.is_some_and(|kind| kind != "silent");
+    let sizes_are_rates =
+        optional_text(env, "weightKind")?.is_some_and(|kind| matches!(kind, "nominal" | "rough"));
     let mut names = Names {
         traffic: Vec::new(),
         kinds: names_of("shapes")?,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -788,6 +788,8 @@
 #[case::used_up(Some(0.1), false)]
 #[case::much_left(Some(0.9), true)]
 #[case::not_told(None, true)]
+#[case::no_share(Some(-1.0), true)]
+#[case::no_number(Some(f64::NAN), true)]
 fn refusals_make_a_destination_cold_unless_they_report_a_limit_used_up(
     #[case] left: Option<f64>,
     #[case] cold: bool,
