--- a/src/decide.rs
+++ b/src/decide.rs
@@ -714,7 +714,7 @@
     /// A second, or as the cold budget asks: half is for pings, half for the heads that an answer lets go.
     /// Each forwarder learns of a return by its own pings: at most two thirds of a second for each root of
     /// the fleet's size (6.7 s for 100), so that the fleet's pings grow with that root only. Half of it, with
-    /// the first calls sooner, pushed small destinations over; a tenth of the size learnt of a return 10 s late.
+    /// the first calls sooner, pushed small destinations over; a tenth of the size learnt of one 10 s late.
     fn ping_pause(&self, here: &mut Here, at: usize) -> Ms {
         let spacing = self.rate(here, at).map_or(0.0, |rate| 2000.0 / rate);
         spacing.min(PING * here.terms.forwarders.sqrt() / 1.5).max(PING) * jitter(here.draw(0))
