One place says whether sizes are rates; the new shape is a table

terms and convert asked it in two ways: a file whose sizes were of another kind than a rate (live) kept them over the conversion, and they would have been read as rates. The words of the new shape need no type of their own, and the zones are read once.

--- a/command/tests/convert.rs
+++ b/command/tests/convert.rs
@@ -65,8 +65,12 @@
 }
 
 #[rstest]
-fn an_old_file_gets_a_counterpart_that_starts_a_forwarder() {
-    let desk = Desk::new("old", &old().to_string());
+#[case::sizes_untold("silent")]
+#[case::sizes_of_another_kind("live")]
+fn an_old_file_gets_a_counterpart_that_starts_a_forwarder(#[case] sizes: &str) {
+    let mut old = old();
+    old["settings"]["weightKind"] = json!(sizes);
+    let desk = Desk::new(sizes, &old.to_string());
     let output = desk.convert("old.json", "new.json", &["--retry-after", "off"]);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let said = String::from_utf8(output.stdout).expect("text");
@@ -83,7 +87,7 @@
     assert!(new.names.sizes_are_rates && new.names.left_at == Some(0));
     let text: Value = serde_json::from_str(&desk.text("new.json")).expect("is JSON");
     assert_eq!(text["ours"], json!({"kept": 1}), "what it does not know it keeps");
-    assert_eq!(desk.text("old.json"), old().to_string(), "the input is as it was");
+    assert_eq!(desk.text("old.json"), old.to_string(), "the input is as it was");
     assert!(told(&desk.0.join("old.json")).terms.pings_allowed, "an old file reads as ever");
 }
 
--- a/terms/src/convert.rs
+++ b/terms/src/convert.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 
 use crate::fields::*;
-use crate::{read_told, LEFT};
+use crate::{read_told, tells_rates, LEFT};
 
 /// The counterpart of a configuration.
 pub struct Converted {
@@ -16,31 +16,16 @@
     pub left: Vec<String>,
 }
 
-/// What the new shape says, as the key's path and its value.
-const SHAPE: [(&str, Shape); 6] = [
-    ("/settings/allowed/probes", Shape::Flag(false)),
-    ("/settings/allowed/mayDuplicate", Shape::Flag(true)),
-    ("/settings/weightKind", Shape::Word("nominal")),
-    ("/settings/familyInfo/losesWorth", Shape::Word("halving")),
-    ("/settings/report/via", Shape::Word("piggyback")),
-    ("/settings/report/columns", Shape::Columns),
-];
-
-enum Shape {
-    Flag(bool),
-    Word(&'static str),
-    /// The share that is left and the limit itself.
-    Columns,
-}
-
-impl Shape {
-    fn value(&self) -> Value {
-        match self {
-            Shape::Flag(flag) => json!(flag),
-            Shape::Word(word) => json!(word),
-            Shape::Columns => json!([LEFT, "x1"]),
-        }
-    }
+/// What the new shape says, as the key's path and its value; a report tells the share that is left and the limit.
+fn shape() -> [(&'static str, Value); 6] {
+    [
+        ("/settings/allowed/probes", json!(false)),
+        ("/settings/allowed/mayDuplicate", json!(true)),
+        ("/settings/weightKind", json!("nominal")),
+        ("/settings/familyInfo/losesWorth", json!("halving")),
+        ("/settings/report/via", json!("piggyback")),
+        ("/settings/report/columns", json!([LEFT, "x1"])),
+    ]
 }
 
 /// `retry_after` is whether a dismissal may say when to come back; as it was, if it is not said. Keys that are
@@ -50,10 +35,9 @@
     let mut config: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
     starts(&config)?;
     let (mut set, mut left) = (Vec::new(), Vec::new());
-    let told_sizes = config["settings"]["weightKind"].as_str().is_some_and(|kind| kind != "silent");
-    let shape = SHAPE.iter().map(|(path, shape)| (*path, shape.value()));
+    let told_sizes = tells_rates(config["settings"]["weightKind"].as_str());
     let retry_after = retry_after.map(|may| ("/settings/allowed/retryAfter", json!(may)));
-    for (path, value) in shape.chain(retry_after) {
+    for (path, value) in shape().into_iter().chain(retry_after) {
         put(&mut config, path, value, &mut set)?;
     }
     if !told_sizes {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -179,19 +179,17 @@
     }
     let report = present(env, "report").and_then(|r| r.get("columns")).and_then(Value::as_array);
     let left_at = report.and_then(|all| all.iter().position(|column| column == LEFT));
-    if let Some(zone) = optional_text(env, "zone")? {
-        place(&names_of("zones")?, zone, "zone")?;
-    }
-    let sizes_are_rates =
-        optional_text(env, "weightKind")?.is_some_and(|kind| matches!(kind, "nominal" | "rough"));
     let mut names = Names {
         traffic: Vec::new(),
         kinds: names_of("shapes")?,
         zones: names_of("zones")?,
         members,
-        sizes_are_rates,
+        sizes_are_rates: tells_rates(optional_text(env, "weightKind")?),
         left_at,
     };
+    if let Some(zone) = optional_text(env, "zone")? {
+        place(&names.zones, zone, "zone")?;
+    }
     let mut traffic = Vec::new();
     for (at, profile) in some(env, "profiles")?.iter().enumerate() {
         let within = |e: String| format!("profiles[{at}].{e}");
@@ -254,6 +252,11 @@
     Ok((text(profile, "name")?.to_owned(), traffic))
 }
 
+/// Whether sizes of that kind are the rates that destinations take.
+fn tells_rates(kind: Option<&str>) -> bool {
+    matches!(kind, Some("nominal" | "rough"))
+}
+
 /// The key of ordered events, as the wires write it.
 pub fn order_key(digits: &str) -> Plain<OrderKey> {
     u64::from_str_radix(digits, 16).map(OrderKey).map_err(|_| format!("{digits:?} is not a hexadecimal key"))
