A send's end is one value that carries its report

What a target reports reached the module by a call of its own ahead of the send's end, with a field on the lane for the time between, a message of its own on sockets, and none in a hand-over; the report of a call's second event stayed behind for the next call. `Ended` (interface.rs) holds what was five arguments and the report, is what the messages pass, also to another process, and stands for the forwarder's own struct of the same fields. Whether idle connections are to be closed is asked once for a destination's next check, not for each of its targets.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -141,16 +141,14 @@
             Ok(())
         }
         "outcome" => {
-            if let Some(share) = names.left_at.and_then(|at| reported(arrival, at)) {
-                to.left_told(&TargetId(text(arrival, "target")?.into()), share);
-            }
-            to.send_ended(
-                &EventId(text(arrival, "xid")?.into()),
-                fate(whole(arrival, "stateCode")?)?,
-                optional_time(arrival, "waitTimeUs")?,
-                arrival.get("complete").is_some_and(|done| done == &Value::Bool(true)),
-                optional_whole(arrival, "remarkMs")?.unwrap_or(0) as Ms,
-            )
+            let ended = Ended {
+                fate: fate(whole(arrival, "stateCode")?)?,
+                took: optional_time(arrival, "waitTimeUs")?,
+                over: arrival.get("complete").is_some_and(|done| done == &Value::Bool(true)),
+                wait: optional_whole(arrival, "remarkMs")?.unwrap_or(0) as Ms,
+                left: names.left_at.and_then(|at| reported(arrival, at)),
+            };
+            to.send_ended(&EventId(text(arrival, "xid")?.into()), ended)
         }
         "probeResult" => {
             to.ping_ended(&TargetId(text(arrival, "target")?.into()), fate(whole(arrival, "stateCode")?)?)
--- a/emulator/src/deciders/module.rs
+++ b/emulator/src/deciders/module.rs
@@ -68,7 +68,7 @@
         }
         Input::EndedBefore { event } => to.ended_before(&event_id(event)),
         Input::SendEnded { event, fate, took, wait } => {
-            return to.send_ended(&event_id(event), fate, took, fate == Fate::Delivered, wait)
+            return to.send_ended(&event_id(event), Ended { took, wait, ..Ended::plain(fate) })
         }
         Input::PingEnded { target, fate } => {
             // The target may have been forgotten since: then nothing is to be learned from it.
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -154,7 +154,7 @@
         self.common.pool.set_most(most);
         // Its calls may have run, and say nothing of their targets.
         for event in self.out {
-            let ended = CameIn::SendEnded { event, fate: Fate::Cancelled, took: 0.0, over: false, wait: 0.0 };
+            let ended = CameIn::SendEnded(event, Ended::plain(Fate::Cancelled));
             let _ = self.to_rounds.send(ended).await;
         }
         for target in self.pings {
@@ -205,9 +205,9 @@
                 })
             }
             Word::Withdrawn { event, number } => CameIn::Withdrawn(event, number),
-            Word::SendEnded { event, fate, took, over, wait } => {
+            Word::SendEnded(event, ended) => {
                 self.out.remove(&event);
-                CameIn::SendEnded { event, fate, took, over, wait }
+                CameIn::SendEnded(event, ended)
             }
             Word::PingEnded { target, fate } => {
                 self.pings.remove(&target);
--- a/forwarder/src/relay.rs
+++ b/forwarder/src/relay.rs
@@ -87,9 +87,9 @@
                 Word::Event(Handed { number, event, patience_ends, body: body.to_vec() })
             }
             CameIn::Withdrawn(event, number) => Word::Withdrawn { event, number },
-            CameIn::SendEnded { event, fate, took, over, wait } => {
+            CameIn::SendEnded(event, ended) => {
                 self.out.remove(&event);
-                Word::SendEnded { event, fate, took, over, wait }
+                Word::SendEnded(event, ended)
             }
             CameIn::PingEnded { target, fate } => {
                 self.pings.remove(&target);
@@ -104,10 +104,8 @@
                 self.targets.at_rest(&target);
                 return None;
             }
-            // The new process watches the list, tells the notices and ends on its own. A report of these
-            // moments is a measure that the next one makes good.
+            // The new process watches the list, tells the notices and ends on its own.
             CameIn::List(_)
-            | CameIn::Left(..)
             | CameIn::Heard(_)
             | CameIn::Kept(..)
             | CameIn::HandOver { .. }
--- a/forwarder/src/roster.rs
+++ b/forwarder/src/roster.rs
@@ -102,13 +102,7 @@
     /// What never left ends with a next round.
     pub fn turn_back(&self, target: TargetId, word: ToTarget) {
         let ended = match word {
-            ToTarget::Send(send) => CameIn::SendEnded {
-                event: send.event,
-                fate: Fate::NotSent,
-                took: 0.0,
-                over: false,
-                wait: 0.0,
-            },
+            ToTarget::Send(send) => CameIn::SendEnded(send.event, Ended::plain(Fate::NotSent)),
             ToTarget::Ping => CameIn::PingEnded { target, fate: Fate::NotSent },
             _ => return,
         };
--- a/forwarder/src/rounds.rs
+++ b/forwarder/src/rounds.rs
@@ -32,19 +32,11 @@
     Event(Handed),
     /// The client that handed it in under that number went away before it had its answer.
     Withdrawn(EventId, u64),
-    SendEnded {
-        event: EventId,
-        fate: Fate,
-        took: Ms,
-        over: bool,
-        wait: Ms,
-    },
+    SendEnded(EventId, Ended),
     PingEnded {
         target: TargetId,
         fate: Fate,
     },
-    /// The share of its limit that a target reported beside the end of a send, which follows.
-    Left(TargetId, f64),
     List(Value),
     /// The target's actor has ended: it had nothing left to own.
     AtRest(TargetId),
@@ -434,15 +426,15 @@
                     to.withdrawn(&id);
                 }
             }
-            CameIn::SendEnded { event, fate, took, over, wait } => {
+            CameIn::SendEnded(event, ended) => {
                 self.out.remove(&event);
-                if over {
+                if ended.over {
                     self.over(&event);
                     self.held.remove(&event);
-                } else if !fate.may_have_run() {
+                } else if !ended.fate.may_have_run() {
                     self.ledger.unrun(&event.0);
                 }
-                if let Err(Unknown(what)) = to.send_ended(&event, fate, took, over, wait) {
+                if let Err(Unknown(what)) = to.send_ended(&event, ended) {
                     warn!(self.common.log, "a send ended that is not known"; "event" => &*event.0, "what" => what);
                 }
             }
@@ -452,7 +444,6 @@
                     debug!(self.common.log, "a ping ended at a target that is gone"; "target" => &*target.0);
                 }
             }
-            CameIn::Left(target, share) => to.left_told(&target, share),
             CameIn::List(page) => self.listed(to, &page),
             CameIn::AtRest(target) => self.targets.at_rest(&target),
             CameIn::Kept(target, stream, since) => {
--- a/forwarder/src/targets.rs
+++ b/forwarder/src/targets.rs
@@ -159,50 +159,34 @@
     _counted: Option<Counted>,
 }
 
-/// How a call ended, and what its answer said.
-struct End {
-    fate: Fate,
-    over: bool,
-    wait: Ms,
-    /// The share of its limit that the target reports as left.
-    left: Option<f64>,
-}
-
-impl End {
-    fn plain(fate: Fate) -> Self {
-        End { fate, over: fate == Fate::Delivered, wait: 0.0, left: None }
-    }
-}
-
 impl Call {
     async fn run(mut self, send: Option<Sending>) {
         let began = Instant::now();
         let time_out = send.as_ref().map_or(self.reach.common.told.connect_time_out, |send| send.time_out);
         let reused = self.kept.is_some();
-        let End { fate, over, wait, left } = self.exchange(began, time_out, send.as_ref()).await;
+        let ended = self.exchange(began, time_out, send.as_ref()).await;
         let took = began.elapsed().as_secs_f64() * 1000.0;
-        let ended = match send {
+        let ended = Ended { took, ..ended };
+        let Ended { fate, wait, .. } = ended;
+        let word = match send {
             Some(send) => {
                 debug!(self.reach.common.log, "send ended"; "event" => &*send.event.0,
                     "target" => &*self.target.0, "fate" => ?fate, "wait" => wait, "took" => took,
                     "reused" => reused);
-                if let Some(share) = left {
-                    let _ = self.reach.to_rounds.send(CameIn::Left(self.target.clone(), share)).await;
-                }
-                CameIn::SendEnded { event: send.event, fate, took, over, wait }
+                CameIn::SendEnded(send.event, ended)
             }
             None => {
                 debug!(self.reach.common.log, "ping ended"; "target" => &*self.target.0, "fate" => ?fate);
                 CameIn::PingEnded { target: self.target.clone(), fate }
             }
         };
-        let _ = self.reach.to_rounds.send(ended).await;
+        let _ = self.reach.to_rounds.send(word).await;
     }
 
-    async fn exchange(&mut self, began: Instant, time_out: Ms, send: Option<&Sending>) -> End {
+    async fn exchange(&mut self, began: Instant, time_out: Ms, send: Option<&Sending>) -> Ended {
         let told = &self.reach.common.told;
         let ends = began + millis(time_out);
-        let Some(mut buffer) = self.reach.common.pool.take() else { return End::plain(Fate::NotSent) };
+        let Some(mut buffer) = self.reach.common.pool.take() else { return Ended::plain(Fate::NotSent) };
         let mut stream = match self.kept.take() {
             Some(stream) => stream,
             None => {
@@ -213,19 +197,19 @@
                 };
                 let up = until(up_by.min(ends), connect(self.address));
                 match future::or(taken_back, async { Some(up.await) }).await {
-                    None => return End::plain(Fate::NotSent),
+                    None => return Ended::plain(Fate::NotSent),
                     Some(Some(Ok(stream))) => stream,
-                    Some(_) => return End::plain(Fate::NoConnection),
+                    Some(_) => return Ended::plain(Fate::NoConnection),
                 }
             }
         };
         if self.taken_back.is_closed() {
-            return End::plain(Fate::NotSent);
+            return Ended::plain(Fate::NotSent);
         }
-        let Ok(length) = self.write(&mut buffer, ends, send) else { return End::plain(Fate::NotSent) };
+        let Ok(length) = self.write(&mut buffer, ends, send) else { return Ended::plain(Fate::NotSent) };
         match until(ends, stream.write_all(&buffer[..length])).await {
             Some(Ok(())) => (),
-            _ => return End::plain(Fate::NoConnection),
+            _ => return Ended::plain(Fate::NoConnection),
         }
         let mut came = Came::default();
         let answering = |status| if status == 200 { SETTLING } else { ANSWERING };
@@ -243,15 +227,15 @@
                     (_, Some(_)) if spoilt => Fate::Cancelled,
                     _ => Fate::Reset,
                 };
-                return End::plain(fate);
+                return Ended::plain(fate);
             }
         };
         let end = match ResponseHead::read(&buffer[whole.head]) {
-            Ok(head) => End {
-                left: Some(&head).filter(|_| told.names.left_at.is_some()).and_then(left),
-                ..judge(&head, send.is_none())
-            },
-            Err(_) => End::plain(Fate::Cancelled),
+            Ok(head) => {
+                let left = told.names.left_at.and_then(|_| left(&head));
+                Ended { left, ..judge(&head, send.is_none()) }
+            }
+            Err(_) => Ended::plain(Fate::Cancelled),
         };
         if let Some(own) = self.own.upgrade().filter(|_| whole.reusable) {
             let _ = own.try_send(ToTarget::Returned(stream, Instant::now()));
@@ -289,19 +273,19 @@
 }
 
 /// What the wire's statuses mean. An answer to a ping says no more than that.
-fn judge(head: &ResponseHead, ping: bool) -> End {
+fn judge(head: &ResponseHead, ping: bool) -> Ended {
     let field = |name| head.fields.one(name).ok().flatten();
     match head.status {
-        200 => End::plain(Fate::Delivered),
-        503 if field("X-No-Slot") == Some("1") => End::plain(Fate::NotSent),
+        200 => Ended::plain(Fate::Delivered),
+        503 if field("X-No-Slot") == Some("1") => Ended::plain(Fate::NotSent),
         429 | 503 => {
             let wait = field("X-Retry-In-Ms").and_then(|text| text.parse::<Ms>().ok());
             let wait = wait.filter(|wait| wait.is_finite() && *wait > 0.0 && !ping).unwrap_or(0.0);
-            End { wait, ..End::plain(Fate::Full) }
+            Ended { wait, ..Ended::plain(Fate::Full) }
         }
-        410 => End { over: true, ..End::plain(Fate::NotSent) },
-        504 => End::plain(Fate::NotSent),
-        _ => End::plain(Fate::Error),
+        410 => Ended { over: true, ..Ended::plain(Fate::NotSent) },
+        504 => Ended::plain(Fate::NotSent),
+        _ => Ended::plain(Fate::Error),
     }
 }
 
--- a/handover/src/words.rs
+++ b/handover/src/words.rs
@@ -59,13 +59,7 @@
         event: EventId,
         number: u64,
     },
-    SendEnded {
-        event: EventId,
-        fate: Fate,
-        took: Ms,
-        over: bool,
-        wait: Ms,
-    },
+    SendEnded(EventId, Ended),
     PingEnded {
         target: TargetId,
         fate: Fate,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -155,13 +155,6 @@
         self.destinations.entry(of).or_default().told_rate = rate.max(0.0);
     }
 
-    /// What an answer reports beside its outcome, which follows: the share of its limit left, if it is one.
-    pub fn left_told(&mut self, id: &TargetId, share: f64) {
-        let home = self.homes.get(id).and_then(|of| self.destinations.get_mut(of));
-        let lane = home.and_then(|to| to.lane_of(id).map(|at| &mut to.lanes[at]));
-        lane.into_iter().for_each(|lane| lane.left = Some(share).filter(|share| (0.0..=1.0).contains(share)));
-    }
-
     /// The list names the destination, or did so lately: an event for any other could only wait for its end.
     pub fn knows(&self, of: DestinationId) -> bool {
         self.destinations.contains_key(&of)
@@ -248,7 +241,8 @@
         self.resting.push_back((until, key));
     }
 
-    pub fn send_ended(&mut self, id: &EventId, fate: Fate, took: Ms, over: bool, wait: Ms) -> Known {
+    pub fn send_ended(&mut self, id: &EventId, ended: Ended) -> Known {
+        let Ended { fate, over, wait, .. } = ended;
         let &(of, place) = self.places.get(id).ok_or(Unknown("the event"))?;
         let (now, here) = (self.here.now, &mut self.here);
         let to = self.destinations.get_mut(&of).expect("placed");
@@ -271,7 +265,7 @@
             if reuses && here.stale.read(now, TREND) > 0.4 + 0.05 * here.reused.read(now, TREND) {
                 here.stale_until = now + 10_000.0;
             }
-            to.judge(here, at, &target, fate, sent, wait, took);
+            to.judge(here, at, &target, sent, ended);
         }
         if last {
             self.doubtful_out -= to.calls.remove(&number).expect("seen").doubtful as usize;
@@ -475,8 +469,9 @@
 
 impl Destination {
     /// Reads the outcome of a call (once, however many events it carried) for its target and lane.
-    #[allow(clippy::too_many_arguments)]
-    fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, fate: Fate, sent: Ms, wait: Ms, took: Ms) {
+    fn judge(&mut self, here: &mut Here, at: usize, id: &TargetId, sent: Ms, ended: Ended) {
+        let Ended { fate, took, wait, left, .. } = ended;
+        let left = left.filter(|share| (0.0..=1.0).contains(share));
         let (now, chance) = (here.now, here.draw(1));
         let cold_spacing =
             self.rate(here, at).filter(|_| wait > 2.0 * PING).map_or(0.0, |rate| 1000.0 / rate);
@@ -484,7 +479,6 @@
         let trial = if here.terms.pings_allowed { 0.0 } else { self.ping_pause(here, at) };
         let lane = &mut self.lanes[at];
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
-        let left = lane.left.take();
         match fate {
             Fate::Delivered => {
                 (target.failures, lane.refusals, lane.shut_signs, lane.delivered_at) = (0, 0, 0, now);
@@ -616,7 +610,8 @@
         let wanted = self.held() > 0;
         let pings = self.lanes.iter().map(|lane| here.ping_due(lane, wanted));
         let idle = self.lanes.iter().flat_map(|lane| &lane.targets).filter_map(|t| t.idle_since);
-        let closing = idle.filter(|_| here.closes(self.kind, self.crowded(here))).map(|since| since + BRIEF);
+        let closes = here.closes(self.kind, self.crowded(here));
+        let closing = idle.filter(|_| closes).map(|since| since + BRIEF);
         let forgotten = self.bare_since.map(|since| since + USUAL);
         let out = self.events.values().filter(|event| event.call.is_some());
         let lapses = out.map(|event| here.lapses_at(event)).filter(|at| *at > here.now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,6 +107,26 @@
     }
 }
 
+/// How a send ended, and what its answer said.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Ended {
+    pub fate: Fate,
+    pub took: Ms,
+    /// The event is over, by this answer or earlier.
+    pub over: bool,
+    /// How long to wait; 0 if nothing was told.
+    pub wait: Ms,
+    /// The share of its limit that the target reports as left; what is no share reports nothing.
+    pub left: Option<f64>,
+}
+
+impl Ended {
+    /// With nothing else said, and no time known.
+    pub fn plain(fate: Fate) -> Self {
+        Ended { fate, took: 0.0, over: fate == Fate::Delivered, wait: 0.0, left: None }
+    }
+}
+
 /// A host named something that it never introduced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unknown(pub &'static str);
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,8 +143,7 @@
     pub(crate) held_until: Ms,   // the end of a pause of ours
     pub(crate) refusals: i32,    // refused calls in a row, those sent before the last one aside
     pub(crate) refused_at: Ms,
-    pub(crate) left: Option<f64>, // share of its limit that the answer at hand reports
-    pub(crate) shut_signs: i32,   // refusals in a row that no used up limit explains
+    pub(crate) shut_signs: i32, // refusals in a row that no used up limit explains
     pub(crate) answered_at: Ms,
     pub(crate) delivered_at: Ms,
     pub(crate) unconnected_at: Option<Ms>, // a connection was refused
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -116,9 +116,14 @@
     }
 
     pub fn ends_with(&mut self, now: Ms, name: &str, fate: Fate, wait: Ms) -> Vec<String> {
-        let done = fate == Fate::Delivered;
+        self.ends_told(now, name, fate, wait, None)
+    }
+
+    pub fn ends_told(&mut self, now: Ms, name: &str, fate: Fate, wait: Ms, left: Option<f64>) -> Vec<String> {
         let took = if fate == Fate::TimedOut { 1500.0 } else { 100.0 };
-        self.at(now, |f| f.send_ended(&event(name), fate, took, done, wait).expect("was sent"))
+        self.at(now, |f| {
+            f.send_ended(&event(name), Ended { took, wait, left, ..Ended::plain(fate) }).expect("was sent")
+        })
     }
 
     pub fn ping_ends(&mut self, now: Ms, name: &str, fate: Fate) -> Vec<String> {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -370,8 +370,9 @@
             );
             sent += sends(&told);
             for name in std::mem::take(&mut out) {
-                let told =
-                    host.at(now, |f| f.send_ended(&event(&name), Fate::Delivered, took, true, 0.0).unwrap());
+                let told = host.at(now, |f| {
+                    f.send_ended(&event(&name), Ended { took, ..Ended::plain(Fate::Delivered) }).unwrap()
+                });
                 out.extend(
                     told.iter().filter_map(|w| Some(w.strip_prefix("send ")?.split(' ').next()?.to_owned())),
                 );
@@ -546,7 +547,9 @@
     for step in 0..200 {
         let (now, name) = (1.0 + 50.0 * step as f64, format!("e{step}"));
         host.take(now, &name, RETRIABLE, 1, None);
-        host.at(now, |f| f.send_ended(&event(&name), Fate::Delivered, took, true, 0.0).expect("was sent"));
+        host.at(now, |f| {
+            f.send_ended(&event(&name), Ended { took, ..Ended::plain(Fate::Delivered) }).expect("was sent")
+        });
     }
     assert!(given.contains(&host.given), "{} ms", host.given);
 }
@@ -575,7 +578,9 @@
     let mut host = plain();
     for (name, at) in [("a", 1.0), ("b", 200.0)] {
         host.at(at, |f| f.taken(event(name), DestinationId(1), RETRIABLE, at + 100.0, None));
-        host.at(at + 70.0, |f| f.send_ended(&event(name), Fate::TimedOut, 70.0, false, 0.0).expect("sent"));
+        host.at(at + 70.0, |f| {
+            f.send_ended(&event(name), Ended { took: 70.0, ..Ended::plain(Fate::TimedOut) }).expect("sent")
+        });
     }
     host.take(400.0, "c", RETRIABLE, 1, None);
     assert!(host.idle(401.0).iter().all(|word| !word.starts_with("ping")));
@@ -798,8 +803,7 @@
     let mut host = plain();
     for (at, name) in [(1.0, "a"), (9000.0, "b")] {
         host.take(at, name, RETRIABLE, 1, None);
-        left.into_iter().for_each(|share| drop(host.at(at + 1.0, |f| f.left_told(&target("t"), share))));
-        host.ends(at + 1.0, name, Fate::Full);
+        host.ends_told(at + 1.0, name, Fate::Full, 0.0, left);
         host.at(at + 2.0, |f| f.withdrawn(&event(name)));
     }
     assert_eq!(!host.cold.is_empty(), cold);
@@ -815,9 +819,8 @@
             let (other, name) = (DestinationId(n + 10), format!("other{n}"));
             host.at(n as f64, |f| f.listed(target(&name), other, KindId(0), ZoneId(0), Listing::Running));
             host.take(n as f64, &name, RETRIABLE, other.0, None);
-            left.into_iter()
-                .for_each(|share| drop(host.at(n as f64, |f| f.left_told(&target(&name), share))));
-            host.ends(n as f64, &name, if n < refused { Fate::Full } else { Fate::Delivered });
+            let fate = if n < refused { Fate::Full } else { Fate::Delivered };
+            host.ends_told(n as f64, &name, fate, 0.0, left);
             host.at(n as f64, |f| f.withdrawn(&event(&name)));
         }
         host.take(100.0, "a", RETRIABLE, 1, None);
