Patience counts from the first byte of a request, not from its last

Client::more notes when bytes were read; a request counts from the read that brought its first byte, empty lines in front left out. One that lay in the same read as the end of the request before counts from that read, one that came while the answer before it was waited for from the moment when it was seen ready. The same is taken off a broadcast's patience.

Test: a client has "100 Continue" for its head, so its first byte was seen, and holds the body back for 400 ms of 1.2 s: the call's Req-Deadline is at most 0.8.

--- a/forwarder/src/clients/client.rs
+++ b/forwarder/src/clients/client.rs
@@ -6,6 +6,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future;
+use plankhill::interface::Ms;
 use plankhill_handover::{Event, Verdict, Word};
 use slog::debug;
 
@@ -29,6 +30,10 @@
     /// There are too many connections: this one is told so.
     pub(super) full: bool,
     pub(super) door: Rc<Door>,
+    /// When bytes were last read from it.
+    pub(super) came: Instant,
+    /// Since when bytes lie in it that are not read yet, if they came before the answer that they wait for.
+    pub(super) ready: Option<Instant>,
     pub(super) _counted: Counted,
 }
 
@@ -70,13 +75,15 @@
             let answered = match request.asked {
                 Asked::Up if self.common.gate.is_shut() => self.respond(503, &[], "", true).await,
                 Asked::Up => self.respond(200, &[], "", closes).await,
-                Asked::Event(event) => {
+                Asked::Event(mut event) => {
+                    event.patience = left(event.patience, request.since);
                     // The buffer goes back: an event may be held for long, and most bodies are short.
                     let body = Body::from(&request.buffer[request.body]);
                     drop(request.buffer);
                     self.event(event, body, closes).await
                 }
-                Asked::Broadcast(list, event) => {
+                Asked::Broadcast(list, mut event) => {
+                    event.patience = left(event.patience, request.since);
                     let body = Body::from(&request.buffer[request.body]);
                     drop(request.buffer);
                     self.broadcast(list, event, body, closes).await
@@ -151,9 +158,11 @@
         if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
             return self.tell(Verdict::Refused(None), true).await;
         }
+        let mut ready = None;
         let gone = async {
             let _ = self.stream.readable().await;
             if !is_gone(&self.stream) {
+                ready = (!is_quiet(&self.stream)).then(Instant::now);
                 future::pending::<()>().await;
             }
             None
@@ -166,6 +175,7 @@
             }
         };
         let verdict = future::or(heard, gone).await;
+        self.ready = ready;
         let told = match verdict {
             Some(verdict) => self.tell(verdict, closes).await,
             None => false,
@@ -177,3 +187,8 @@
         told
     }
 }
+
+/// What is left of a patience that began with the first byte of its request.
+fn left(patience: Ms, since: Instant) -> Ms {
+    (patience - since.elapsed().as_secs_f64() * 1000.0).max(0.0)
+}
--- a/forwarder/src/clients/mod.rs
+++ b/forwarder/src/clients/mod.rs
@@ -114,7 +114,8 @@
     fn serve(&self, stream: Stream, full: bool, counted: Counted, waits: Waits, left: Duration) {
         let Clients { common, to_rounds, door } = self.clone();
         let executor = common.executor.clone();
-        let client = Client { common, to_rounds, stream, full, door, _counted: counted };
+        let came = Instant::now();
+        let client = Client { common, to_rounds, stream, full, door, came, ready: None, _counted: counted };
         executor.spawn(client.run(waits, Instant::now() + left)).detach();
     }
 }
--- a/forwarder/src/clients/reading.rs
+++ b/forwarder/src/clients/reading.rs
@@ -1,5 +1,7 @@
 //! Reads a request, head and body, into one buffer.
 
+use std::time::Instant;
+
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use plankhill_buffers::Buffer;
 use plankhill_http1::{self as http1, Chunks, HeadSearch, RequestHead};
@@ -16,6 +18,8 @@
         let Begun { mut buffer, mut filled } = begun;
         let mut search = HeadSearch::default();
         let mut empty = 0;
+        // What it begins with came with the end of the request before.
+        let mut since = self.came;
         let end = loop {
             // Empty lines before a request are passed over.
             let lines = http1::empty_lines(&buffer[..filled]);
@@ -31,8 +35,15 @@
             }
             match end {
                 Some(end) => break end,
-                None if self.more(&mut buffer, &mut filled).await => (),
-                None => return Ok(None),
+                None => {
+                    let first = filled == 0;
+                    if !self.more(&mut buffer, &mut filled).await {
+                        return Ok(None);
+                    }
+                    if first {
+                        since = self.came;
+                    }
+                }
             }
         };
         let head = RequestHead::read(&buffer[..end])?;
@@ -84,12 +95,13 @@
             }
             false => None,
         };
-        Ok(Some(Request { asked, buffer, body: end..write, closes, next }))
+        Ok(Some(Request { asked, buffer, body: end..write, closes, since, next }))
     }
 
     async fn more(&mut self, buffer: &mut Buffer, filled: &mut usize) -> bool {
         let read = self.stream.read(&mut buffer[*filled..]).await.unwrap_or(0);
         *filled += read;
+        self.came = self.ready.take().unwrap_or_else(Instant::now);
         read > 0
     }
 }
--- a/forwarder/src/clients/request.rs
+++ b/forwarder/src/clients/request.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 use std::rc::Rc;
+use std::time::Instant;
 
 use plankhill::interface::*;
 use plankhill_buffers::Buffer;
@@ -32,6 +33,8 @@
     pub(super) buffer: Buffer,
     pub(super) body: Range<usize>,
     pub(super) closes: bool,
+    /// Its first byte came then: its client counts from there at the latest.
+    pub(super) since: Instant,
     pub(super) next: Option<Begun>,
 }
 
--- a/forwarder/tests/clients.rs
+++ b/forwarder/tests/clients.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -136,3 +136,33 @@
     forwarder.take("a", "job", "");
     assert_eq!(next(&calls).id(), "a");
 }
+
+/// Guards an event's end from a client whose request comes in pieces: its patience began with the first of them.
+#[rstest]
+#[case::first(false)]
+#[case::behind_another(true)]
+fn patience_counts_from_the_first_byte_of_a_request(#[case] behind: bool) {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let request = String::from_utf8(event("a", "job", "Expect: 100-continue\r\n")).unwrap();
+    let request = request.replace("Req-Deadline: 60", "Req-Deadline: 1.2");
+    let (head, body) = request.split_at(request.len() - 4);
+    let mut stream = TcpStream::connect(forwarder.address).expect("listens");
+    let before = if behind { event("before", "job", "") } else { Vec::new() };
+    stream.write_all(&[&before, head.as_bytes()].concat()).expect("takes it");
+    stream.set_read_timeout(Some(LONG)).expect("a socket");
+    let mut answers = BufReader::new(stream.try_clone().expect("a descriptor"));
+    let mut status = move || read_message(&mut answers).expect("an answer").0[9..12].to_owned();
+    if behind {
+        assert_eq!(status(), "202");
+        next(&calls).answer(OK);
+    }
+    assert_eq!(status(), "100", "its first byte was seen");
+    thread::sleep(Duration::from_millis(400));
+    stream.write_all(body.as_bytes()).expect("takes it");
+    let call = next(&calls);
+    let gives: f64 = call.field("Req-Deadline").expect("is told").parse().expect("seconds");
+    // However slow the machine is, the end that is given lies before that of the patience.
+    assert!(gives > 0.0 && gives <= 0.8, "{gives} s");
+    assert_eq!(status(), "202");
+    call.answer(OK);
+}
