--- a/src/interface.rs
+++ b/src/interface.rs
@@ -32,6 +32,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneId(pub usize);
 
+impl ZoneId {
+    /// Where nobody knows: no listed zone is the same.
+    pub const UNKNOWN: ZoneId = ZoneId(usize::MAX);
+}
+
 /// What a repeat of an event does at its destination.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
