What may have run in a zone that is not known any more leaves its group no more

A new configuration that strikes or renames a zone had the sends noted there read as sends to the first zone that is known (restoring.rs, maybe_run: unwrap_or(0); roster.rs, zone of a target that is gone: ZoneId(0)). Unknown is now equal to no zone: the event is not resent, and is written off at its window's end, by what its effect allows. The record notes an empty name where the target of a send is gone, which no settings know.

--- a/forwarder/src/roster.rs
+++ b/forwarder/src/roster.rs
@@ -55,7 +55,7 @@
     }
 
     pub fn zone(&self, id: &TargetId) -> ZoneId {
-        self.targets.get(id).map_or(ZoneId(0), |target| target.zone)
+        self.targets.get(id).map_or(ZoneId::UNKNOWN, |target| target.zone)
     }
 
     pub fn address(&self, id: &TargetId) -> Option<SocketAddr> {
--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -57,7 +57,9 @@
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
         let Some(held) = self.held.get(event) else { return };
         let zone = self.targets.zone(target);
-        self.keeps.sent(event, self.now, &self.common.told.names.zones[zone.0], time_out);
+        // Of a target that is gone no zone is known: an empty name is none that the settings have.
+        let zone = self.common.told.names.zones.get(zone.0).map_or("", String::as_str);
+        self.keeps.sent(event, self.now, zone, time_out);
         self.out.insert(event.clone());
         self.common.fanout.iter().for_each(|fanout| fanout.sends(event, target));
         debug!(self.common.log, "sends"; "event" => &*event.0, "target" => &*target.0, "time_out" => time_out);
--- a/forwarder/src/rounds/restoring.rs
+++ b/forwarder/src/rounds/restoring.rs
@@ -83,10 +83,11 @@
         true
     }
 
-    /// When and where its first send went that may have run.
+    /// When and where its first send went that may have run. A zone that the settings do not name any more is
+    /// the same as none: what is bound to its group is not sent again, and ends as what may have run.
     pub(super) fn maybe_run(&self, owed: &Owed) -> Option<(Ms, ZoneId)> {
         let (at, name) = owed.may_have_run.as_ref().or(owed.was_out.as_ref())?;
-        let zone = self.common.told.names.zones.iter().position(|zone| zone == name).unwrap_or(0);
-        Some((*at, ZoneId(zone)))
+        let zone = self.common.told.names.zones.iter().position(|zone| zone == name);
+        Some((*at, zone.map_or(ZoneId::UNKNOWN, ZoneId)))
     }
 }
