A send tells until when its last byte may leave: the end of a repeat's window

The module checks a fingerprinted event's window when it decides; the byte may leave later (dial, a place in a pool, a stall). Decisions::send takes leaves_by: first send that may have run plus the window (lapses_at), infinite for a first send and for all that has no window. It is on the clock of the decisions and is passed through the carrying of a round to Sending; the target's actor does not read it yet. benchlink, the emulator and the fanout's lag example write at once and leave it out.

--- a/benchlink/src/written.rs
+++ b/benchlink/src/written.rs
@@ -21,7 +21,7 @@
 }
 
 impl Decisions for Written {
-    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, _: Ms) {
         let (xid, target) = (&*event.0, &*target.0);
         let span = micros(time_out).max(1);
         let who = self.who;
--- a/emulator/src/deciders/module.rs
+++ b/emulator/src/deciders/module.rs
@@ -96,7 +96,7 @@
 }
 
 impl Decisions for Written<'_> {
-    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, _: Ms) {
         self.out.push(Decision::Send { event: event_key(event), target: target_number(target), time_out });
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/fanout/examples/lag/instance.rs
+++ b/fanout/examples/lag/instance.rs
@@ -142,7 +142,7 @@
 }
 
 impl Decisions for Leaves {
-    fn send(&mut self, event: &EventId, _: &TargetId, time_out: Ms) {
+    fn send(&mut self, event: &EventId, _: &TargetId, time_out: Ms, _: Ms) {
         let copy = self.copies[event];
         self.calls.push((event.clone(), copy, time_out));
     }
--- a/forwarder/src/mail.rs
+++ b/forwarder/src/mail.rs
@@ -93,6 +93,9 @@
     pub fingerprint: Option<Rc<str>>,
     pub body: Body,
     pub time_out: Ms,
+    /// When its last byte has to have left, on the clock of the decisions; infinite where nothing bounds it.
+    #[allow(dead_code)] // the target's actor is to check it before it writes
+    pub leaves_by: Ms,
     /// Where copies are kept: the groups that this forwarder has to hold when its first byte leaves.
     pub groups: Vec<GroupId>,
 }
--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -54,7 +54,7 @@
 }
 
 impl Decisions for Hands {
-    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, leaves_by: Ms) {
         let Some(held) = self.held.get(event) else { return };
         let zone = self.targets.zone(target);
         self.keeps.sent(event, self.now, &self.common.told.names.zones[zone.0], time_out);
@@ -63,7 +63,7 @@
         debug!(self.common.log, "sends"; "event" => &*event.0, "target" => &*target.0, "time_out" => time_out);
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let groups = self.keeps.groups_of(event);
-        let send = Sending { event: event.clone(), fingerprint, body, time_out, groups };
+        let send = Sending { event: event.clone(), fingerprint, body, time_out, leaves_by, groups };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -51,7 +51,8 @@
             event.call = Some(self.calls_made);
             event.sends += 1;
             let given = if binding { 2.0 * time_out } else { time_out };
-            out.send(&event.id, &called.id, given.min(event.patience_ends - here.now));
+            let given = given.min(event.patience_ends - here.now);
+            out.send(&event.id, &called.id, given, here.lapses_at(event));
         }
         let (id, rate, members) = (called.id.clone(), to.rate(here, at), aboard.len());
         let lane = &mut to.lanes[at];
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,7 +134,9 @@
 
 /// Takes the decisions of one round, in the order in which they are to run.
 pub trait Decisions {
-    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms);
+    /// The call's last byte has to have left by `leaves_by`, or none of it may leave: it ends as not sent then.
+    /// That is a time on the clock of the host, infinite where nothing bounds it.
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, leaves_by: Ms);
     /// True if the end goes as a notice: `Forwarder::heard` follows once that was heard.
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool;
     /// True as for `dismiss`.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -14,7 +14,8 @@
     pub now: Ms,
     pub notices: bool, // ends of events go as notices
     pub cold: Vec<(TargetId, Ms, f64)>,
-    pub given: Ms, // the time that the last call was given
+    pub given: Ms,     // the time that the last call was given
+    pub leaves_by: Ms, // and when its last byte has to have left
 }
 
 /// One forwarder of two, with 8 slots and room for 40; kind 0 shares a limit, kind 1 has routes apart and
@@ -78,6 +79,7 @@
             notices: false,
             cold: Vec::new(),
             given: 0.0,
+            leaves_by: 0.0,
         };
         host.at(0.0, |f| {
             for (name, of, kind) in [("t", 1, 0), ("u", 2, 0), ("v", 3, 1), ("w", 3, 1)] {
@@ -90,14 +92,14 @@
     /// A round at `now`; wake-ups are left out of what it returns.
     pub fn at(&mut self, now: Ms, came_in: impl FnOnce(&mut Forwarder)) -> Vec<String> {
         self.now = now;
-        let mut told = Told(Vec::new(), self.notices, Vec::new(), self.given);
+        let mut told = Told(Vec::new(), self.notices, Vec::new(), self.given, self.leaves_by);
         let hand_over = |forwarder: &mut Forwarder, _: &mut Told| {
             came_in(forwarder);
             Ok::<(), Unknown>(())
         };
         self.forwarder.round(now, hand_over, &mut told).expect("the story names only what it introduced");
         self.cold.append(&mut told.2);
-        self.given = told.3;
+        (self.given, self.leaves_by) = (told.3, told.4);
         told.0
     }
 
@@ -159,12 +161,12 @@
     told.iter().filter(|word| word.starts_with("send")).count()
 }
 
-struct Told(Vec<String>, bool, Vec<(TargetId, Ms, f64)>, Ms);
+struct Told(Vec<String>, bool, Vec<(TargetId, Ms, f64)>, Ms, Ms);
 
 impl Decisions for Told {
-    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms) {
+    fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, leaves_by: Ms) {
         assert!(time_out > 0.0);
-        self.3 = time_out;
+        (self.3, self.4) = (time_out, leaves_by);
         self.0.push(format!("send {} to {}", event.0, target.0));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -80,6 +80,19 @@
     assert_eq!(told, ["dismiss a"]);
 }
 
+/// The network code may write a call long after it was decided: it is told until when it may.
+#[rstest]
+#[case(RETRIABLE, f64::INFINITY)]
+#[case(FINGERPRINTED, 5001.0)]
+fn a_repeat_is_told_when_its_last_byte_has_to_have_left(#[case] traffic: TrafficId, #[case] leaves_by: Ms) {
+    let mut host = plain();
+    assert_eq!(host.take(1.0, "a", traffic, 1, None), ["send a to t"]);
+    assert_eq!(host.leaves_by, f64::INFINITY, "a first send has no window");
+    host.ends(500.0, "a", Fate::Reset);
+    assert_eq!(host.idle(1200.0), ["send a to t"]);
+    assert_eq!(host.leaves_by, leaves_by, "counted from the first send that may have run");
+}
+
 /// Met in the emulator: a connection took its time to come up, and a repeat was written after the window.
 #[rstest]
 fn a_repeat_that_is_not_written_when_its_window_ends_is_taken_back() {
