--- a/forwarder/src/exchange.rs
+++ b/forwarder/src/exchange.rs
@@ -61,6 +61,10 @@
     pub reusable: bool,
 }
 
+/// A dial that takes longer is given up: a packet that was lost is sent again after a second, then after two, four and
+/// eight, and a discovery that is back would be reached only then.
+const DIAL: Duration = Duration::from_millis(1_000);
+
 /// Asks over the connection kept, if it goes there, or a new one, and keeps it if it may serve again. The answer is
 /// whole so long after its first byte; for that byte whoever asks has a limit of its own.
 pub async fn ask(
@@ -73,7 +77,10 @@
     let goes_there = |stream: &Stream| stream.get_ref().peer_addr().is_ok_and(|peer| peer == to);
     let mut stream = match kept.take().filter(|stream| goes_there(stream) && is_quiet(stream)) {
         Some(stream) => stream,
-        None => connect(to).await?,
+        None => {
+            let dialled = until(Instant::now() + DIAL, connect(to)).await;
+            dialled.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?
+        }
     };
     stream.write_all(request).await?;
     let answer = answer(&mut stream, bytes, &mut Came::default(), |_| whole).await?;
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -131,7 +131,7 @@
     let mgmt = callers.as_ref().and_then(|callers| callers.get_ref().local_addr().ok());
     let _callers = callers.map(|c| executor.spawn(operators::listen(common.clone(), c, to_rounds.clone())));
     // Before the folder is asked for: nobody decides while a process takes over.
-    let known = list::at_start(&common, known).await;
+    let first = list::at_start(&common, known).await;
     let start = match alone {
         Some(alone) => Ok(alone),
         None => match heir::take_over(&common).await? {
@@ -147,7 +147,7 @@
         Ok(Alone { lock, ledger, owed, left_out, listener }) => {
             info!(log, "starts"; "listen" => %address_of(&listener, told.listen), "owed" => owed.len());
             let mut decisions = new_rounds(ledger, left_out);
-            decisions.restore(&known, owed);
+            decisions.restore(&first.known, owed);
             (decisions, lock, listener)
         }
         Err(inherited) => {
@@ -166,7 +166,7 @@
             };
             let mut decisions = new_rounds(ledger, left_out);
             decisions.inherit(forwarder, state, owed, to_elder);
-            decisions.resume(&known);
+            decisions.resume(&first.known);
             executor.spawn(passes::tell_all(passage, words)).detach();
             executor.spawn(elder.run(ears)).detach();
             (decisions, Some(lock), listener)
@@ -180,7 +180,7 @@
     let _fanout = executor.spawn(fanout::actor::run(common.clone(), of_control, to_rounds.clone()));
     let notices = executor.spawn(notices::run(common.clone(), owed_notices, to_rounds.clone()));
     let (moves, moved) = async_channel::bounded(1);
-    let list = executor.spawn(list::run(common.clone(), known, to_rounds.clone(), moved));
+    let list = executor.spawn(list::run(common.clone(), first, to_rounds.clone(), moved));
     // Held as long as the process lives, whether a new version can ask or not.
     let heirs = lock
         .as_ref()
--- a/forwarder/src/page.rs
+++ b/forwarder/src/page.rs
@@ -16,6 +16,14 @@
     page.get("revision").and_then(Value::as_u64)
 }
 
+/// Whether an answer is a page of the list at all: with its entries, or none and a revision.
+pub fn is_list(page: &Value) -> bool {
+    match page.get("members") {
+        None | Some(Value::Null) => revision(page).is_some(),
+        Some(members) => members.is_array(),
+    }
+}
+
 /// Hands a page of the list to the decisions; `place` learns where each target stands
 /// and says what the decisions hear of it, `gone` learns which went.
 /// An entry that can't be read is left out and told to `bad`.
