One way of closing behind a last answer; who pipelines or reads nothing makes room

A connection was dropped right behind an answer with "Connection: close", behind the 408 of one that made room, behind the listener's own 503, and behind a refusal for which no buffer was left (clients/client.rs: closes, Left::MadeRoom; clients/mod.rs: listen; clients/answering.rs: refuse). With bytes unread in it the close resets the connection: seen as ECONNRESET by a client whose next request lay behind. Now all go through closing::ends: the writing side is shut, what comes is read from the stack's memory for a second and 256 KiB at most, then it is dropped; it makes room before all others meanwhile. One that finds no place is answered by closing::turn_away, which reads what lies there before and after; a connection passed on by the process before that finds none, too. Idle closings stay plain closes: has_more looks once more in the turn of the close; a request that crosses is not read, and the protocol has its client hand it in anew. Requests that were read behind another when the gate shut are answered now, not dropped.

Floods, seen by the new tests. (1) A client that pipelines /up at full speed never gave up its turn: 30 s without an answer for any other client, and discovery timed out; it now yields after each answer while more lies behind. (2) Those that pipeline held all places, waiting for nothing, so that others were told 503; they make room in that turn, and so does who does not read its answers (an answer given up after 2 s, not 5). (3) Half requests held all buffers for two seconds, good ones were told 503; the oldest of over 250 ms gives its buffer back.

A client that went in the very turn of its verdict takes its event back instead of a 202 into nothing; an event that is read once the gate has ended is answered by the connection's actor, also while the decisions have not heard of it.

--- a/forwarder/src/clients/broadcast.rs
+++ b/forwarder/src/clients/broadcast.rs
@@ -10,28 +10,27 @@
 impl Client {
     /// Answers once the log has decided: 202 if it counts, 503 if it surely never will. It can't be taken back:
     /// a client that goes before its answer finds out by handing it in again under its id.
-    pub(super) async fn broadcast(&mut self, list: ListName, event: Event, body: Body, closes: bool) -> bool {
+    pub(super) async fn broadcast(&mut self, list: ListName, event: Event, body: Body) -> bool {
         if is_gone(&self.stream) {
             return false;
         }
         if body.len() > LONGEST_BODY {
-            return self.respond(413, &[], "the body is too long for a broadcast", closes).await;
+            return self.respond(413, &[], "the body is too long for a broadcast").await;
         }
         let wait = self.common.told.terms.longest_advice;
         let traffic = self.common.told.names.traffic[event.traffic.0].clone();
         let posted = match &self.common.fanout {
+            Some(_) if self.common.gate.has_ended() => Err(Refusal::Late),
             Some(fanout) if !self.full => fanout.post(list, traffic, event, &body),
             _ => Err(Refusal::Full),
         };
         let verdict = match posted {
             Ok(verdict) => verdict.recv().await.unwrap_or(Verdict::Refused(None)),
-            Err(Refusal::NoSuchList) => return self.respond(404, &[], "no such list", closes).await,
-            Err(Refusal::BadId) => {
-                return self.respond(400, &[], "Req-Id: is missing or too long", closes).await
-            }
+            Err(Refusal::NoSuchList) => return self.respond(404, &[], "no such list").await,
+            Err(Refusal::BadId) => return self.respond(400, &[], "Req-Id: is missing or too long").await,
             Err(Refusal::Full) => Verdict::Refused(wait),
             Err(Refusal::Known | Refusal::Late) => Verdict::Refused(None),
         };
-        self.tell(verdict, closes).await
+        self.tell(verdict).await
     }
 }
--- a/forwarder/src/clients/client.rs
+++ b/forwarder/src/clients/client.rs
@@ -30,6 +30,10 @@
     /// There are too many connections: this one is told so.
     pub(super) full: bool,
     pub(super) door: Rc<Door>,
+    /// The beginning of the next request, if it came with the one before.
+    pub(super) begun: Option<Begun>,
+    /// Whether the next answer is the last, or the last one was.
+    pub(super) last: bool,
     /// When bytes were last read from it.
     pub(super) came: Instant,
     /// Since when bytes lie in it that are not read yet, if they came before the answer that they wait for.
@@ -39,59 +43,66 @@
 
 impl Client {
     pub(super) async fn run(mut self, mut waits: Waits, mut by: Instant) {
-        let mut begun = None;
         let door = self.door.clone();
         loop {
-            if begun.is_none() {
+            if self.begun.is_none() {
                 let more = self.has_more(waits, by).await;
                 if let Some(to) = self.common.passes.to() {
                     return self.pass(to, waits, by).await;
                 }
                 if !more {
+                    // Nothing lay in it in this very turn. A request that crosses the end is not read, and its
+                    // client hands it in anew.
                     return;
                 }
             }
             if waits != Waits::Silent {
                 by = Instant::now() + READING;
             }
-            let Some(now) = begun.take().or_else(|| self.fresh()) else {
+            let Some(begun) = self.buffer().await else {
                 return self.refuse(Refusal(503, "no memory for more requests")).await;
             };
-            let request = match door.waits(Waits::Reads, by, self.read(now)).await {
+            let request = match door.waits(Waits::Reads, by, self.read(begun)).await {
                 Ok(Ok(Some(request))) => request,
                 Ok(Ok(None)) => return,
                 Ok(Err(refusal)) => return self.refuse(refusal).await,
-                Err(Left::TimeIsUp) => return self.refuse(Refusal(408, "the request took too long")).await,
-                Err(Left::MadeRoom) => {
-                    // It has to go at once, without a look at what it still sends.
-                    self.respond(408, &[], "", true).await;
-                    return;
+                Err(Left::TimeIsUp | Left::MadeRoom) => {
+                    return self.refuse(Refusal(408, "the request took too long")).await;
                 }
             };
             waits = if waits == Waits::Silent { Waits::Once } else { Waits::Idle };
             by = Instant::now() + if waits == Waits::Once { door.once() } else { IDLE };
-            let closes = request.closes || self.full || self.common.gate.is_shut();
-            begun = request.next;
+            self.last |= request.closes || self.full;
             let answered = match request.asked {
-                Asked::Up if self.common.gate.is_shut() => self.respond(503, &[], "", true).await,
-                Asked::Up => self.respond(200, &[], "", closes).await,
+                Asked::Up if self.common.gate.is_shut() => self.respond(503, &[], "").await,
+                Asked::Up => self.respond(200, &[], "").await,
                 Asked::Event(mut event) => {
                     event.patience = left(event.patience, request.since);
                     // The buffer goes back: an event may be held for long, and most bodies are short.
                     let body = Body::from(&request.buffer[request.body]);
                     drop(request.buffer);
-                    self.event(event, body, closes).await
+                    self.event(event, body).await
                 }
                 Asked::Broadcast(list, mut event) => {
                     event.patience = left(event.patience, request.since);
                     let body = Body::from(&request.buffer[request.body]);
                     drop(request.buffer);
-                    self.broadcast(list, event, body, closes).await
+                    self.broadcast(list, event, body).await
                 }
             };
-            if closes || !answered {
+            if !answered {
                 return;
             }
+            if self.last {
+                return self.close().await;
+            }
+            if self.begun.is_some() {
+                // Such requests may never run out, nor wait for anything: the others have their turn.
+                let turn = door.waits(Waits::Pipelines, by, future::yield_now()).await;
+                if matches!(turn, Err(Left::MadeRoom)) {
+                    return self.refuse(Refusal(503, "others need the place")).await;
+                }
+            }
         }
     }
 
@@ -115,6 +126,17 @@
         spare.then(|| pool.take()).flatten().map(|buffer| Begun { buffer, filled: 0 })
     }
 
+    /// With what came of the next request. Those that are half-way through theirs for long give way.
+    async fn buffer(&mut self) -> Option<Begun> {
+        loop {
+            let begun = self.begun.take().or_else(|| self.fresh());
+            if begun.is_some() || !self.door.frees_buffer() {
+                return begun;
+            }
+            future::yield_now().await;
+        }
+    }
+
     /// Waits for the next request without a buffer; false if the connection has nothing more to serve.
     async fn has_more(&mut self, waits: Waits, by: Instant) -> bool {
         let closes = async {
@@ -135,18 +157,22 @@
 
     /// Hands an event to the decisions and answers the client. A client that goes before it has its answer
     /// takes the event back.
-    async fn event(&mut self, event: Event, body: Body, closes: bool) -> bool {
+    async fn event(&mut self, event: Event, body: Body) -> bool {
         // After a stall many have gone already.
         if is_gone(&self.stream) {
             return false;
         }
+        // The decisions may hear of the end later than the clients.
+        if self.common.gate.has_ended() {
+            return self.tell(Verdict::Refused(None)).await;
+        }
         // Copies are handed in under ids of their own.
         if self.common.fanout.as_ref().is_some_and(|fanout| fanout.bars(&event.id)) {
-            return self.tell(Verdict::Refused(None), closes).await;
+            return self.tell(Verdict::Refused(None)).await;
         }
         if self.full {
             let wait = self.common.told.terms.longest_advice;
-            return self.tell(Verdict::Refused(wait), closes).await;
+            return self.tell(Verdict::Refused(wait)).await;
         }
         let (answer, verdict) = async_channel::bounded(1);
         let id = event.id.clone();
@@ -156,7 +182,8 @@
         let number = self.common.number();
         let handed = Handed { number, event, patience_ends, body, answer };
         if self.to_rounds.send(CameIn::Event(handed)).await.is_err() {
-            return self.tell(Verdict::Refused(None), true).await;
+            self.last = true;
+            return self.tell(Verdict::Refused(None)).await;
         }
         let mut ready = None;
         let gone = async {
@@ -177,7 +204,9 @@
         let verdict = future::or(heard, gone).await;
         self.ready = ready;
         let told = match verdict {
-            Some(verdict) => self.tell(verdict, closes).await,
+            // It may have gone in the very turn of the verdict.
+            Some(Verdict::TakenOn) if is_gone(&self.stream) => false,
+            Some(verdict) => self.tell(verdict).await,
             None => false,
         };
         if !told && matches!(verdict, Some(Verdict::TakenOn) | None) {
--- a/forwarder/src/clients/door.rs
+++ b/forwarder/src/clients/door.rs
@@ -23,8 +23,12 @@
 /// What a connection waits for, in the order in which they make room.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Waits {
-    /// It was refused, and still sends.
+    /// It has its last answer, and has not closed yet.
     Lingers,
+    /// It does not read its answers.
+    Writes,
+    /// It asks again before it has its answer.
+    Pipelines,
     /// It never asked for anything.
     Silent,
     /// It asked once and stayed.
@@ -73,6 +77,16 @@
         place.is_some_and(|place| waiting.remove(&place).is_some())
     }
 
+    /// The one that has been half-way through a request for longest gives its buffer back; false if none has been
+    /// for as long as an honest one takes.
+    pub(super) fn frees_buffer(&self) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        let mut reads = waiting.range((Waits::Reads, 0)..);
+        let first =
+            reads.next().filter(|(_, (since, _))| since.elapsed() > JUST_CAME).map(|(place, _)| *place);
+        first.is_some_and(|place| waiting.remove(&place).is_some())
+    }
+
     /// How long one that asked once may stay without a request. Many: over a quarter of all that may be open.
     pub(super) fn once(&self) -> Duration {
         if 4 * self.open.get() > self.most.get() {
@@ -100,8 +114,14 @@
             let _ = leaves.recv().await;
             Err(Left::MadeRoom)
         };
-        let came = until(by, future::or(async { Ok(for_it.await) }, leaves)).await;
-        came.unwrap_or(Err(Left::TimeIsUp))
+        let came = async { Ok(for_it.await) };
+        let first = match what {
+            // It would go on, and be in nobody's way for a moment only.
+            Waits::Writes | Waits::Pipelines => until(by, future::or(leaves, came)).await,
+            // What has just come still counts.
+            _ => until(by, future::or(came, leaves)).await,
+        };
+        first.unwrap_or(Err(Left::TimeIsUp))
     }
 }
 
--- a/forwarder/src/clients/mod.rs
+++ b/forwarder/src/clients/mod.rs
@@ -7,7 +7,6 @@
 mod reading;
 mod request;
 
-use std::io::Write;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,9 +19,10 @@
 
 use self::client::{Client, READING};
 use self::door::{Door, Waits};
+use crate::closing;
 use crate::common::Common;
 use crate::counted::Counted;
-use crate::exchange::Stream;
+use crate::exchange::{is_quiet, Stream};
 use crate::mail::CameIn;
 use crate::operators;
 use crate::targets::most_idle;
@@ -90,11 +90,7 @@
             }
             let Some(counted) = counted else {
                 // All of them are being served.
-                let mut message = Vec::with_capacity(128);
-                let fields: [(&str, &dyn std::fmt::Display); 2] =
-                    [("Retry-After", &1), ("Connection", &"close")];
-                let _ = http1::response(&mut message, 503, &fields, 0);
-                let _ = (&mut stream.get_ref()).write(&message);
+                self.turn_away(stream);
                 continue;
             };
             self.serve(stream, full, counted, Waits::Silent, READING);
@@ -106,16 +102,28 @@
     /// A connection on which another process waited for the next request.
     pub fn take_over(&self, stream: Stream, asked: u64, left: Duration) {
         let waits = [Waits::Silent, Waits::Once, Waits::Idle][asked.min(2) as usize];
-        if let Some(counted) = Counted::new(&self.door.open, self.most()) {
-            self.serve(stream, false, counted, waits, left);
+        match Counted::new(&self.door.open, self.most()) {
+            Some(counted) => self.serve(stream, false, counted, waits, left),
+            // One that rests may be closed, but its request may lie in it.
+            None if !is_quiet(&stream) => self.turn_away(stream),
+            None => (),
         }
     }
 
+    fn turn_away(&self, stream: Stream) {
+        let mut message = Vec::with_capacity(128);
+        let fields: [(&str, &dyn std::fmt::Display); 2] = [("Retry-After", &1), ("Connection", &"close")];
+        let _ = http1::response(&mut message, 503, &fields, 0);
+        closing::turn_away(stream, &message);
+    }
+
     fn serve(&self, stream: Stream, full: bool, counted: Counted, waits: Waits, left: Duration) {
         let Clients { common, to_rounds, door } = self.clone();
         let executor = common.executor.clone();
         let came = Instant::now();
-        let client = Client { common, to_rounds, stream, full, door, came, ready: None, _counted: counted };
+        let (begun, last, ready) = (None, false, None);
+        let client =
+            Client { common, to_rounds, stream, full, door, begun, last, came, ready, _counted: counted };
         executor.spawn(client.run(waits, Instant::now() + left)).detach();
     }
 }
--- a/forwarder/src/clients/reading.rs
+++ b/forwarder/src/clients/reading.rs
@@ -86,16 +86,13 @@
         if !http1::may_begin(&behind[http1::empty_lines(behind)..]) {
             return Err(Refusal(400, "the body is longer than its length"));
         }
-        let next = match filled > read {
-            true => {
-                let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
-                next.filled = filled - read;
-                next.buffer[..next.filled].copy_from_slice(&buffer[read..filled]);
-                Some(next)
-            }
-            false => None,
-        };
-        Ok(Some(Request { asked, buffer, body: end..write, closes, since, next }))
+        if filled > read {
+            let mut next = self.fresh().ok_or(Refusal(503, "no memory for more requests"))?;
+            next.filled = filled - read;
+            next.buffer[..next.filled].copy_from_slice(&buffer[read..filled]);
+            self.begun = Some(next);
+        }
+        Ok(Some(Request { asked, buffer, body: end..write, closes, since }))
     }
 
     async fn more(&mut self, buffer: &mut Buffer, filled: &mut usize) -> bool {
--- a/forwarder/src/clients/request.rs
+++ b/forwarder/src/clients/request.rs
@@ -35,7 +35,6 @@
     pub(super) closes: bool,
     /// Its first byte came then: its client counts from there at the latest.
     pub(super) since: Instant,
-    pub(super) next: Option<Begun>,
 }
 
 pub(super) enum Asked {
--- a/forwarder/src/gate.rs
+++ b/forwarder/src/gate.rs
@@ -41,6 +41,11 @@
         self.set();
     }
 
+    /// What is read from now on is answered, and never sent on.
+    pub fn has_ended(&self) -> bool {
+        self.ends.get()
+    }
+
     fn set(&self) {
         let is_open = self.open.borrow().is_some();
         if is_open && self.is_shut() {
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod clients;
 mod clock;
+mod closing;
 mod common;
 mod counted;
 mod elder;
