A call leaves by the end of its repeat's window and of its patience, or not at all

Cause: the module checks window and patience when it decides, the call is written later. targets/call.rs counted its time-out from the moment at which its own task began, and both the dial and the write were preferred over a time-out that was due in the same turn (exchange::until polls what it waits for first). A process that stood still while a connection came up wrote the call first; TakeBack, which the module writes when a window lapses, came a round later.

Seen: with a target whose accept queue is full, the process stopped while it dials, the queue emptied, and the process continued once the window (1.4 s) or the patience (1.3 s) was over, the call left each time ("Req-Deadline: 0.000" in one). Ruled out: an await between the last look at TakeBack and the write (there was none), and write_all taking a whole call for one that never left: an error or a time-out of it comes before the kernel has the last byte.

Change: Sending carries leaves_by, as the module gives it, and the end of patience. targets/writing.rs writes the call and looks, before each write and with nothing awaited between, at the time, at what was taken back, and at the connection. Half a line that lies in a connection is no answer to a call: nothing is written there, and a connection that was lent is replaced by a new one; bytes that come before the last byte of a call that is written in pieces end it as one that surely did not run. What may not leave ends as not sent: the module pauses it and dismisses it at the end of its window, so that nothing spins.

A target that moves keeps no call to write at its old address, and a connection that comes back from a call to the old address is closed (ToTarget::Returned tells where it goes).

--- a/forwarder/src/mail.rs
+++ b/forwarder/src/mail.rs
@@ -80,21 +80,30 @@
     /// Calls of which nothing is written yet are not to be written.
     TakeBack,
     Moved(SocketAddr),
-    /// A connection that no call uses since then, with its place in its pool.
-    Returned(Stream, Instant, Place),
+    Returned(Box<Returned>),
     /// So many idle connections are over what may be open.
     CloseSome(u32),
     /// Idle connections go to the process that takes over.
     PassIdle,
 }
 
+/// A connection that no call uses since then.
+pub struct Returned {
+    pub stream: Stream,
+    pub to: SocketAddr,
+    pub since: Instant,
+    /// In its pool.
+    pub place: Place,
+}
+
 pub struct Sending {
     pub event: EventId,
     pub fingerprint: Option<Rc<str>>,
     pub body: Body,
     pub time_out: Ms,
+    /// Nothing of it leaves after that.
+    pub patience_ends: Ms,
     /// When its last byte has to have left, on the clock of the decisions; infinite where nothing bounds it.
-    #[allow(dead_code)] // the target's actor is to check it before it writes
     pub leaves_by: Ms,
     /// Where copies are kept: the groups that this forwarder has to hold when its first byte leaves.
     pub groups: Vec<GroupId>,
--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -63,7 +63,9 @@
         debug!(self.common.log, "sends"; "event" => &*event.0, "target" => &*target.0, "time_out" => time_out);
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let groups = self.keeps.groups_of(event);
-        let send = Sending { event: event.clone(), fingerprint, body, time_out, leaves_by, groups };
+        let patience_ends = held.patience_ends;
+        let send =
+            Sending { event: event.clone(), fingerprint, body, time_out, patience_ends, leaves_by, groups };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/forwarder/src/rounds/hands.rs
+++ b/forwarder/src/rounds/hands.rs
@@ -16,7 +16,7 @@
 use crate::common::Common;
 use crate::exchange::Body;
 use crate::left_out::LeftOut;
-use crate::mail::{CameIn, Handed, Notice, Sending, ToTarget};
+use crate::mail::{CameIn, Handed, Notice, Returned, Sending, ToTarget};
 use crate::passes::Told;
 use crate::roster::Roster;
 
@@ -97,10 +97,11 @@
             CameIn::List(page) => self.listed(to, &page),
             CameIn::AtRest(target) => self.targets.at_rest(&target),
             CameIn::Kept(target, stream, since) => {
-                let goes_there = stream.get_ref().peer_addr().ok() == self.targets.address(&target);
-                if goes_there {
-                    let _ =
-                        self.targets.tell(&target, ToTarget::Returned(stream, since, Place::free(&target)));
+                let goes_to = stream.get_ref().peer_addr().ok();
+                if let Some(to) = goes_to.filter(|to| self.targets.address(&target) == Some(*to)) {
+                    let place = Place::free(&target);
+                    let back = Returned { stream, to, since, place };
+                    let _ = self.targets.tell(&target, ToTarget::Returned(Box::new(back)));
                 }
             }
             CameIn::HandOver { .. } => (), // kept for the end of the round
--- a/forwarder/src/targets/call.rs
+++ b/forwarder/src/targets/call.rs
@@ -1,24 +1,26 @@
 //! One call of a target, or ping: connects where no connection is lent to it, and judges what came of it.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender, WeakSender};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use plankhill::interface::*;
 use plankhill_http1::{self as http1, ResponseHead};
 use slog::debug;
 
 use super::meaning::{judge, left};
+use super::writing::{self, Written};
 use crate::budgets::Place;
 use crate::clock::millis;
 use crate::common::Common;
 use crate::counted::Counted;
 use crate::exchange::{answer, connect, until, Came, Stream, ANSWERING, SETTLING};
-use crate::mail::{CameIn, Sending, ToTarget};
+use crate::mail::{CameIn, Returned, Sending, ToTarget};
 
 /// What every target's actor shares with its calls.
 #[derive(Clone)]
@@ -72,42 +74,38 @@
 
     async fn exchange(&mut self, began: Instant, time_out: Ms, send: Option<&Sending>) -> Ended {
         let told = self.reach.common.told.clone();
+        let at = |moment: Option<Ms>| moment.map(|moment| self.reach.common.clock.instant(moment));
+        // The end of patience stands, however late the call begins: nothing leaves after it.
+        let patience_ends = at(send.map(|send| send.patience_ends));
         let ends = began + millis(time_out);
+        let ends = patience_ends.map_or(ends, |at| ends.min(at));
+        let leaves_by = at(send.map(|send| send.leaves_by)).map_or(ends, |at| ends.min(at));
         let Some(mut buffer) = self.reach.common.pool.take() else { return Ended::plain(Fate::NotSent) };
         let Some(place) = self.place(began, ends, send.is_none()).await else {
             return Ended::plain(Fate::NotSent);
         };
         // Closed before its place is given back: what is declared last is dropped first.
-        let mut stream = match self.kept.take() {
-            Some(kept) => kept.stream,
-            None => {
-                let up_by = began + millis(told.connect_time_out);
-                let taken_back = async {
-                    let _ = self.taken_back.recv().await;
-                    None
-                };
-                let up = until(up_by.min(ends), connect(self.address));
-                match future::or(taken_back, async { Some(up.await) }).await {
-                    None => return Ended::plain(Fate::NotSent),
-                    Some(Some(Ok(stream))) => stream,
-                    Some(_) => return Ended::plain(Fate::NoConnection),
-                }
-            }
+        let mut stream = loop {
+            let kept = self.kept.take();
+            let reused = kept.is_some();
+            let stream = match kept {
+                Some(kept) => kept.stream,
+                None => match self.dial(began + millis(told.connect_time_out), leaves_by, ends).await {
+                    Ok(stream) => stream,
+                    Err(fate) => return Ended::plain(fate),
+                },
+            };
+            let Ok(length) = self.write(&mut buffer, ends, send) else { return Ended::plain(Fate::NotSent) };
+            let fate = match self.leaves(&stream, &buffer[..length], leaves_by, send).await {
+                Some(Written::Whole) => break stream,
+                // Nothing of the call is on it, and something else is, or its end.
+                Some(Written::Unfit) if reused => continue,
+                Some(Written::Unfit | Written::Broken) => Fate::NoConnection,
+                Some(Written::Stuck) if Instant::now() >= ends => Fate::NoConnection,
+                Some(Written::Stuck | Written::Late) | None => Fate::NotSent,
+            };
+            return Ended::plain(fate);
         };
-        if self.taken_back.is_closed() {
-            return Ended::plain(Fate::NotSent);
-        }
-        let Ok(length) = self.write(&mut buffer, ends, send) else { return Ended::plain(Fate::NotSent) };
-        // The last look before a byte leaves: another may own the event soon.
-        let ground = self.reach.common.copies();
-        let holds = |group| ground.is_some_and(|ground| ground.holds(group));
-        if !send.is_none_or(|send| send.groups.iter().all(|group| holds(*group))) {
-            return Ended::plain(Fate::NotSent);
-        }
-        match until(ends, stream.write_all(&buffer[..length])).await {
-            Some(Ok(())) => (),
-            _ => return Ended::plain(Fate::NoConnection),
-        }
         let mut came = Came::default();
         let answering = |status| if status == 200 { SETTLING } else { ANSWERING };
         let answered = until(ends, answer(&mut stream, &mut buffer, &mut came, answering)).await;
@@ -136,11 +134,52 @@
         };
         let stays = whole.reusable && place.rests();
         if let Some(own) = self.own.upgrade().filter(|_| stays) {
-            let _ = own.try_send(ToTarget::Returned(stream, Instant::now(), place));
+            let back = Returned { stream, to: self.address, since: Instant::now(), place };
+            let _ = own.try_send(ToTarget::Returned(Box::new(back)));
         }
         end
     }
 
+    /// None if the call is taken back first. If both are so in one turn, it is taken back: it does not run yet.
+    async fn unless_taken_back<T>(&self, what: impl Future<Output = T>) -> Option<T> {
+        let taken_back = async {
+            let _ = self.taken_back.recv().await;
+            None
+        };
+        future::or(taken_back, async { Some(what.await) }).await
+    }
+
+    /// A new connection, or how the call ends without one.
+    async fn dial(&self, up_by: Instant, leaves_by: Instant, ends: Instant) -> Result<Stream, Fate> {
+        let up_by = up_by.min(ends);
+        if Instant::now() >= leaves_by {
+            return Err(Fate::NotSent);
+        }
+        match self.unless_taken_back(until(up_by.min(leaves_by), connect(self.address))).await {
+            Some(Some(Ok(stream))) => Ok(stream),
+            // Its time is up, and its target may be well.
+            Some(None) if leaves_by < up_by => Err(Fate::NotSent),
+            Some(_) => Err(Fate::NoConnection),
+            None => Err(Fate::NotSent),
+        }
+    }
+
+    /// Writes the call, unless it may not leave any more. None if it was taken back before its last byte.
+    async fn leaves(
+        &self,
+        stream: &Stream,
+        call: &[u8],
+        by: Instant,
+        send: Option<&Sending>,
+    ) -> Option<Written> {
+        let ground = self.reach.common.copies();
+        let holds = |group| ground.is_some_and(|ground| ground.holds(group));
+        // Another may own the event soon.
+        let owned = || send.is_none_or(|send| send.groups.iter().all(|group| holds(*group)));
+        let wanted = || !self.taken_back.is_closed() && owned();
+        self.unless_taken_back(writing::write(stream, call, by, wanted)).await
+    }
+
     /// A place in the target's pool, that of the connection lent to it or one for a new connection. None if
     /// none came free in half of its time, or it was taken back meanwhile.
     async fn place(&mut self, began: Instant, ends: Instant, ping: bool) -> Option<Place> {
@@ -157,12 +196,7 @@
             };
             // It may not be used now, and others may want its place.
             self.kept = None;
-            let taken_back = async {
-                let _ = self.taken_back.recv().await;
-                None
-            };
-            let room = async { Some(until(patient, budgets.room(&pool)).await) };
-            future::or(taken_back, room).await??;
+            self.unless_taken_back(until(patient, budgets.room(&pool))).await??;
         }
     }
 
--- a/forwarder/src/targets/mod.rs
+++ b/forwarder/src/targets/mod.rs
@@ -4,6 +4,7 @@
 
 mod call;
 mod meaning;
+mod writing;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
 use crate::clock::millis;
 use crate::counted::Counted;
 use crate::exchange::{is_quiet, until, Stream};
-use crate::mail::{CameIn, ToTarget};
+use crate::mail::{CameIn, Returned, ToTarget};
 
 /// As many connections stand idle at all targets at most.
 pub fn most_idle(told: &Told) -> usize {
@@ -90,6 +91,9 @@
             ToTarget::Moved(to) => {
                 address = to;
                 idle.clear();
+                // Another may listen there now: what is not written yet is not to be written there.
+                drop(unwritten);
+                (unwritten, taken_back) = async_channel::bounded(1);
                 continue;
             }
             ToTarget::PassIdle => {
@@ -102,12 +106,15 @@
                 idle.drain(..idle.len().min(some as usize));
                 continue;
             }
-            ToTarget::Returned(stream, since, _) if reach.common.passes.to().is_some() => {
-                pass(&reach, &id, stream, since).await;
-                continue;
-            }
-            ToTarget::Returned(stream, since, place) => {
-                if let Some(_counted) = Counted::new(&reach.idle, most_idle(&reach.common.told)) {
+            ToTarget::Returned(back) => {
+                // What is dropped here is closed before its place is given back.
+                let Returned { place, to, since, stream } = *back;
+                if to != address {
+                    continue; // the target has moved while the call was out
+                }
+                if reach.common.passes.to().is_some() {
+                    pass(&reach, &id, stream, since).await;
+                } else if let Some(_counted) = Counted::new(&reach.idle, most_idle(&reach.common.told)) {
                     idle.push(Idle { stream, place, since, _counted });
                 }
                 continue;
--- /dev/null
+++ b/forwarder/tests/late_calls.rs
@@ -0,0 +1,62 @@
+//! Calls that were decided, and may not leave any more when they could.
+
+mod peers;
+
+use std::io::BufReader;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::json;
+
+use peers::held::*;
+use peers::*;
+
+/// A repeat that is decided inside its window, and whose connection comes up after it: there the process has stood
+/// still, and nothing has told the call meanwhile. The destination may have forgotten the fingerprint.
+#[rstest]
+fn a_repeat_whose_connection_comes_up_after_its_window_does_not_leave() {
+    let window = Duration::from_millis(1400);
+    let mut target = HeldTarget::new();
+    let (discovery, _watches, notices) = discovery(0);
+    let mut config = config(discovery, target.address());
+    config["settings"]["profiles"][1]["windowUs"] = json!(window.as_micros() as u64);
+    let forwarder = Forwarder::start(&config);
+    forwarder.take("a", "order", "");
+    let (first, _) = target.listener.accept().expect("comes up");
+    let mut from = BufReader::new(first);
+    read_message(&mut from).expect("a call");
+    let window_ends = Instant::now() + window;
+    target.hold();
+    drop(from); // it may have run
+    target.is_dialled();
+    forwarder.stop();
+    let mut repeat = target.release();
+    thread::sleep(window_ends.saturating_duration_since(Instant::now()));
+    forwarder.signal("-CONT");
+    assert_eq!(rest(&mut repeat), "");
+    let notice = next(&notices);
+    assert_eq!((&notice["message"], &notice["outcome"]), (&json!("a"), &json!("handed_back")));
+}
+
+/// A call whose connection comes up after its event's patience has ended: nothing is sent after the end.
+#[rstest]
+#[case::binding("charge")]
+#[case::retriable("job")]
+fn a_call_whose_connection_comes_up_after_the_end_of_patience_does_not_leave(#[case] traffic: &str) {
+    let mut target = HeldTarget::new();
+    let (discovery, _watches, notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, target.address()));
+    target.hold();
+    let event = String::from_utf8(event("a", traffic, "")).expect("UTF-8");
+    let patience_ends = Instant::now() + Duration::from_millis(1300);
+    assert_eq!(forwarder.ask(event.replace("Deadline: 60", "Deadline: 1.3").as_bytes()).0, 202);
+    target.is_dialled();
+    forwarder.stop();
+    let mut call = target.release();
+    thread::sleep(patience_ends.saturating_duration_since(Instant::now()));
+    forwarder.signal("-CONT");
+    assert_eq!(rest(&mut call), "");
+    let notice = next(&notices);
+    assert_eq!((&notice["message"], &notice["outcome"]), (&json!("a"), &json!("handed_back")));
+}
--- a/forwarder/tests/peers/mod.rs
+++ b/forwarder/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports)] // each file of stories uses its part
 
 pub mod heir;
+pub mod held;
 mod process;
 mod stand_ins;
 
