What came in while a call was on its way is decided on before the call is written

Cause: a call that waits (for its connection, a place, a stall's end) looks at TakeBack alone, and TakeBack comes from a round. After a stall the reactor wakes the call whose connection came up in the same turn as the list, or another call's answer; the rounds look at all sockets first (look.rs) and the call is written before them.

Seen: with the process stopped while it dials, the connection let up and the word that the target drains, or a 429 with a wait of 20 s to another call, written meanwhile, the call left each time after the process went on.

--- /dev/null
+++ b/forwarder/tests/target_connections.rs
@@ -0,0 +1,84 @@
+//! Connections to a target, and what crosses with their coming up, their rest and their way back.
+
+mod peers;
+
+use std::sync::mpsc::channel;
+use std::thread;
+
+use rstest::rstest;
+use serde_json::json;
+
+use peers::held::*;
+use peers::*;
+
+/// A call is out at the old address while the target moves; its connection comes back after that.
+#[rstest]
+fn a_connection_to_a_former_address_is_not_used_after_a_move() {
+    let ((old, old_calls), (new, new_calls)) = (stand_in(), stand_in());
+    let (discovery, watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, old));
+    ["a", "b"].iter().for_each(|id| forwarder.take(id, "charge", CHARGE));
+    let call = next(&old_calls);
+    next(&watches).answer(&page(&[member("t", new, "up")]));
+    let _next = next(&watches);
+    call.answer(OK);
+    // The next of its key goes once its end is known, and the connection has come back before.
+    assert_eq!(next(&new_calls).id(), "b");
+    assert!(old_calls.try_recv().is_err());
+}
+
+/// What is not written when the target moves is not written where it was: another may listen there.
+#[rstest]
+fn a_call_whose_target_moves_while_it_dials_goes_to_the_new_address_alone() {
+    let mut old = HeldTarget::new();
+    let (new, new_calls) = stand_in();
+    let (discovery, watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, old.address()));
+    old.hold();
+    forwarder.take("a", "job", "");
+    old.is_dialled();
+    next(&watches).answer(&page(&[member("t", new, "up")]));
+    let _next = next(&watches);
+    let (late, written) = channel();
+    thread::spawn(move || late.send(rest(&mut old.release())));
+    assert_eq!(next(&new_calls).id(), "a");
+    assert_eq!(written.try_iter().collect::<String>(), "");
+}
+
+/// The connection of a call comes up while the process stands still, and so does the word that its target leaves.
+#[rstest]
+fn a_call_whose_target_leaves_while_the_process_stands_still_is_not_written() {
+    let mut target = HeldTarget::new();
+    let (discovery, watches, _notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, target.address()));
+    let watch = next(&watches);
+    target.hold();
+    forwarder.take("a", "job", "");
+    target.is_dialled();
+    forwarder.stop();
+    let mut call = target.release();
+    watch.answer(&page(&[member("t", target.address(), "draining")]));
+    forwarder.signal("-CONT");
+    assert_eq!(rest(&mut call), "");
+}
+
+/// Another call's answer tells the target's wait while the process stands still.
+#[rstest]
+fn a_call_that_crosses_with_a_told_wait_while_the_process_stands_still_is_not_written() {
+    let mut target = HeldTarget::new();
+    let (discovery, _watches, _notices) = discovery(0);
+    let mut config = config(discovery, target.address());
+    config["settings"]["familyInfo"]["slots"] = json!(2);
+    let forwarder = Forwarder::start(&config);
+    forwarder.take("a", "job", "");
+    let (mut first, _) = target.listener.accept().expect("comes up");
+    target.hold();
+    forwarder.take("b", "job", "");
+    target.is_dialled();
+    forwarder.stop();
+    let mut second = target.release();
+    let wait = "HTTP/1.1 429 Wait\r\nX-Retry-In-Ms: 20000\r\nContent-Length: 0\r\n\r\n";
+    std::io::Write::write_all(&mut first, wait.as_bytes()).expect("stands");
+    forwarder.signal("-CONT");
+    assert_eq!(rest(&mut second), "");
+}
