--- a/forwarder/tests/peers/mod.rs
+++ b/forwarder/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod by_hand;
 pub mod heir;
+pub mod held;
 mod process;
 mod stand_ins;
 
