A call on sockets carries one event, whatever a call of the simulator may

Cause: send_next (src/decide/sends.rs) puts up to events_per_call events into one call with one slot, as the simulator's wire has it. The forwarder writes each of them as a call of its own: the protocol page knows only POST /receive with one event (real.json names a path for many that no page describes).

Change: what the forwarder on sockets is told has one event a call (terms/src/lib.rs); the simulator's link keeps its figure.

Test: terms/tests/told.rs, fails without the change (8 where 1 is wanted).

--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -115,7 +115,9 @@
         let given = present(allowed, field).map(|_| time(allowed, field)).transpose();
         Ok(given.map_err(|e| format!("settings.allowed.{e}"))?.unwrap_or(default))
     };
-    let (terms, names) = terms(settings, "settings", seed)?;
+    let (mut terms, names) = terms(settings, "settings", seed)?;
+    // A call on sockets carries one event (`POST /receive`), whatever a call of the simulator may.
+    terms.kinds.iter_mut().for_each(|kind| kind.events_per_call = 1);
     let name = either("PROXY_NAME", "name")?.1;
     let fleet = fleet::fleet(&variable, &name)?;
     let pools = match &fleet {
--- a/terms/tests/told.rs
+++ b/terms/tests/told.rs
@@ -49,6 +49,19 @@
     assert!(told.terms.shares.is_empty() && told.terms.over_share_worth == 1.0);
 }
 
+/// Met at a deployment whose kinds take several events in a call: each went as a call of its own, with one slot for all,
+/// and four calls in ten were turned away for want of a slot.
+#[rstest]
+fn a_call_on_sockets_carries_one_event_whatever_one_of_the_simulator_may() {
+    let mut config = config();
+    config["settings"]["familyInfo"]["perCall"] = json!([8]);
+    let told = read("calls", &config).expect("right");
+    assert_eq!(told.terms.kinds[0].events_per_call, 1);
+    let settings = config["settings"].as_object().expect("given");
+    let (simulated, _) = plankhill_terms::terms(settings, "settings", 1).expect("right");
+    assert_eq!(simulated.kinds[0].events_per_call, 8);
+}
+
 #[rstest]
 fn rates_reports_and_members_are_read() {
     let mut config = config();
