Whoever has come by the end is answered before it, and signals are heeded while it ends

main.rs left the process in the turn in which the last client was gone: a connection that lay in the kernel's queue just then was reset unheard (clients::all_served looked only at those accepted). It now looks at all sockets once more, as rounds do after a stall, and goes only if nobody came.

main.rs broke out of its loop with the first SIGTERM and read no signal after it: with a SIGHUP in the closing time, notices went on to the old address of discovery. Signals are heeded until the end; to be asked to end again changes nothing, as before. A new process that had asked before the decisions heard of the end could take over and still leave this one accepting from the listener that they share: it stops now.

No fault: an event handed in after the end.

--- a/forwarder/src/clients/mod.rs
+++ b/forwarder/src/clients/mod.rs
@@ -6,6 +6,8 @@
 mod door;
 mod reading;
 mod request;
+#[cfg(test)]
+mod tests;
 
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -23,6 +25,7 @@
 use crate::common::Common;
 use crate::counted::Counted;
 use crate::exchange::{is_quiet, Stream};
+use crate::look;
 use crate::mail::CameIn;
 use crate::operators;
 use crate::targets::most_idle;
@@ -35,10 +38,17 @@
 /// Between looks whether the last client has its answer.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Whoever is half-way through a request is owed its answer, or is told that it took too long.
+/// Whoever is half-way through a request is owed its answer, or is told that it took too long. So is whoever waits in
+/// the kernel's queue: the end may be due in the same turn in which one comes.
 pub async fn all_served(common: &Common) {
-    while common.clients.get() > 0 {
-        Timer::after(LOOK).await;
+    loop {
+        while common.clients.get() > 0 {
+            Timer::after(LOOK).await;
+        }
+        look::all_sockets().await;
+        if common.clients.get() == 0 {
+            return;
+        }
     }
 }
 
--- /dev/null
+++ b/forwarder/src/clients/tests.rs
@@ -0,0 +1,119 @@
+//! The clients' side alone, at its end: the decisions are a mailbox that nobody reads.
+
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{block_on, Async};
+use plankhill_buffers::Pool;
+use serde_json::json;
+
+use super::{all_served, Clients};
+use crate::clock::Clock;
+use crate::common::Common;
+use crate::exchange::{until, MESSAGE};
+use crate::mail::CameIn;
+
+const LONG: Duration = Duration::from_secs(30);
+const EVENT: &[u8] =
+    b"POST /job HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Deadline: 60\r\nX-Envelope: dest=1\r\n\
+    Content-Length: 4\r\n\r\nbody";
+
+struct Story {
+    common: Common,
+    address: SocketAddr,
+    /// Held, and never read.
+    _mailbox: Receiver<CameIn>,
+    _folder: tempfile::TempDir,
+}
+
+impl Story {
+    fn new() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let job = json!({"name": "job", "semantics": "pure", "aimUs": 1000000, "deadlineUs": 60000000,
+            "credit": 1, "lateWorth": 0.1, "serialByKey": false});
+        let settings = json!({"me": 0, "balancers": 1, "shapes": ["k"], "zones": ["z"], "zone": "z",
+            "allowed": {"attemptsCap": 6, "maxOpen": 20, "probes": true}, "familyInfo": {"slots": 4},
+            "profiles": [job], "rules": {"coldFrom": 0.2, "coldUs": 9000000, "tipMultiple": 2}});
+        let config = json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+            "limits": {"memory_mb": 16, "sockets": 256, "disk_mb": 3}, "settings": settings});
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, config.to_string()).expect("writes");
+        let told = plankhill_terms::told(|name| match name {
+            "PROXY_CONFIG" => path.to_str().map(str::to_owned),
+            "PROXY_STATE" => folder.path().to_str().map(str::to_owned),
+            _ => None,
+        });
+        let told = Rc::new(told.expect("fits"));
+        let common = Common {
+            executor: Rc::new(LocalExecutor::new()),
+            pool: Pool::new(MESSAGE, 20),
+            clock: Clock::start(),
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+            discovery: Rc::new(Cell::new(told.discovery)),
+            gate: Rc::default(),
+            ready: Rc::default(),
+            clients: Rc::default(),
+            aside: Rc::default(),
+            numbers: Rc::default(),
+            passes: Rc::default(),
+            ground: None,
+            fanout: None,
+            budgets: None,
+            told,
+        };
+        let (to_rounds, mailbox) = async_channel::bounded(4);
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let address = listener.get_ref().local_addr().expect("bound");
+        let clients = Clients::new(common.clone(), to_rounds);
+        common.executor.spawn(clients.listen(listener)).detach();
+        Story { common, address, _mailbox: mailbox, _folder: folder }
+    }
+
+    /// A client that has sent an event; nothing runs here before the story runs on.
+    fn asks(&self) -> TcpStream {
+        let mut client = TcpStream::connect(self.address).expect("the kernel takes it");
+        client.write_all(EVENT).expect("the kernel takes it");
+        client.set_read_timeout(Some(LONG)).expect("a socket");
+        client
+    }
+
+    fn runs_until_all_are_served(&self) {
+        let served = async { until(Instant::now() + LONG, all_served(&self.common)).await };
+        assert!(block_on(self.common.executor.run(served)).is_some(), "somebody is never answered");
+    }
+}
+
+/// Nobody was accepted yet when the end is due.
+#[test]
+fn who_waits_in_the_kernels_queue_at_the_end_is_answered_before_it() {
+    let story = Story::new();
+    story.common.gate.end();
+    let mut clients: Vec<_> = (0..20).map(|_| story.asks()).collect();
+    story.runs_until_all_are_served();
+    let Story { common, address, .. } = story;
+    // All that the process holds goes with it.
+    drop(common);
+    for client in &mut clients {
+        let mut said = String::new();
+        client.read_to_string(&mut said).expect("closed in order");
+        assert!(said.starts_with("HTTP/1.1 503 ") && said.contains("Connection: close"), "{address}: {said}");
+    }
+}
+
+/// The decisions have not heard of the end yet, and would take it on.
+#[test]
+fn an_event_that_is_read_after_the_end_is_answered_and_not_handed_in() {
+    let story = Story::new();
+    story.common.gate.end();
+    let mut client = story.asks();
+    story.runs_until_all_are_served();
+    let mut said = [0; 13];
+    client.read_exact(&mut said).expect("an answer");
+    assert_eq!(&said, b"HTTP/1.1 503 ");
+    assert!(story._mailbox.is_empty());
+}
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -229,7 +229,22 @@
         least.await;
         clients::all_served(&common).await;
     };
-    exchange::until(Instant::now() + most, all_ended).await;
+    // Notices are still told, where discovery is then. To be asked again changes nothing.
+    let heeds = async {
+        while let Some(Ok(signal)) = signals.next().await {
+            if signal == Signal::Hup {
+                reload::read_again(&common, &moves);
+            }
+        }
+        future::pending().await
+    };
+    // One that asked before the decisions heard of the end may still take over: then it does all that.
+    let heir = async {
+        handed_over.await;
+        drop((notices, list, accepts));
+        future::pending().await
+    };
+    exchange::until(Instant::now() + most, future::or(all_ended, future::or(heeds, heir))).await;
     info!(log, "ends");
     Ok(())
 }
--- /dev/null
+++ b/forwarder/tests/shutdown.rs
@@ -0,0 +1,104 @@
+//! Asked to end: whoever comes until then gets an answer, and nothing is sent on.
+
+mod peers;
+
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value;
+
+use peers::*;
+
+/// A connection whose request was half read before the end was asked for; its body has not come.
+fn half_read(forwarder: &Forwarder, id: &str) -> TcpStream {
+    let mut half = TcpStream::connect(forwarder.address).expect("listens");
+    let request = event(id, "job", "Expect: 100-continue\r\n");
+    half.write_all(&request[..request.len() - 4]).expect("takes it");
+    assert_eq!(answer(&mut half).0, 100, "its head was read");
+    half
+}
+
+fn ends(mut forwarder: Forwarder) {
+    assert!(forwarder.child.wait().expect("ends").success());
+}
+
+#[rstest]
+fn every_request_that_lies_behind_another_is_answered_and_none_sent_on() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let mut stream = half_read(&forwarder, "a");
+    forwarder.signal("-TERM");
+    forwarder.logged("closes");
+    let behind = [event("b", "job", ""), event("c", "job", "")].concat();
+    stream.write_all(&[&b"body"[..], &behind].concat()).expect("takes it");
+    stream.set_read_timeout(Some(LONG)).expect("a socket");
+    let mut from = BufReader::new(stream);
+    let heads: Vec<String> = std::iter::from_fn(|| read_message(&mut from)).map(|(head, _)| head).collect();
+    assert!(heads.len() == 3 && heads.iter().all(|head| head.starts_with("HTTP/1.1 503 ")), "{heads:?}");
+    let closes: Vec<bool> = heads.iter().map(|head| head.contains("Connection: close\r\n")).collect();
+    assert_eq!(closes, [false, false, true]);
+    ends(forwarder);
+    assert!(calls.try_recv().is_err());
+}
+
+/// The end is due in the very turn in which a client has come: the process stands still from before until after.
+#[rstest]
+fn who_comes_in_the_turn_of_the_end_gets_an_answer() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    forwarder.signal("-TERM");
+    forwarder.logged("closes");
+    forwarder.stop();
+    // Past the second that it stays at least; it cannot end meanwhile.
+    thread::sleep(Duration::from_millis(1200));
+    let mut late = TcpStream::connect(forwarder.address).expect("the kernel takes it");
+    late.write_all(&event("late", "job", "")).expect("the kernel takes it");
+    forwarder.signal("-CONT");
+    let (status, head) = answer(&mut late);
+    assert!(status == 503 && head.contains("Connection: close\r\n"), "{head}");
+    assert_eq!(late.read(&mut [0]).expect("closed in order"), 0);
+    ends(forwarder);
+    assert!(calls.try_recv().is_err());
+}
+
+/// Ends that nobody has heard are told where discovery is by then; and to be told twice to end is nothing new.
+#[rstest]
+fn signals_are_heeded_while_it_ends() {
+    let (forwarder, calls, notices, _) = all(usize::MAX, |_| ());
+    forwarder.take("a", "charge", CHARGE);
+    next(&calls).answer(ERROR);
+    assert_eq!(next(&notices), given_up("a"));
+    forwarder.signal("-TERM");
+    forwarder.logged("closes");
+    forwarder.signal("-TERM");
+    let (moved, _watches, heard) = discovery(0);
+    let path = forwarder.folder.join("config.json");
+    let mut config: Value = serde_json::from_slice(&std::fs::read(&path).expect("there")).expect("JSON");
+    config["discovery"] = moved.to_string().into();
+    std::fs::write(&path, config.to_string()).expect("written");
+    forwarder.signal("-HUP");
+    assert_eq!(next(&heard), given_up("a"));
+    ends(forwarder);
+}
+
+/// Some clients rest until they are ended: nothing waits for them, nor for one whose answer they have not read.
+#[rstest]
+fn it_ends_beside_clients_that_rest_and_targets_that_hang() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let mut rests = TcpStream::connect(forwarder.address).expect("listens");
+    rests.write_all(&event("a", "order", "")).expect("takes it");
+    assert_eq!(answer(&mut rests).0, 202);
+    let hangs = next(&calls);
+    let mut half = half_read(&forwarder, "b");
+    forwarder.signal("-TERM");
+    rests.set_read_timeout(Some(LONG)).expect("a socket");
+    assert_eq!(rests.read(&mut [0]).expect("closed in order"), 0);
+    half.write_all(b"body").expect("takes it");
+    assert_eq!(answer(&mut half).0, 503);
+    let late = forwarder.ask(&event("c", "job", ""));
+    assert!(late.0 == 503 && late.1.contains("Connection: close\r\n"), "{late:?}");
+    ends(forwarder);
+    drop(hangs);
+    assert!(calls.try_recv().is_err());
+}
