Callers of the operators' address that linger make room, and none goes without an answer

operators.rs spawned one task after another while connections lay in the queue: none of them stood among those that make room yet, so the seventeenth that came in the same turn was closed without a word over its unread call (seen: ECONNRESET). Now each accepted call has its turn before the next is accepted, those that linger go first, who finds no place is told 503 by closing::turn_away, and answers end by closing::ends like clients'. TCP_NODELAY is set here too.

--- a/forwarder/src/clients/mod.rs
+++ b/forwarder/src/clients/mod.rs
@@ -124,7 +124,7 @@
         let mut message = Vec::with_capacity(128);
         let fields: [(&str, &dyn std::fmt::Display); 2] = [("Retry-After", &1), ("Connection", &"close")];
         let _ = http1::response(&mut message, 503, &fields, 0);
-        closing::turn_away(stream, &message);
+        closing::turn_away(&stream, &message);
     }
 
     fn serve(&self, stream: Stream, full: bool, counted: Counted, waits: Waits, left: Duration) {
--- a/forwarder/src/closing.rs
+++ b/forwarder/src/closing.rs
@@ -21,12 +21,12 @@
 
 /// Answers one for which there is no place, and that may not wait for one: what has come is read first, and what
 /// comes with the answer after it.
-pub fn turn_away(stream: Stream, answer: &[u8]) {
+pub fn turn_away(stream: &Stream, answer: &[u8]) {
     let mut left = LEAVINGS;
-    pass_over(&stream, &mut left);
+    pass_over(stream, &mut left);
     let _ = stream.get_ref().write(answer);
     let _ = stream.get_ref().shutdown(Shutdown::Write);
-    pass_over(&stream, &mut left);
+    pass_over(stream, &mut left);
 }
 
 /// Reads what lies in the socket; whether more may come.
--- a/forwarder/src/closing/tests.rs
+++ b/forwarder/src/closing/tests.rs
@@ -22,7 +22,8 @@
     let (mut peer, ours) = pair();
     peer.write_all(&[b'x'; 1000]).expect("is taken");
     block_on(ours.readable()).expect("has come");
-    turn_away(ours, b"no");
+    turn_away(&ours, b"no");
+    drop(ours);
     let mut said = Vec::new();
     peer.read_to_end(&mut said).expect("closed in order, not reset");
     assert_eq!(said, b"no");
--- a/forwarder/src/operators.rs
+++ b/forwarder/src/operators.rs
@@ -4,6 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,6 +16,7 @@
 use plankhill_operators::{asked, Asked, Order, Refused, Reply};
 use slog::warn;
 
+use crate::closing;
 use crate::common::Common;
 use crate::counted::Counted;
 use crate::exchange::{until, Stream};
@@ -38,8 +40,25 @@
     common: Common,
     to_rounds: Sender<CameIn>,
     open: Rc<Cell<usize>>,
-    /// Callers whose call is not whole yet, in the order in which they came; one that is dropped here goes.
-    waiting: Rc<RefCell<BTreeMap<u64, Sender<()>>>>,
+    /// Callers that are waited for, in the order in which they make room; one that is dropped here goes.
+    waiting: Rc<RefCell<Waiting>>,
+}
+
+type Waiting = BTreeMap<(Waits, u64), Sender<()>>;
+
+/// What a caller is waited for.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Waits {
+    /// It has its answer, and has not closed yet.
+    Lingers,
+    /// Its call is not whole yet.
+    Calls,
+}
+
+/// Why nothing came.
+enum Left {
+    TimeIsUp,
+    MadeRoom,
 }
 
 pub async fn listen(common: Common, listener: Async<TcpListener>, to_rounds: Sender<CameIn>) {
@@ -55,42 +74,64 @@
                 continue;
             }
         };
+        let _ = stream.get_ref().set_nodelay(true);
         while desk.open.get() >= MOST && desk.waiting.borrow_mut().pop_first().is_some() {
             // The one that made room ends now.
             future::yield_now().await;
         }
-        // If none waits, all are being answered, which is soon over.
-        let Some(counted) = Counted::new(&desk.open, MOST) else { continue };
+        let Some(counted) = Counted::new(&desk.open, MOST) else {
+            // None waits: all are being answered.
+            message(503, None).iter().for_each(|no| closing::turn_away(&stream, no));
+            continue;
+        };
         number += 1;
         desk.common.executor.spawn(desk.clone().call(stream, number, counted)).detach();
+        // Of many that come at once each is read before another needs its place.
+        future::yield_now().await;
     }
 }
 
 impl Desk {
     async fn call(self, mut stream: Stream, number: u64, _counted: Counted) {
-        let (stays, leaves) = async_channel::bounded(1);
-        self.waiting.borrow_mut().insert(number, stays);
         let mut bytes = vec![0; LONGEST];
-        let makes_room = async {
-            let _ = leaves.recv().await;
-            None
-        };
-        let read = async { Some(read(&mut stream, &mut bytes).await) };
-        let asked = until(Instant::now() + READING, future::or(read, makes_room)).await;
-        self.waiting.borrow_mut().remove(&number);
+        let by = Instant::now() + READING;
+        let asked = self.waits(Waits::Calls, number, by, read(&mut stream, &mut bytes)).await;
         let (status, allow) = match asked {
-            None => (408, None),
-            Some(None) | Some(Some(Err(Broken::Left))) => return,
-            Some(Some(Err(Broken::Malformed))) => (400, None),
-            Some(Some(Ok(Err(refused)))) => match refused {
+            Err(Left::TimeIsUp) => (408, None),
+            // None that called: it has read all that lay there.
+            Err(Left::MadeRoom) | Ok(Err(Broken::Left)) => return,
+            Ok(Err(Broken::Malformed)) => (400, None),
+            Ok(Ok(Err(refused))) => match refused {
                 Refused::NoSuchPath => (404, None),
                 Refused::OnlyMethod(method) => (405, Some(method)),
                 Refused::Id => (400, None),
             },
-            Some(Some(Ok(Ok(Asked::Ready)))) => (if self.common.is_ready() { 200 } else { 503 }, None),
-            Some(Some(Ok(Ok(Asked::Order(order))))) => (self.carry_out(order).await, None),
+            Ok(Ok(Ok(Asked::Ready))) => (if self.common.is_ready() { 200 } else { 503 }, None),
+            Ok(Ok(Ok(Asked::Order(order)))) => (self.carry_out(order).await, None),
         };
-        answer(&mut stream, &mut bytes, status, allow).await;
+        let Some(message) = message(status, allow) else { return };
+        if matches!(until(Instant::now() + WRITING, stream.write_all(&message)).await, Some(Ok(()))) {
+            let by = Instant::now() + LINGERING;
+            let _ = self.waits(Waits::Lingers, number, by, closing::ends(&stream)).await;
+        }
+    }
+
+    async fn waits<T>(
+        &self,
+        what: Waits,
+        number: u64,
+        by: Instant,
+        for_it: impl Future<Output = T>,
+    ) -> Result<T, Left> {
+        let (stays, leaves) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert((what, number), stays);
+        let makes_room = async {
+            let _ = leaves.recv().await;
+            Err(Left::MadeRoom)
+        };
+        let came = until(by, future::or(async { Ok(for_it.await) }, makes_room)).await;
+        self.waiting.borrow_mut().remove(&(what, number));
+        came.unwrap_or(Err(Left::TimeIsUp))
     }
 
     async fn carry_out(&self, order: Order) -> u16 {
@@ -139,19 +180,12 @@
     }
 }
 
-async fn answer(stream: &mut Stream, bytes: &mut [u8], status: u16, allow: Option<&'static str>) {
+fn message(status: u16, allow: Option<&'static str>) -> Option<Vec<u8>> {
     let mut fields: Vec<(&str, &dyn std::fmt::Display)> = vec![("Connection", &"close")];
     if let Some(method) = &allow {
         fields.push(("Allow", method));
     }
     let mut message = Vec::with_capacity(128);
-    if http1::response(&mut message, status, &fields, 0).is_err() {
-        return;
-    }
-    if !matches!(until(Instant::now() + WRITING, stream.write_all(&message)).await, Some(Ok(()))) {
-        return;
-    }
-    let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
-    let rest = async { while matches!(stream.read(bytes).await, Ok(read) if read > 0) {} };
-    until(Instant::now() + LINGERING, rest).await;
+    http1::response(&mut message, status, &fields, 0).ok()?;
+    Some(message)
 }
