--- a/forwarder/tests/late_calls.rs
+++ b/forwarder/tests/late_calls.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -49,8 +49,8 @@
     let forwarder = Forwarder::start(&config(discovery, target.address()));
     target.hold();
     let event = String::from_utf8(event("a", traffic, "")).expect("UTF-8");
-    let patience_ends = Instant::now() + Duration::from_millis(1300);
     assert_eq!(forwarder.ask(event.replace("Deadline: 60", "Deadline: 1.3").as_bytes()).0, 202);
+    let patience_ends = Instant::now() + Duration::from_millis(1300);
     target.is_dialled();
     forwarder.stop();
     let mut call = target.release();
@@ -60,3 +60,27 @@
     let notice = next(&notices);
     assert_eq!((&notice["message"], &notice["outcome"]), (&json!("a"), &json!("handed_back")));
 }
+
+/// The answer came in time, and is read after it: the process stood still. A call taken for unanswered would be
+/// written off, though it was delivered.
+#[rstest]
+fn an_answer_that_came_in_a_stall_counts_after_its_time() {
+    let target = HeldTarget::new();
+    let (discovery, _watches, notices) = discovery(0);
+    let forwarder = Forwarder::start(&config(discovery, target.address()));
+    let event = String::from_utf8(event("a", "charge", CHARGE)).expect("UTF-8");
+    assert_eq!(forwarder.ask(event.replace("Deadline: 60", "Deadline: 1.3").as_bytes()).0, 202);
+    let patience_ends = Instant::now() + Duration::from_millis(1300);
+    let (stream, _) = target.listener.accept().expect("comes up");
+    let mut from = BufReader::new(stream);
+    read_message(&mut from).expect("a call");
+    forwarder.stop();
+    from.get_mut().write_all(OK.as_bytes()).expect("stands");
+    thread::sleep(patience_ends.saturating_duration_since(Instant::now()));
+    forwarder.signal("-CONT");
+    forwarder.take("b", "charge", CHARGE);
+    // The connection stands, and the next of the key goes: it is over.
+    let (head, _) = read_message(&mut from).expect("a call");
+    assert!(head.contains("Req-Id: b\r\n"), "{head}");
+    assert!(notices.try_recv().is_err());
+}
