Endless answers that ran into the call's time-out would fail their story

Two time-outs in a row take a target offline and are followed by a ping; the story now refuses one. Seen to fail for the two slow cases with the 250 ms for an answer (exchange::ANSWERING) taken away; without this it passed then.

--- a/forwarder/tests/bad_targets.rs
+++ b/forwarder/tests/bad_targets.rs
@@ -49,6 +49,8 @@
     for number in 0.. {
         let (mut stream, _) = listener.accept().expect("a connection of its own");
         let (head, _) = read_message(&mut BufReader::new(&mut stream)).expect("a call");
+        // Two that ran into the call's time-out would be followed by a ping.
+        assert!(head.starts_with("POST /receive "), "{head}");
         if number < 2 {
             let (begins, goes_on, ended) = (begins.to_owned(), goes_on.to_owned(), ended.clone());
             thread::spawn(move || {
@@ -66,8 +68,8 @@
             break;
         }
     }
-    // Not at the call's own time-out: both connections were ended before the two were served.
-    assert!(ends.try_iter().count() == 2 || (next(&ends), next(&ends)) == ((), ()));
+    // Both were ended from the other side.
+    (0..2).for_each(|_| next(&ends));
     let status = std::fs::read_to_string(format!("/proc/{}/status", forwarder.child.id())).expect("runs");
     let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("is told");
     let kilobytes: u64 = resident.trim().trim_end_matches(" kB").parse().expect("a number");
