A notice is told again within 300 ms when its connection to the agent has fallen silent

Cause: `tell` in notices.rs waited 1 s (`PATIENCE`) for an answer on the connection that it keeps, and tried the same batch again alone; a message is lost when its notice is not heard 300 ms after its time is up, and all that ended meanwhile waited behind the stuck one, for each try anew. Change: a try has 80 ms, and twice as long with each one in vain up to 1 s; silence has no pause behind it, nor has a kept connection that broke; whatever ended meanwhile goes along with the next try. The log tells a trouble once.

--- a/forwarder/src/notices.rs
+++ b/forwarder/src/notices.rs
@@ -17,19 +17,25 @@
 pub const MAILBOX: usize = 4096;
 /// Notices told at once: some twenty kilobytes.
 const TOGETHER: usize = 200;
-const PATIENCE: Duration = Duration::from_millis(1000);
+/// An answer has the first of these, and twice as long with each try in vain up to the last. A notice has to be heard
+/// 300 ms after its event's time is up, which ends shortly before, and the agent answers at once: a connection that
+/// has fallen silent costs 80 ms, and a second one 160 more, which leaves another try. A machine on which an answer
+/// takes longer is heard by the tries that follow: what is told twice does no harm.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(1000));
+/// Behind a refusal. A connection that was kept says nothing of a new one, and silence was a pause.
 const PAUSE: Duration = Duration::from_millis(50);
 
 pub async fn run(common: Common, owed: Receiver<Notice>, to_rounds: Sender<CameIn>) {
-    let mut stream = None;
+    let (mut stream, mut patience, mut trouble) = (None, PATIENCE.0, String::new());
     while let Ok(first) = owed.recv().await {
-        let mut batch = vec![first];
-        while let Some(next) = (batch.len() < TOGETHER).then(|| owed.try_recv().ok()).flatten() {
-            batch.push(next);
-        }
-        let mut left = vec![batch];
+        let mut left = vec![vec![first]];
         while let Some(mut part) = left.pop() {
-            match tell(&common, &part, &mut stream).await {
+            // All that ended meanwhile goes along, also with those that were not heard: none waits behind them.
+            while let Some(next) = (part.len() < TOGETHER).then(|| owed.try_recv().ok()).flatten() {
+                part.push(next);
+            }
+            let was_kept = stream.is_some();
+            match tell(&common, &part, &mut stream, patience).await {
                 Ok(Heard::No) if part.len() > 1 => {
                     // One that can't be read must not hold up the others.
                     let rest = part.split_off(part.len() / 2);
@@ -42,12 +48,20 @@
                 Ok(Heard::Yes) => (),
                 Err(e) => {
                     stream = None;
-                    warn!(common.log, "notices are not heard"; "number" => part.len(), "error" => %e);
+                    patience = (2 * patience).min(PATIENCE.1);
+                    // Told once, not with each try.
+                    if std::mem::replace(&mut trouble, e.to_string()) != trouble {
+                        warn!(common.log, "notices are not heard"; "number" => part.len(), "error" => %e);
+                    }
                     left.push(part);
-                    Timer::after(PAUSE).await;
+                    if !was_kept && e.kind() != io::ErrorKind::TimedOut {
+                        Timer::after(PAUSE).await;
+                    }
                     continue;
                 }
             }
+            patience = PATIENCE.0;
+            trouble.clear();
             let heard = part.into_iter().map(|notice| notice.event).collect();
             if to_rounds.send(CameIn::Heard(heard)).await.is_err() {
                 return;
@@ -62,7 +76,12 @@
     No,
 }
 
-async fn tell(common: &Common, notices: &[Notice], kept: &mut Option<Stream>) -> io::Result<Heard> {
+async fn tell(
+    common: &Common,
+    notices: &[Notice],
+    kept: &mut Option<Stream>,
+    patience: Duration,
+) -> io::Result<Heard> {
     let lines: String = notices.iter().map(line).collect();
     let mut request = Vec::new();
     let to = common.discovery.get();
@@ -70,14 +89,14 @@
     request.extend_from_slice(lines.as_bytes());
     let exchange = async {
         let mut bytes = [0; LONGEST_HEAD];
-        let answer = ask(kept, to, &request, &mut bytes, PATIENCE).await?;
+        let answer = ask(kept, to, &request, &mut bytes, patience).await?;
         match plankhill_http1::ResponseHead::status_in(&bytes[answer.head]) {
             Some(204) => Ok(Heard::Yes),
             Some(400) => Ok(Heard::No),
             other => Err(io::Error::other(format!("answered with {}", other.unwrap_or_default()))),
         }
     };
-    until(Instant::now() + PATIENCE, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    until(Instant::now() + patience, exchange).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
 fn line(Notice { event, outcome, come_back_after }: &Notice) -> String {
