Clients leave descriptors for discovery where the system gives fewer than the settings tell

Cause: the share that clients may hold (`most` in clients/mod.rs) was counted from `limits.sockets` alone. With 192 told and 96 given (`ulimit -n`), idle clients held all: each accept failed with EMFILE, 50 lines a second in the log, and the list, a call and a notice found no descriptor; the event was written off. With 96 told and 96 given all of it held as it was. Change: main.rs takes the smaller of the two.

--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -42,6 +42,7 @@
 use plankhill_fleet::NewsStream;
 use plankhill_handover::Lock;
 use plankhill_terms::fields::Plain;
+use rustix::process::{getrlimit, Resource};
 use slog::{info, o, warn, Drain, Logger};
 
 use crate::alone::{address_of, bind, Alone};
@@ -64,6 +65,9 @@
     let mut told = plankhill_terms::told(|name| std::env::var(name).ok())?;
     // Needed until the list is had, and large.
     let known = std::mem::take(&mut told.known);
+    // What it is told may be more than the system gives: clients would then leave none for discovery and the targets.
+    let given = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    told.sockets = told.sockets.min(usize::try_from(given).unwrap_or(usize::MAX));
     let told = Rc::new(told);
     let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
--- a/forwarder/tests/peers/process.rs
+++ b/forwarder/tests/peers/process.rs
@@ -40,9 +40,24 @@
         Self::over(folder)
     }
 
+    /// With so many descriptors, as the system has it.
+    pub fn limited(config: &Value, descriptors: usize) -> Self {
+        let mut unlimited = Self::start(config);
+        unlimited.signal("-KILL");
+        unlimited.child.wait().expect("ends");
+        let program = env!("CARGO_BIN_EXE_plankhill-forwarder");
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\""), program]);
+        Self::run(command, std::mem::take(&mut unlimited.folder))
+    }
+
     /// Over a folder that is there, with its configuration in it.
     pub fn over(folder: PathBuf) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder"))
+        Self::run(Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder")), folder)
+    }
+
+    fn run(mut command: Command, folder: PathBuf) -> Self {
+        let mut child = command
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("PROXY_STATE", &folder)
             .stdout(Stdio::piped())
