Bodies whose chunks weigh more than they hold are broken off, and let the others have their turn

A body in chunks was bounded by the 64 KiB that it holds, not by what its chunks weigh: with 4 KB behind each size it may be 256 MiB, and as long as it came as fast as it was read, Client::read never gave up its turn (async-io hands out what lies in the socket without a wait), so the two seconds of a request could not end it either. Seen: with four such clients an operator waited 17.5 s for /-/ready, the next one over 30 s (debug build). Now each read of a request after its first gives the others their turn, and sizes and ends of chunks may weigh six times the longest body, that of chunks of one byte.

--- a/forwarder/src/clients/reading.rs
+++ b/forwarder/src/clients/reading.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use plankhill_buffers::Buffer;
 use plankhill_http1::{self as http1, Chunks, HeadSearch, RequestHead};
 
@@ -10,6 +10,9 @@
 use super::request::{read_fields, Begun, Refusal, Request};
 use crate::exchange::{LONGEST_BODY, LONGEST_HEAD};
 
+/// The sizes and ends of chunks together: those of the longest body in chunks of one byte fit.
+const MOST_FRAMING: usize = 6 * LONGEST_BODY;
+
 const TOO_LONG: Refusal = Refusal(413, "the body is too long");
 
 impl Client {
@@ -56,6 +59,7 @@
             let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
         let (mut chunks, mut read, mut write) = (Chunks::default(), end, end);
+        let mut framing = 0;
         loop {
             let whole = match body {
                 http1::Body::Length(length) => {
@@ -73,9 +77,10 @@
             if body == http1::Body::Chunked {
                 // What was decoded makes room.
                 buffer.copy_within(read..filled, write);
+                framing += read - write;
                 (filled, read) = (filled - (read - write), write);
             }
-            if filled == buffer.len() {
+            if filled == buffer.len() || framing > MOST_FRAMING {
                 return Err(TOO_LONG);
             }
             if !self.more(&mut buffer, &mut filled).await {
@@ -96,6 +101,10 @@
     }
 
     async fn more(&mut self, buffer: &mut Buffer, filled: &mut usize) -> bool {
+        if *filled > 0 {
+            // What comes as fast as it is read never lets the others have their turn, nor the time be up.
+            future::yield_now().await;
+        }
         let read = self.stream.read(&mut buffer[*filled..]).await.unwrap_or(0);
         *filled += read;
         self.came = self.ready.take().unwrap_or_else(Instant::now);
--- a/forwarder/tests/clients.rs
+++ b/forwarder/tests/clients.rs
@@ -166,3 +166,15 @@
     assert_eq!(status(), "202");
     call.answer(OK);
 }
+
+#[rstest]
+fn the_longest_body_in_chunks_of_one_byte_is_taken_whole() {
+    let (forwarder, calls, _notices, _) = all(0, |_| ());
+    let head = String::from_utf8(event("a", "job", "")).unwrap();
+    let head = head.replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n");
+    let request = [head.as_bytes(), &b"1\r\nx\r\n".repeat(64 * 1024), b"0\r\n\r\n"].concat();
+    assert_eq!(forwarder.ask(&request).0, 202);
+    let call = next(&calls);
+    assert!(call.body == vec![b'x'; 64 * 1024]);
+    call.answer(OK);
+}
