--- a/forwarder/tests/closing.rs
+++ b/forwarder/tests/closing.rs
@@ -102,3 +102,23 @@
     assert_eq!(answer(&mut regular).0, 202);
     assert_eq!(next(&calls).id(), "c");
 }
+
+/// A rest is over, and a request comes, in one turn: the process stands still from before until after.
+#[rstest]
+#[case::its_time_is_up(None)]
+#[case::it_is_asked_to_end(Some("-TERM"))]
+fn a_request_in_the_turn_of_an_idle_close_is_answered(#[case] signal: Option<&str>) {
+    let (forwarder, _calls, _notices, _) = all(0, |_| ());
+    let mut rests = TcpStream::connect(forwarder.address).expect("listens");
+    rests.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("takes it");
+    assert_eq!(answer(&mut rests).0, 200);
+    forwarder.stop();
+    match signal {
+        Some(signal) => forwarder.signal(signal),
+        // Past the two seconds that a connection may rest; it can't be closed meanwhile.
+        None => thread::sleep(Duration::from_millis(2200)),
+    }
+    rests.write_all(&event("a", "job", "")).expect("the kernel takes it");
+    forwarder.signal("-CONT");
+    assert!([202, 503].contains(&answer(&mut rests).0));
+}
--- a/forwarder/tests/shutdown.rs
+++ b/forwarder/tests/shutdown.rs
@@ -3,13 +3,16 @@
 mod peers;
 
 use std::io::{BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
+use async_io::block_on;
+use plankhill_handover::{Word, VERSION};
 use rstest::rstest;
 use serde_json::Value;
 
+use peers::heir::hello;
 use peers::*;
 
 /// A connection whose request was half read before the end was asked for; its body has not come.
@@ -102,3 +105,28 @@
     drop(hangs);
     assert!(calls.try_recv().is_err());
 }
+
+/// A new process had asked, and takes over after the old one was asked to end: who comes then is the new one's.
+#[rstest]
+fn one_that_takes_over_in_the_end_has_all_that_come_from_then_on() {
+    let (forwarder, _calls, _notices, _) = all(0, |_| ());
+    forwarder.until_ready();
+    let (passage, mut ears) = hello(&forwarder.folder, VERSION);
+    let Ok((Word::State(_), Some(listener))) = block_on(ears.next()) else {
+        panic!("the decisions stand still")
+    };
+    block_on(passage.tell(&Word::Prepared, None)).expect("told");
+    assert!(matches!(block_on(ears.next()), Ok((Word::Yours, Some(_)))));
+    forwarder.signal("-TERM");
+    forwarder.logged("closes");
+    block_on(passage.tell(&Word::Begun, None)).expect("told");
+    forwarder.logged("has handed over");
+    let mut client = TcpStream::connect(forwarder.address).expect("listens");
+    client.write_all(&event("a", "job", "")).expect("takes it");
+    ends(forwarder);
+    // It lies in the queue all the while.
+    let (stream, _) = TcpListener::from(listener).accept().expect("is left to the new process");
+    stream.set_nonblocking(false).expect("a socket");
+    let (head, _) = read_message(&mut BufReader::new(stream)).expect("its request");
+    assert!(head.contains("Req-Id: a\r\n"), "{head}");
+}
