A call asks the rounds before it is written late: what told and did not hold

The story of a drain now waits until the list lies in the stopped process's socket; before, its stand-in could write it after the process went on.

--- a/forwarder/src/mail.rs
+++ b/forwarder/src/mail.rs
@@ -44,6 +44,9 @@
     /// What the groups say that keep copies.
     Ground(News),
     Closing,
+    /// A call is about to be written, some time after it was decided. Answered once what came in before is handed
+    /// over: what is decided on it is told to the target's actor in the same turn.
+    Look(Sender<()>),
 }
 
 /// An event that a client hands in.
@@ -98,6 +101,7 @@
 
 pub struct Sending {
     pub event: EventId,
+    pub decided: Instant,
     pub fingerprint: Option<Rc<str>>,
     pub body: Body,
     pub time_out: Ms,
--- a/forwarder/src/relay.rs
+++ b/forwarder/src/relay.rs
@@ -110,6 +110,7 @@
             | CameIn::HandOver { .. }
             | CameIn::Ground(_)
             | CameIn::TellEnd(..)
+            | CameIn::Look(_)
             | CameIn::Closing => return None,
         })
     }
--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -64,8 +64,16 @@
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let groups = self.keeps.groups_of(event);
         let patience_ends = held.patience_ends;
-        let send =
-            Sending { event: event.clone(), fingerprint, body, time_out, patience_ends, leaves_by, groups };
+        let send = Sending {
+            event: event.clone(),
+            decided: self.common.clock.instant(self.now),
+            fingerprint,
+            body,
+            time_out,
+            patience_ends,
+            leaves_by,
+            groups,
+        };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
--- a/forwarder/src/rounds/hands.rs
+++ b/forwarder/src/rounds/hands.rs
@@ -104,6 +104,7 @@
                     let _ = self.targets.tell(&target, ToTarget::Returned(Box::new(back)));
                 }
             }
+            CameIn::Look(reply) => drop(reply.try_send(())),
             CameIn::HandOver { .. } => (), // kept for the end of the round
             CameIn::Heard(events) => {
                 self.unheard -= events.len();
--- a/forwarder/src/targets/call.rs
+++ b/forwarder/src/targets/call.rs
@@ -20,6 +20,7 @@
 use crate::common::Common;
 use crate::counted::Counted;
 use crate::exchange::{answer, connect, until, Came, Stream, ANSWERING, SETTLING};
+use crate::look;
 use crate::mail::{CameIn, Returned, Sending, ToTarget};
 
 /// What every target's actor shares with its calls.
@@ -80,6 +81,7 @@
         let ends = began + millis(time_out);
         let ends = patience_ends.map_or(ends, |at| ends.min(at));
         let leaves_by = at(send.map(|send| send.leaves_by)).map_or(ends, |at| ends.min(at));
+        let decided = send.map_or(began, |send| send.decided);
         let Some(mut buffer) = self.reach.common.pool.take() else { return Ended::plain(Fate::NotSent) };
         let Some(place) = self.place(began, ends, send.is_none()).await else {
             return Ended::plain(Fate::NotSent);
@@ -96,7 +98,7 @@
                 },
             };
             let Ok(length) = self.write(&mut buffer, ends, send) else { return Ended::plain(Fate::NotSent) };
-            let fate = match self.leaves(&stream, &buffer[..length], leaves_by, send).await {
+            let fate = match self.leaves(&stream, &buffer[..length], leaves_by, decided, send).await {
                 Some(Written::Whole) => break stream,
                 // Nothing of the call is on it, and something else is, or its end.
                 Some(Written::Unfit) if reused => continue,
@@ -170,6 +172,7 @@
         stream: &Stream,
         call: &[u8],
         by: Instant,
+        decided: Instant,
         send: Option<&Sending>,
     ) -> Option<Written> {
         let ground = self.reach.common.copies();
@@ -177,7 +180,23 @@
         // Another may own the event soon.
         let owned = || send.is_none_or(|send| send.groups.iter().all(|group| holds(*group)));
         let wanted = || !self.taken_back.is_closed() && owned();
-        self.unless_taken_back(writing::write(stream, call, by, wanted)).await
+        let write = async {
+            // The process may have stood still since.
+            if decided.elapsed() > look::STILL {
+                until(by, self.looks()).await;
+            }
+            writing::write(stream, call, by, wanted).await
+        };
+        self.unless_taken_back(write).await
+    }
+
+    /// Returns once all that came in has been decided on; what is taken back for it is taken back then.
+    async fn looks(&self) {
+        let (reply, looked) = async_channel::bounded(1);
+        let _ = self.reach.to_rounds.send(CameIn::Look(reply)).await;
+        let _ = looked.recv().await;
+        // Behind the target's actor, which the same round may have told to take calls back.
+        future::yield_now().await;
     }
 
     /// A place in the target's pool, that of the connection lent to it or one for a new connection. None if
--- a/forwarder/tests/peers/held.rs
+++ b/forwarder/tests/peers/held.rs
@@ -31,11 +31,16 @@
         }
     }
 
+    /// Whether somebody dials in vain.
+    pub fn dialled(&self) -> bool {
+        let to = format!(":{:04X} 02 ", self.address().port());
+        std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&to)
+    }
+
     /// Returns once somebody dials in vain.
     pub fn is_dialled(&self) {
-        let to = format!(":{:04X} 02 ", self.address().port());
         let by = Instant::now() + LONG;
-        while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&to) {
+        while !self.dialled() {
             assert!(Instant::now() < by, "nobody dials");
             thread::yield_now();
         }
@@ -54,6 +59,20 @@
     }
 }
 
+/// Returns once bytes from there lie unread in a socket on this machine, whose process stands still.
+pub fn lies_unread(from: SocketAddr) {
+    let from = format!(":{:04X}", from.port());
+    let lies = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.len() > 4 && fields[2].ends_with(&from) && !fields[4].ends_with(":00000000")
+    };
+    let by = Instant::now() + LONG;
+    while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").lines().any(lies) {
+        assert!(Instant::now() < by, "nothing comes");
+        thread::yield_now();
+    }
+}
+
 /// All that comes until the other side ends the connection.
 pub fn rest(stream: &mut TcpStream) -> String {
     stream.set_read_timeout(Some(LONG)).expect("a socket");
--- a/forwarder/tests/target_connections.rs
+++ b/forwarder/tests/target_connections.rs
@@ -58,6 +58,7 @@
     forwarder.stop();
     let mut call = target.release();
     watch.answer(&page(&[member("t", target.address(), "draining")]));
+    lies_unread(discovery);
     forwarder.signal("-CONT");
     assert_eq!(rest(&mut call), "");
 }
