Calls are taken back at once, behind no commit of a ledger or a majority

Cause: Hands::take_back put TakeBack into the round's outbox. Where copies are kept the outbox waits for the commit of its round and of those before it (rounds/staging.rs), and where the ledger cannot be written it is dropped with the round's words (unsend): a call that dials left for a target that had been told to drain.

Seen: with a call that dials, a round that waits for its keepers and a list that drains the target, the dial went on.

Change: TakeBack goes to the target's actor when it is decided, before the round's own sends, as it did in the outbox.

Test: a_call_is_taken_back_while_a_round_waits_for_its_keepers (rounds/stories/committing.rs) failed without this. The ledger that cannot be written was read, not played.

--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -19,9 +19,6 @@
 
     pub(super) fn carry_out(&mut self, to_notices: &Sender<Notice>) {
         for (id, word) in std::mem::take(&mut self.outbox) {
-            if matches!(word, ToTarget::TakeBack) {
-                self.tell_elder(&id);
-            }
             if let Err(word) = self.targets.tell(&id, word) {
                 self.targets.turn_back(id, word);
             }
@@ -92,7 +89,10 @@
     }
     fn take_back(&mut self, target: &TargetId) {
         self.unstage(target);
-        self.outbox.push((target.clone(), ToTarget::TakeBack));
+        // At once, and before the round's own sends: what does not leave needs no record, and neither a ledger that
+        // cannot be written nor a majority that does not answer may let it leave.
+        self.tell_elder(target);
+        let _ = self.targets.tell(target, ToTarget::TakeBack);
     }
     fn note_cold(&mut self, target: &TargetId, since: Ms, usual: f64) {
         if let Some(budgets) = &self.common.budgets {
--- a/forwarder/src/rounds/stories/committing.rs
+++ b/forwarder/src/rounds/stories/committing.rs
@@ -4,6 +4,7 @@
 use plankhill_handover::Verdict;
 use plankhill_ledger::Record;
 
+use super::held::HeldTarget;
 use super::*;
 
 /// A forwarder that leads its own empty group.
@@ -163,3 +164,24 @@
     story.commits(own(1), &mut keeper);
     assert_eq!(story.verdict(&verdict), Some(Verdict::TakenOn));
 }
+
+/// A call taken back is one less: that waits for no majority, while another round's marks may wait for long.
+#[test]
+fn a_call_is_taken_back_while_a_round_waits_for_its_keepers() {
+    let mut target = HeldTarget::new();
+    target.hold();
+    let story = Story::calling(target.address(), std::sync::mpsc::channel().1, |_| ());
+    story.ordered(|order| matches!(order, Order::Found { .. }));
+    story.takes();
+    let mut keeper = Record::default();
+    story.hands_in("a", CHARGE);
+    story.commits(own(1), &mut keeper);
+    story.until("dials", || target.dialled().then_some(()));
+    story.hands_in("b", JOB);
+    story.proposed(own(1), &mut keeper);
+    let mut page = config::config(target.address()).1;
+    page["members"][0]["phase"] = "draining".into();
+    story.tell(CameIn::List(page));
+    story.goes_on();
+    assert!(!target.dialled(), "its target leaves");
+}
--- a/forwarder/src/rounds/stories/mod.rs
+++ b/forwarder/src/rounds/stories/mod.rs
@@ -4,12 +4,16 @@
 mod committing;
 mod config;
 mod groups;
+#[path = "../../../tests/peers/held.rs"]
+#[allow(dead_code)]
+mod held;
 mod inheriting;
 #[path = "../../../tests/peers/stand_ins.rs"]
 #[allow(dead_code)]
 mod stand_ins;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver as Calls, TryRecvError};
 use std::time::Duration;
@@ -40,6 +44,8 @@
 const JOB: usize = 0;
 const CHARGE: usize = 1;
 const STALL: Ms = 50.0;
+#[allow(dead_code)] // of the part of `held` that the stories on sockets use
+const LONG: Duration = Duration::from_secs(30);
 
 struct Story {
     executor: Rc<LocalExecutor<'static>>,
@@ -58,8 +64,12 @@
 impl Story {
     /// A forwarder that has ordered its group; `before` is what its folder holds.
     fn new(before: impl FnOnce(&mut Ledger)) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
         let (target, calls) = stand_ins::stand_in();
+        Self::calling(target, calls, before)
+    }
+
+    fn calling(target: SocketAddr, calls: Calls<Asked>, before: impl FnOnce(&mut Ledger)) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
         let (config, known) = config(target);
         let path = folder.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("writes");
