--- a/forwarder/src/mail.rs
+++ b/forwarder/src/mail.rs
@@ -80,7 +80,7 @@
     Send(Sending),
     Ping,
     CloseIdle,
-    /// Calls of which nothing is written yet are not to be written.
+    /// Calls whose last byte is not written yet are not to be written to their end.
     TakeBack,
     Moved(SocketAddr),
     Returned(Box<Returned>),
