--- a/forwarder/src/rounds/carrying.rs
+++ b/forwarder/src/rounds/carrying.rs
@@ -19,9 +19,6 @@
 
     pub(super) fn carry_out(&mut self, to_notices: &Sender<Notice>) {
         for (id, word) in std::mem::take(&mut self.outbox) {
-            if matches!(word, ToTarget::TakeBack) {
-                self.tell_elder(&id);
-            }
             if let Err(word) = self.targets.tell(&id, word) {
                 self.targets.turn_back(id, word);
             }
@@ -66,8 +63,16 @@
         let (fingerprint, body) = (held.fingerprint.clone(), held.body.clone());
         let groups = self.keeps.groups_of(event);
         let patience_ends = held.patience_ends;
-        let send =
-            Sending { event: event.clone(), fingerprint, body, time_out, patience_ends, leaves_by, groups };
+        let send = Sending {
+            event: event.clone(),
+            decided: self.common.clock.instant(self.now),
+            fingerprint,
+            body,
+            time_out,
+            patience_ends,
+            leaves_by,
+            groups,
+        };
         self.outbox.push((target.clone(), ToTarget::Send(send)));
     }
     fn dismiss(&mut self, event: &EventId, come_back_after: Option<Ms>) -> bool {
@@ -86,7 +91,10 @@
     }
     fn take_back(&mut self, target: &TargetId) {
         self.unstage(target);
-        self.outbox.push((target.clone(), ToTarget::TakeBack));
+        // At once, and before the round's own sends: what does not leave needs no record, and neither a ledger that
+        // cannot be written nor a majority that does not answer may let it leave.
+        self.tell_elder(target);
+        let _ = self.targets.tell(target, ToTarget::TakeBack);
     }
     fn note_cold(&mut self, target: &TargetId, since: Ms, usual: f64) {
         if let Some(budgets) = &self.common.budgets {
