What a restart found untried does not make way in a filled room

Cause: keep_room (ends.rs) ended whatever could not go now, also events that an earlier process had taken on and not tried yet; they wait behind a cold or parked destination from the first moment. Where only owed ones are left nothing makes way (the host caps what it holds).

--- a/src/decide/came_in.rs
+++ b/src/decide/came_in.rs
@@ -92,9 +92,9 @@
     }
 
     /// What an earlier process did for an event just taken again; a last send without outcome may have run.
-    pub fn restored(&mut self, id: &EventId, sends: u32, may_have_run: Option<(Ms, ZoneId)>, was_out: bool) {
+    pub fn restored(&mut self, id: &EventId, sends: u32, ran: Option<(Ms, ZoneId)>, was_out: bool) {
         let mut key = None;
-        self.settle(id, |event| (event.sends, event.may_have_run, key) = (sends, may_have_run, event.key));
+        self.settle(id, |e| (e.sends, e.may_have_run, e.untried, key) = (sends, ran, sends == 0, e.key));
         key.filter(|_| was_out).into_iter().for_each(|key| self.rest(key));
     }
 
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -25,16 +25,19 @@
 
     /// Before the room is full, and events for destinations that work are turned away, what cannot
     /// go now makes way, where most waits, the least worth first. Guards against what stands still or floods.
+    /// What a restart found untried makes no way: it was promised a try, and what is new can go elsewhere.
     pub(super) fn keep_room(&mut self, out: &mut impl Decisions) {
         let filled = (self.here.terms.room as f64 * FILLED) as usize;
         let changed = self.changed.iter().copied().filter(|_| self.places.len() > filled).collect::<Vec<_>>();
         changed.into_iter().for_each(|id| self.file(id));
         while self.places.len() > filled {
-            let Some(&(_, id)) = self.waiting.last() else { return };
             let worth = |event: &Event| Moment(self.here.worth(event));
-            let held = self.destinations[&id].events.iter().filter(|(_, event)| event.is_held());
-            let least = held.min_by_key(|(place, event)| (worth(event), Reverse(**place)));
-            let place = *least.expect("holds some").0;
+            let gives_way = |event: &Event| event.is_held() && !event.untried;
+            let least = self.waiting.iter().rev().find_map(|&(_, id)| {
+                let held = self.destinations[&id].events.iter().filter(|(_, event)| gives_way(event));
+                Some((id, *held.min_by_key(|(place, event)| (worth(event), Reverse(**place)))?.0))
+            });
+            let Some((id, place)) = least else { return };
             self.end(id, place, out);
             self.file(id);
         }
--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -49,7 +49,7 @@
             // A binding event cannot be sent again: it is given twice the time.
             let binding = here.terms.traffic[event.traffic.0].effect == Effect::Binding;
             event.call = Some(self.calls_made);
-            event.sends += 1;
+            (event.sends, event.untried) = (event.sends + 1, false);
             let given = (if binding { 2.0 } else { 1.0 } * time_out).min(event.patience_ends - here.now);
             out.send(&event.id, &called.id, given, here.lapses_at(event));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,8 @@
     pub(crate) patience_ends: Ms,
     pub(crate) over_share: bool, // its member had used up its share
     pub(crate) sends: u32,
+    #[serde(default)]
+    pub(crate) untried: bool, // a restart found it taken on, with no call yet
     pub(crate) call: Option<u64>,
     pub(crate) not_before: Ms,
     pub(crate) may_have_run: Option<(Ms, ZoneId)>, // when and where the first send went that may have run
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -105,3 +105,37 @@
         "{told:?}"
     );
 }
+
+/// What a restart found taken on and untried, of a destination that is cold, was dismissed in the first rounds to
+/// make room: new events, whose clients can go elsewhere, make way before it.
+#[rstest]
+fn what_a_restart_found_untried_does_not_make_way_for_new_events() {
+    let mut host = plain();
+    let mut told = host.at(1.0, |f| {
+        f.was_cold(&target("t"), 0.0, 0.1);
+        for n in 0..38 {
+            f.taken(event(&format!("owed{n}")), DestinationId(1), RETRIABLE, 20_000.0, None);
+            f.restored(&event(&format!("owed{n}")), 0, None, false);
+        }
+    });
+    for n in 0..20 {
+        told.extend(host.take(10.0 + n as f64, &format!("new{n}"), RETRIABLE, 1 + n % 2, None));
+    }
+    let gone = |of: &str| told.iter().filter(|word| word.starts_with(&format!("dismiss {of}"))).count();
+    assert_eq!(gone("owed"), 0);
+    assert!(gone("new") >= 17, "the room holds 40, of which 36 are to be filled");
+}
+
+/// Once one was tried, or where it had been, it makes way as any other does.
+#[rstest]
+fn what_a_restart_found_tried_makes_way_as_others_do() {
+    let mut host = plain();
+    let told = host.at(1.0, |f| {
+        f.was_cold(&target("t"), 0.0, 0.1);
+        for n in 0..40 {
+            f.taken(event(&format!("e{n}")), DestinationId(1), RETRIABLE, 20_000.0, None);
+            f.restored(&event(&format!("e{n}")), 1, None, false);
+        }
+    });
+    assert_eq!(told.iter().filter(|word| word.starts_with("dismiss e")).count(), 4);
+}
