The least of the cold budget and the first calls after pings are as they were

What stays of the mend: first calls after a restart are spread (was_cold), and the cold time ends half of a ping's longest pause later.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -76,10 +76,9 @@
         if let Some(since) = lane.cold_since.filter(|_| lane.is_cold(here)).map(|since| now - since) {
             let warm =
                 terms.cold_share + (1.0 - terms.cold_share) * (since.max(0.0) / terms.warm_after).min(1.0);
-            // Half a call a second of all: less than is put down to chance of a budget that is nothing.
-            let least = 0.5 / terms.forwarders;
+            let least = 1000.0 / PING / terms.forwarders;
             let budget = BUDGET * terms.tip_multiple * warm * self.usual(here);
-            rate = rate.min((budget * lane.trust.max(1.0)).max(least));
+            rate = rate.min(budget.max(least) * lane.trust.max(1.0));
         }
         rate.is_finite().then_some(rate)
     }
--- a/src/decide/outcomes.rs
+++ b/src/decide/outcomes.rs
@@ -73,9 +73,8 @@
         let to = self.destinations.get_mut(&of).expect("a home");
         let at = to.lane_of(target).expect("at home");
         let pause = to.ping_pause(&mut self.here, at);
-        // The fleet learns of a return within a ping's pause: its first calls are spread over a cold spacing,
-        // half of one later, as the ping was a call too.
-        let first = to.rate(&self.here, at).map_or(0.0, |rate| 1000.0 / rate) * (0.5 + self.here.draw(3));
+        // The fleet learns of a return within a ping's pause: its first calls are spread over a cold spacing.
+        let first = to.rate(&self.here, at).map_or(0.0, |rate| 1000.0 / rate) * self.here.draw(3);
         let (lane, now) = (&mut to.lanes[at], self.here.now);
         (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
