--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -23,20 +23,23 @@
         to.watch_health(&mut self.here, out);
     }
 
-    /// Before the room is full, and events for destinations that work are turned away, what cannot go now
-    /// makes way, where most waits, the least worth first. Guards against what stands still or floods. Ends
-    /// that wait to be heard take no room: counted, one event too many had all that was held make way.
+    /// Before events for destinations that work are turned away, what cannot go now makes way, where most
+    /// waits, the least worth first: against what stands still or floods. Ends not heard yet take no room (else
+    /// one too many has all held make way). What a restart found untried makes none: it was promised a try.
     pub(super) fn keep_room(&mut self, out: &mut impl Decisions) {
         let filled = (self.here.terms.room as f64 * FILLED) as usize;
         let over = |all: &Self| all.places.len() - all.unheard > filled;
         let changed = self.changed.iter().copied().filter(|_| over(self)).collect::<Vec<_>>();
         changed.into_iter().for_each(|id| self.file(id));
         while over(self) {
-            let Some(&(_, id)) = self.waiting.last() else { return };
             let worth = |event: &Event| Moment(self.here.worth(event));
-            let held = self.destinations[&id].events.iter().filter(|(_, event)| event.is_held());
-            let least = held.min_by_key(|(place, event)| (worth(event), Reverse(**place)));
-            self.end(id, *least.expect("holds some").0, out);
+            let gives_way = |event: &Event| event.is_held() && !event.untried;
+            let least = self.waiting.iter().rev().find_map(|&(_, id)| {
+                let held = self.destinations[&id].events.iter().filter(|(_, event)| gives_way(event));
+                Some((id, *held.min_by_key(|(place, event)| (worth(event), Reverse(**place)))?.0))
+            });
+            let Some((id, place)) = least else { return };
+            self.end(id, place, out);
             self.file(id);
         }
     }
--- a/src/decide/outcomes.rs
+++ b/src/decide/outcomes.rs
@@ -6,9 +6,8 @@
 const EATEN: f64 = 15.0;
 /// Answered and lost calls are weighed over a few seconds: long enough for several, short against a trouble.
 const TREND: Ms = 5_000.0;
-/// Each learns trust alone, and it adds up: with `BUDGET` the sum stays under the tipping load as long as
-/// what usually goes there is under 0.92 of what the destination takes.
-const TRUSTED: f64 = 1.2;
+/// The most that it multiplies: the answers that slow down or are refused hold the sum (`tests/ramp.rs`).
+const TRUSTED: f64 = 4.0;
 
 impl Forwarder {
     pub(super) fn rest(&mut self, key: OrderKey) {
@@ -74,9 +73,8 @@
         let to = self.destinations.get_mut(&of).expect("a home");
         let at = to.lane_of(target).expect("at home");
         let pause = to.ping_pause(&mut self.here, at);
-        // The fleet learns of a return within a ping's pause: its first calls are spread over a cold spacing,
-        // half of one later, as the ping was a call too.
-        let first = to.rate(&self.here, at).map_or(0.0, |rate| 1000.0 / rate) * (0.5 + self.here.draw(3));
+        // The fleet learns of a return within a ping's pause: its first calls are spread over a cold spacing.
+        let first = to.rate(&self.here, at).map_or(0.0, |rate| 1000.0 / rate) * self.here.draw(3);
         let (lane, now) = (&mut to.lanes[at], self.here.now);
         (lane.ping_out, lane.ping_at) = (false, now + pause);
         if matches!(fate, Fate::Delivered | Fate::Full) {
