What was promised of an event at its taking holds under other settings of a later process

The record kept the name of an event's traffic type alone. A configuration that gave the type another effect, window, group rule or order, or another type its name, had what was owed handled by those: a binding event that may have run was sent a second time, the next of its key went beside it, and one of a type that is gone was given up untried. Each event's frame now ends with what was promised of it (ledger/src/promise.rs), behind what older texts read, which pass over the rest of a frame; frames without it go by the settings, as before. An unknown mark was ruled out: older texts take it for a torn end and drop what follows (frame.rs, Payload::mark). Where promise and settings differ, the event is given to the decisions under a type of its own with what is stricter of both (forwarder/src/rounds/promises.rs); where the settings do not name it any more, under what was promised. One whose promise is not known and whose type is gone is dismissed if it surely did not run, else written off. A new version whose settings promise less than is owed is told so and does not take over; a process that owes under earlier settings hands nothing over until that has ended. Both end the start with one line, and the old process goes on.

--- a/forwarder/src/fanout/handing.rs
+++ b/forwarder/src/fanout/handing.rs
@@ -78,6 +78,7 @@
             key: broadcast.key,
             fingerprint: None,
             body: Vec::new().into(),
+            promised: None, // nothing but its end is owed
         })
     }
 }
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -23,6 +23,7 @@
 use crate::left_out::LeftOut;
 use crate::mail::{CameIn, Handed};
 use crate::passes::Told;
+use crate::rounds::promises::broken;
 
 /// So long a start waits for the folder while another process holds it and hands nothing over.
 const WAITING: Duration = Duration::from_secs(5);
@@ -122,6 +123,11 @@
     }
     let forwarder = rmp_serde::from_slice(&state.module).map_err(io::Error::other)?;
     let (ledger, owed) = Ledger::open(&told.state, told.disk)?;
+    if let Some(traffic) = broken(told, &owed) {
+        let why =
+            format!("profiles: {traffic:?}: an event is owed that was promised more than the settings say");
+        return Err(io::Error::other(why));
+    }
     let left_out = LeftOut::open(&told.state, told.disk).map_err(io::Error::other)?;
     Ok((forwarder, listener, ledger, owed, left_out))
 }
--- a/forwarder/src/rounds/hands.rs
+++ b/forwarder/src/rounds/hands.rs
@@ -12,6 +12,7 @@
 
 use super::keeps::Keeps;
 use super::past::Past;
+use super::promises::Promises;
 use crate::budgets::Place;
 use crate::common::Common;
 use crate::exchange::Body;
@@ -36,6 +37,7 @@
     pub(super) common: Common,
     pub(super) keeps: Keeps,
     pub(super) left_out: LeftOut,
+    pub(super) promises: Promises,
     pub(super) now: Ms,
     pub(super) held: HashMap<EventId, Held>,
     /// Targets with a ping out.
--- a/forwarder/src/rounds/keeps.rs
+++ b/forwarder/src/rounds/keeps.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    pub(super) fn file(&self) -> Option<&Ledger> {
+        match self {
+            Keeps::File(ledger) => Some(ledger),
+            Keeps::Copies(_) => None,
+        }
+    }
+
     pub(super) fn copies(&mut self) -> Option<&mut Copies> {
         match self {
             Keeps::File(_) => None,
--- a/forwarder/src/rounds/mod.rs
+++ b/forwarder/src/rounds/mod.rs
@@ -9,6 +9,7 @@
 mod keeps;
 mod listing;
 mod past;
+pub mod promises;
 mod restoring;
 mod staging;
 mod standing;
@@ -76,6 +77,7 @@
             common,
             keeps,
             left_out,
+            promises: Default::default(),
             now,
             held: HashMap::new(),
             pings: HashSet::new(),
--- a/forwarder/src/rounds/restoring.rs
+++ b/forwarder/src/rounds/restoring.rs
@@ -6,8 +6,10 @@
 use plankhill::interface::*;
 use plankhill_handover::State;
 use plankhill_ledger::{Outcome, Owed, Taken};
+use rmp_serde::encode::Error;
 
 use super::hands::{Hands, Held};
+use super::promises;
 use crate::mail::Notice;
 
 /// Requests that a process numbers after it handed over: far fewer.
@@ -15,7 +17,11 @@
 
 impl Hands {
     /// What another process needs besides what stands in the folder.
-    pub(super) fn state(&self, forwarder: &Forwarder) -> Result<State, rmp_serde::encode::Error> {
+    pub(super) fn state(&self, forwarder: &Forwarder) -> Result<State, Error> {
+        // Positions behind those of the settings mean nothing to another process.
+        if self.holds_beside() {
+            return Err(Error::Syntax("an event is owed as earlier settings promised it".into()));
+        }
         Ok(State {
             ahead: self.common.clock.ahead(),
             module: rmp_serde::to_vec(forwarder)?,
@@ -29,6 +35,14 @@
         })
     }
 
+    /// Whether the decisions may hold an event of a type beside those of the settings.
+    fn holds_beside(&self) -> bool {
+        let told = &self.common.told;
+        let owes = || self.keeps.file().is_none_or(|ledger| promises::broken(told, &ledger.owed()).is_some());
+        // One that is over stays with them until its call has ended.
+        !self.promises.is_empty() && (owes() || self.out.iter().any(|id| !self.keeps.holds(id)))
+    }
+
     /// Goes on where another process stood still; what it owed stands in the ledger.
     pub(super) fn inherit(&mut self, state: State, owed: Vec<Owed>) {
         let numbers: HashMap<EventId, u64> = state.numbers.into_iter().collect();
@@ -60,8 +74,9 @@
         self.common.fanout.iter().for_each(|fanout| fanout.restored(&id));
         let known = self.enter(to, &taken);
         let (None, true) = (ended, known) else {
-            // It has ended, or can't be sent any more.
-            let (outcome, come_back_after) = ended.unwrap_or((Outcome::WrittenOff, None));
+            // It has ended, or can't be sent any more, as nobody knows what was promised of it.
+            let untried = if ran.is_none() { Outcome::Dismissed } else { Outcome::WrittenOff };
+            let (outcome, come_back_after) = ended.unwrap_or((untried, None));
             to.ended_before(&id);
             self.ended(&id, outcome, come_back_after);
             return;
@@ -74,12 +89,11 @@
         to.restored(&id, sends, ran, was_out.is_some());
     }
 
-    /// Hands an event of a record to the module; false if its traffic type is not known any more.
-    pub(super) fn enter(&self, to: &mut Forwarder, taken: &Taken) -> bool {
-        let traffic = &self.common.told.names.traffic;
-        let Some(traffic) = traffic.iter().position(|name| *name == taken.traffic) else { return false };
+    /// Hands an event of a record to the module; false if nobody knows its traffic type.
+    pub(super) fn enter(&mut self, to: &mut Forwarder, taken: &Taken) -> bool {
+        let Some(traffic) = self.promises.find(to, &self.common.told, taken) else { return false };
         let (id, key) = (EventId(taken.id.as_ref().into()), taken.key.map(OrderKey));
-        to.taken(id, DestinationId(taken.destination), TrafficId(traffic), taken.patience_ends, key);
+        to.taken(id, DestinationId(taken.destination), traffic, taken.patience_ends, key);
         true
     }
 
--- a/forwarder/src/rounds/stories/mod.rs
+++ b/forwarder/src/rounds/stories/mod.rs
@@ -228,5 +228,5 @@
 fn taken(id: &str, traffic: &str) -> Taken<'static> {
     let (id, traffic) = (id.to_owned().into(), traffic.to_owned().into());
     let body = b"body"[..].into();
-    Taken { id, destination: 1, traffic, patience_ends: 4e12, key: Some(5), fingerprint: None, body }
+    Taken { id, destination: 1, traffic, patience_ends: 4e12, key: Some(5), body, ..Taken::default() }
 }
--- a/forwarder/src/rounds/taking.rs
+++ b/forwarder/src/rounds/taking.rs
@@ -4,6 +4,7 @@
 use slog::debug;
 
 use super::hands::{Hands, Held};
+use super::promises;
 use crate::mail::Handed;
 use crate::notices;
 
@@ -26,6 +27,7 @@
             key: event.key.map(|key| key.0),
             fingerprint: event.fingerprint.as_deref().map(Into::into),
             body: (&*handed.body).into(),
+            promised: Some(promises::of(&self.common.told.terms.traffic[event.traffic.0])),
         });
         debug!(self.common.log, "taken"; "event" => &*event.id.0, "traffic" => event.traffic.0,
             "destination" => event.destination.0);
--- a/forwarder/tests/peers/process.rs
+++ b/forwarder/tests/peers/process.rs
@@ -138,7 +138,17 @@
 /// What a start says that has to end with one plain line.
 pub fn refused_start(config: &Path, state: &Path) -> String {
     let mut command = Command::new(env!("CARGO_BIN_EXE_plankhill-forwarder"));
-    let ended = command.env("PROXY_CONFIG", config).env("PROXY_STATE", state).output().expect("runs");
+    command.env("PROXY_CONFIG", config).env("PROXY_STATE", state).stdout(Stdio::null());
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("starts");
+    let by = Instant::now() + LONG;
+    while child.try_wait().expect("a child").is_none() {
+        if Instant::now() > by {
+            let _ = child.kill();
+            panic!("it runs");
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let ended = child.wait_with_output().expect("ends");
     let said = String::from_utf8(ended.stderr).expect("UTF-8");
     assert!(!ended.status.success() && said.lines().count() == 1, "{said}");
     said
--- a/ledger/src/frame.rs
+++ b/ledger/src/frame.rs
@@ -2,6 +2,8 @@
 
 use std::borrow::Cow;
 
+use crate::promise::Promise;
+
 #[derive(Clone, Debug, Default)]
 pub struct Taken<'a> {
     pub id: Cow<'a, str>,
@@ -11,6 +13,8 @@
     pub key: Option<u64>,
     pub fingerprint: Option<Cow<'a, str>>,
     pub body: Cow<'a, [u8]>,
+    /// None in what an older text wrote.
+    pub promised: Option<Promise>,
 }
 
 impl Taken<'_> {
@@ -23,6 +27,7 @@
             key: self.key,
             fingerprint: self.fingerprint.map(|f| f.into_owned().into()),
             body: self.body.into_owned().into(),
+            promised: self.promised,
         }
     }
 }
@@ -78,13 +83,18 @@
                 out.push(event.fingerprint.is_some() as u8);
                 text(out, event.fingerprint.as_deref().unwrap_or_default().as_bytes());
                 text(out, &event.body);
+                // Behind what an older text reads, which passes over the rest of a frame.
+                if let Some((word, window)) = event.promised.map(|promise| promise.word()) {
+                    out.push(word);
+                    number(out, window.to_bits());
+                }
             }
             Mark::Sent { id, at, zone, time_out } => {
                 out.push(2);
                 text(out, id.as_bytes());
                 number(out, at.to_bits());
                 text(out, zone.as_bytes());
-                // Behind what an older text reads, which passes over the rest of a frame.
+                // As above.
                 time_out.iter().for_each(|span| number(out, span.to_bits()));
             }
             Mark::Unrun { id } => {
@@ -172,6 +182,10 @@
                     Some(self.text()?).filter(|_| there)
                 },
                 body: self.bytes()?.into(),
+                promised: self
+                    .byte()
+                    .zip(self.number())
+                    .map(|(w, at)| Promise::read((w, f64::from_bits(at)))),
             }),
             2 => Mark::Sent {
                 id: self.text()?,
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod frame;
 mod owed;
+mod promise;
 mod record;
 
 use std::fs::{self, File, OpenOptions};
@@ -14,6 +15,7 @@
 
 pub use frame::{frames, Outcome, Taken};
 pub use owed::Owed;
+pub use promise::{Promise, Repeats};
 pub use record::Record;
 
 const MAGIC: &[u8] = b"plankhill ledger 1\n";
--- a/ledger/tests/lives.rs
+++ b/ledger/tests/lives.rs
@@ -37,6 +37,7 @@
         key: Some(9),
         fingerprint: Some("f".into()),
         body: body.into(),
+        promised: None,
     }
 }
 
--- a/ledger/tests/records.rs
+++ b/ledger/tests/records.rs
@@ -57,3 +57,54 @@
     assert_eq!(told.apply(b"no frame at all, but long enough to be one"), 0);
     assert_eq!((said(&told), told.live()), before);
 }
+
+#[rstest]
+#[case(Repeats::Harmless, false)]
+#[case(Repeats::Known { window: 1500.0, one_zone: false }, true)]
+#[case(Repeats::Known { window: 0.5, one_zone: true }, false)]
+#[case(Repeats::Forbidden, true)]
+fn what_was_promised_stays_with_an_event_also_past_its_end(#[case] repeats: Repeats, #[case] ordered: bool) {
+    let promised = Some(Promise { repeats, ordered });
+    let (mut first, mut read) = (Record::default(), Record::default());
+    first.taken(Taken { promised, ..event("a") });
+    first.taken(Taken { promised, ..event("b") });
+    first.taken(event("as an older text wrote it"));
+    first.ended("b", Outcome::WrittenOff, None);
+    let mut whole = Vec::new();
+    first.write(&mut whole);
+    read.apply(&whole);
+    let read: Vec<_> = read.owed().iter().map(|owed| owed.taken.promised).collect();
+    assert_eq!(read, [promised, promised, None]);
+}
+
+#[rstest]
+fn of_two_promises_the_stricter_of_each_part_holds() {
+    let known = |window, one_zone| Repeats::Known { window, one_zone };
+    let of = |repeats, ordered| Promise { repeats, ordered };
+    let both = [
+        (of(Repeats::Harmless, false), of(Repeats::Harmless, true), of(Repeats::Harmless, true)),
+        (of(Repeats::Harmless, false), of(known(5.0, true), false), of(known(5.0, true), false)),
+        (of(known(9.0, true), false), of(known(5.0, false), false), of(known(5.0, true), false)),
+        (of(Repeats::Forbidden, true), of(known(5.0, false), false), of(Repeats::Forbidden, true)),
+        (of(Repeats::Forbidden, false), of(Repeats::Harmless, false), of(Repeats::Forbidden, false)),
+    ];
+    for (one, other, holds) in both {
+        assert_eq!((one.and(other), other.and(one)), (holds, holds));
+    }
+}
+
+/// The bytes that the version before wrote and read: a frame of its form is read here, and what is written here
+/// begins with it, so that it reads all that it knows and passes over the rest.
+#[rstest]
+fn a_frame_begins_as_the_version_before_wrote_it() {
+    let (mut older, mut newer) = (Record::default(), Record::default());
+    older.taken(event("a"));
+    newer.taken(Taken {
+        promised: Some(Promise { repeats: Repeats::Forbidden, ordered: true }),
+        ..event("a")
+    });
+    let (older, newer) = (older.take_unwritten(), newer.take_unwritten());
+    // Behind length and checksum.
+    assert!(newer[8..].starts_with(&older[8..]));
+    assert_eq!(newer.len(), older.len() + 9);
+}
