A faulty state folder ends the start with one line that names the file, and stays as it is

Seen with the program over prepared folders, before: damaged bans were found after the ledger had been created or its torn end cut (alone.rs opened the ledger first); a refused ledger had lost its 'ledger.new' (Ledger::open removed it before looking); the line on bans named no folder; a list that is no list was passed over without a word and written over (kept.rs, read). A list that is not one is refused; an empty file counts as none, since a machine that failed may leave it. No fault: a missing folder, a file in its place, a folder in the place of the ledger, each faulty configuration that is read again (logged, all stays).

--- a/forwarder/src/kept.rs
+++ b/forwarder/src/kept.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use plankhill_terms::fields::Plain;
 use serde_json::Value;
 
 use crate::page::{is_whole, revision};
@@ -69,6 +70,20 @@
     }
 }
 
+/// Whether what is kept in the folder is such a list. An empty file is none: a machine that failed may leave it.
+pub fn check(folder: &Path) -> Plain<()> {
+    let wrong = |what: String| format!("PROXY_STATE: {}: {what}", folder.join(FILE).display());
+    match std::fs::read(folder.join(FILE)) {
+        Ok(kept) if kept.is_empty() => Ok(()),
+        Ok(kept) => match serde_json::from_slice::<Value>(&kept) {
+            Ok(list) if is_whole(&list) && list.get("members").is_some_and(Value::is_array) => Ok(()),
+            _ => Err(wrong("is not a list of targets".into())),
+        },
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(()),
+        Err(e) => Err(wrong(format!("cannot be read: {e}"))),
+    }
+}
+
 /// What an earlier process kept in the folder.
 pub fn read(folder: &Path) -> Option<Value> {
     let kept = std::fs::read(folder.join(FILE)).ok()?;
--- a/forwarder/src/left_out.rs
+++ b/forwarder/src/left_out.rs
@@ -27,10 +27,12 @@
 
 impl LeftOut {
     pub fn open(folder: &Path, disk: u64) -> Plain<Self> {
-        let bans = match std::fs::read_to_string(folder.join(FILE)) {
-            Ok(record) => Bans::read(&record).map_err(|damaged| format!("PROXY_STATE: {damaged}"))?,
+        let path = folder.join(FILE);
+        let wrong = |what: String| format!("PROXY_STATE: {}: {what}", path.display());
+        let bans = match std::fs::read_to_string(&path) {
+            Ok(record) => Bans::read(&record).map_err(|damaged| wrong(damaged.to_string()))?,
             Err(e) if e.kind() == io::ErrorKind::NotFound => Bans::default(),
-            Err(e) => return Err(format!("PROXY_STATE: the file '{FILE}' cannot be read: {e}")),
+            Err(e) => return Err(wrong(format!("cannot be read: {e}"))),
         };
         // Beside it stands the one that takes its place; the ledger and the list leave a twentieth.
         Ok(LeftOut { bans, folder: folder.to_owned(), most: disk / 80 })
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -51,7 +51,6 @@
     /// Opens the record and reads what is still owed, in the order taken.
     pub fn open(folder: &Path, disk: u64) -> io::Result<(Ledger, Vec<Owed>)> {
         let path = folder.join("ledger");
-        let _ = fs::remove_file(folder.join("ledger.new"));
         let mut bytes = Vec::new();
         match File::open(&path) {
             Ok(mut file) => drop(file.read_to_end(&mut bytes)?),
@@ -61,6 +60,7 @@
         if !bytes.starts_with(MAGIC) && !MAGIC.starts_with(&bytes) {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "the file 'ledger' is not a ledger"));
         }
+        let _ = fs::remove_file(folder.join("ledger.new"));
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let record = Record::default();
         let mut ledger = Ledger { folder: folder.to_owned(), file, written: 0, most: disk as usize, record };
