A state folder is one forwarder's: another's name over it ends the start with one line

Nothing in the folder said whose it is. A process of another deployment over it sent what was owed there to its own targets under the same destination numbers, and, where the names of types, kinds and zones are the same, took a running process over (elder.rs, attend, compares those alone).

--- a/forwarder/src/alone.rs
+++ b/forwarder/src/alone.rs
@@ -17,6 +17,34 @@
     Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: {address} cannot be listened on: {e}"))
 }
 
+/// Says whose the folder is: what is owed there names destinations of that forwarder's deployment alone.
+const OWNER: &str = "owner";
+
+/// Whether the folder is that of the forwarder of our name, or of nobody yet. An empty file is none: a machine that
+/// failed may leave it.
+pub fn is_ours(told: &Told) -> Plain<()> {
+    let path = told.state.join(OWNER);
+    let wrong = |what: String| Err(format!("PROXY_STATE: {}: {what}", path.display()));
+    match std::fs::read_to_string(&path) {
+        Ok(name) if name.is_empty() || name == told.name => Ok(()),
+        Ok(name) => wrong(format!("the folder is {name:?}'s, and PROXY_NAME is {:?}", told.name)),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(()),
+        Err(e) => wrong(format!("cannot be read: {e}")),
+    }
+}
+
+/// Marks the folder as ours. Where that cannot be written it stays nobody's, as it was.
+fn own(told: &Told) {
+    let (path, new) = (told.state.join(OWNER), told.state.join("owner.new"));
+    if std::fs::read(&path).is_ok_and(|name| name == told.name.as_bytes()) {
+        return;
+    }
+    let written = std::fs::write(&new, &told.name).and_then(|()| std::fs::rename(&new, &path));
+    if written.is_err() {
+        let _ = std::fs::remove_file(&new);
+    }
+}
+
 pub struct Alone {
     pub lock: Option<Lock>,
     pub ledger: Ledger,
@@ -27,6 +55,7 @@
 
 impl Alone {
     pub fn start(told: &Told, lock: Option<Lock>) -> Plain<Self> {
+        is_ours(told)?;
         // The ledger last, as reading it cuts off a torn end: whatever else is faulty leaves the folder as it is.
         let left_out = LeftOut::open(&told.state, told.disk)?;
         kept::check(&told.state)?;
@@ -35,6 +64,7 @@
             .map_err(|e| format!("PROXY_STATE: the ledger in {}: {e}", told.state.display()))?;
         // The library's queue of 128 would overflow when many connect at once, and all others wait a second.
         rustix::net::listen(&listener, QUEUE).map_err(|e| format!("PROXY_LISTEN: {e}"))?;
+        own(told);
         Ok(Alone { lock, ledger, owed, left_out, listener })
     }
 }
--- a/forwarder/src/heir.rs
+++ b/forwarder/src/heir.rs
@@ -16,6 +16,7 @@
 use plankhill_terms::fields::Plain;
 use slog::{info, warn};
 
+use crate::alone;
 use crate::clients::Clients;
 use crate::clock::millis;
 use crate::common::Common;
@@ -57,6 +58,7 @@
     let by = Instant::now() + WAITING;
     let folder = &common.told.state;
     let mut told = false;
+    alone::is_ours(&common.told)?;
     loop {
         let why = match ask(common).await {
             Ok(inherited) => return Ok(Start::Inherits(Box::new(inherited))),
--- a/forwarder/tests/bad_folders.rs
+++ b/forwarder/tests/bad_folders.rs
@@ -83,6 +83,40 @@
     assert!(!none.exists() && fs::read(&file).expect("there") == b"something");
 }
 
+/// What one customer's forwarder took names destinations of that customer, under numbers that another has too.
+#[rstest]
+#[case::it_runs(true)]
+#[case::it_has_ended(false)]
+fn the_folder_of_another_forwarder_is_neither_gone_on_from_nor_taken_over(#[case] runs: bool) {
+    let (mut first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "job", "");
+    let out = next(&calls);
+    if !runs {
+        first.signal("-KILL");
+        first.child.wait().expect("ends");
+    }
+    let before = held(&first.folder);
+    let (beside, (other, called)) = (folder(), stand_in());
+    let file = beside.path().join("config.json");
+    let mut config = config(other, other);
+    config["name"] = json!("n1");
+    fs::write(&file, config.to_string()).expect("written");
+    let said = refused_start(&file, &first.folder);
+    assert!(said.contains("PROXY_STATE: ") && said.contains("owner") && said.contains("\"n0\"'s"), "{said}");
+    assert_eq!(held(&first.folder), before);
+    let at_targets = |asked: Asked| asked.head.starts_with("POST /receive");
+    assert!(!called.try_iter().any(at_targets), "nothing of the one goes to the other's targets");
+    if runs {
+        out.answer(OK);
+        first.take("b", "job", "");
+    } else {
+        first = Forwarder::over(std::mem::take(&mut first.folder));
+    }
+    assert_eq!(next(&calls).id(), if runs { "b" } else { "a" });
+    drop(first);
+}
+
 /// A machine that failed may leave an empty file where one was put in place.
 #[rstest]
 fn an_empty_list_is_none() {
