Signals to a process that stands still for a new version are played in that order every time

SIGTERM while it has said yours: it ends in order when the new one has gone without its frame, and passes on what is out when the new one begins. SIGHUP then: discovery moves, ends are told and the watch goes on there. Read first (main.rs, the loop on signals; the mailbox keeps the word while the rounds stand still); no fault was found, and nothing of the program is changed.

--- /dev/null
+++ b/forwarder/tests/upgrade_signals.rs
@@ -0,0 +1,84 @@
+//! Signals to a running process while a new version takes over: it stands still, and has said *yours*, so that
+//! nothing goes on there before the story lets it.
+
+mod peers;
+
+use async_io::block_on;
+use plankhill_handover::{Ears, Passage, Word, VERSION};
+use rstest::rstest;
+
+use peers::heir::hello;
+use peers::*;
+
+/// A new process that was told *yours* and has not begun.
+fn told_yours(first: &Forwarder) -> (Passage, Ears) {
+    let (passage, mut ears) = hello(&first.folder, VERSION);
+    assert!(matches!(block_on(ears.next()), Ok((Word::State(_), Some(_)))));
+    block_on(passage.tell(&Word::Prepared, None)).expect("told");
+    assert!(matches!(block_on(ears.next()), Ok((Word::Yours, Some(_)))));
+    (passage, ears)
+}
+
+/// Told to end meanwhile, it goes on once the new one has gone without its frame, and ends in order.
+#[rstest]
+fn asked_to_end_while_it_stands_still_it_ends_in_order_when_the_new_one_has_gone() {
+    let (mut first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    let heir = told_yours(&first);
+    first.signal("-TERM");
+    first.logged("closes");
+    drop(heir);
+    out.answer(OK);
+    assert!(first.child.wait().expect("ends").success());
+    let folder = std::mem::take(&mut first.folder);
+    let second = Forwarder::over(folder);
+    second.take("b", "job", "");
+    assert_eq!(next(&calls).id(), "b", "nothing was owed any more");
+}
+
+/// Where the new one begins after all, what is out in the old one comes to it, and the old one ends.
+#[rstest]
+fn asked_to_end_while_it_stands_still_it_passes_on_what_is_out_when_the_new_one_begins() {
+    let (mut first, calls, _notices, _watches) = all(0, |_| ());
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    let (passage, mut ears) = told_yours(&first);
+    first.signal("-TERM");
+    first.logged("closes");
+    let (mut own, _) = plankhill_ledger::Ledger::open(&first.folder, 3_000_000).expect("opens");
+    own.change_owner().expect("writes");
+    block_on(passage.tell(&Word::Begun, None)).expect("told");
+    first.logged("has handed over");
+    out.answer(OK);
+    let ended = std::iter::from_fn(|| block_on(ears.next()).ok()).find_map(|(word, _)| match word {
+        Word::SendEnded(event, ended) => Some((event.0.to_string(), ended.over)),
+        _ => None,
+    });
+    assert_eq!(ended, Some(("a".to_owned(), true)));
+    assert!(first.child.wait().expect("ends").success());
+}
+
+/// Discovery moves meanwhile: it is asked there, and nothing that is held is lost.
+#[rstest]
+fn told_of_another_discovery_while_it_stands_still_it_goes_on_there() {
+    let (target, calls) = stand_in();
+    let (old, _old_watches, _old_notices) = discovery(0);
+    let (new, watches, notices) = discovery(0);
+    let first = Forwarder::start(&config(old, target));
+    first.until_ready();
+    first.take("a", "charge", CHARGE);
+    let out = next(&calls);
+    let heir = told_yours(&first);
+    std::fs::write(first.folder.join("config.json"), config(new, target).to_string()).expect("written");
+    first.signal("-HUP");
+    first.logged("discovery moves");
+    drop(heir);
+    out.answer(ERROR);
+    assert_eq!(next(&notices), given_up("a"), "its end is told there");
+    drop(next(&watches));
+    first.take("b", "job", "");
+    assert_eq!(next(&calls).id(), "b");
+}
