--- a/tests/fleet/destination.rs
+++ b/tests/fleet/destination.rs
@@ -10,7 +10,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answers {
     SlowDown,
-    Refused, // its queue is short
+    Refused,   // its queue is short
+    StayQuick, // they tell nothing of its load: it answers as ever until it falls
 }
 
 pub struct Call {
@@ -61,13 +62,15 @@
         }
     }
     pub fn servers(&self) -> usize {
-        (self.full_rate * WORK / 1000.0).round().max(1.0) as usize
+        match self.answers {
+            Answers::StayQuick => usize::MAX / 16,
+            _ => (self.full_rate * WORK / 1000.0).round().max(1.0) as usize,
+        }
     }
     pub fn queue_takes(&self) -> usize {
-        if self.answers == Answers::SlowDown {
-            8 * self.servers()
-        } else {
-            self.servers()
+        match self.answers {
+            Answers::Refused => self.servers(),
+            _ => 8 * self.servers(),
         }
     }
 }
@@ -104,7 +107,8 @@
     });
     while to.working.len() < to.servers() {
         let Some(call) = to.queue.pop_front() else { break };
-        let pace = Destination::warmth(now, terms);
+        let slows = to.answers != Answers::StayQuick;
+        let pace = if slows { Destination::warmth(now, terms) } else { 1.0 };
         let work = WORK * (0.5 + chance.draw()) / pace;
         to.working.push((now + work, call));
     }
