--- a/forwarder/src/common.rs
+++ b/forwarder/src/common.rs
@@ -6,11 +6,14 @@
 
 use async_executor::LocalExecutor;
 use plankhill_buffers::Pool;
+use plankhill_fleet::NewsStream;
+use plankhill_terms::fields::Plain;
 use plankhill_terms::Told;
-use slog::Logger;
+use slog::{o, Drain, Logger};
 
 use crate::budgets::Budgets;
 use crate::clock::Clock;
+use crate::exchange::MESSAGE;
 use crate::fanout::FanOut;
 use crate::gate::Gate;
 use crate::ground::Ground;
@@ -46,6 +49,41 @@
 }
 
 impl Common {
+    /// Of a process that begins, and what its fleet says, if it is of one.
+    pub fn start(told: Told) -> Plain<(Self, Option<NewsStream>)> {
+        let told = Rc::new(told);
+        let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
+        let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
+        let log =
+            Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
+        let fleet = Ground::start(&told, &log)?;
+        let (ground, news) = fleet.map_or((None, None), |(ground, news)| (Some(Rc::new(ground)), Some(news)));
+        let clock = Clock::start();
+        let part = ground.as_ref().zip(told.fanout.clone());
+        let fanout = part.map(|(ground, layout)| FanOut::new(clock.clone(), ground.incarnation(), layout));
+        let grace = |ground: &Rc<Ground>| (ground.incarnation(), ground.stall);
+        let budgets = ground.as_ref().map(grace).and_then(|(who, grace)| Budgets::start(&told, who, grace));
+        let common = Common {
+            executor: Rc::new(LocalExecutor::new()),
+            // Half of the memory is for bodies and messages under way.
+            pool: Pool::new(MESSAGE, (told.memory / 2) as usize / MESSAGE),
+            clock,
+            log,
+            discovery: Rc::new(Cell::new(told.discovery)),
+            gate: Rc::default(),
+            ready: Rc::default(),
+            clients: Rc::default(),
+            aside: Rc::default(),
+            numbers: Rc::default(),
+            passes: Rc::default(),
+            told,
+            ground,
+            fanout,
+            budgets,
+        };
+        Ok((common, news))
+    }
+
     /// Where copies of what it takes on are kept; none: in its folder alone.
     pub fn copies(&self) -> Option<&Rc<Ground>> {
         self.ground.as_ref().filter(|ground| ground.copies)
--- a/forwarder/src/main.rs
+++ b/forwarder/src/main.rs
@@ -31,28 +31,21 @@
 mod rounds;
 mod targets;
 
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Instant;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
-use plankhill_buffers::Pool;
 use plankhill_fleet::NewsStream;
 use plankhill_handover::Lock;
 use plankhill_terms::fields::Plain;
 use rustix::process::{getrlimit, Resource};
-use slog::{info, o, warn, Drain, Logger};
+use slog::{info, warn};
 
 use crate::alone::{address_of, bind, Alone};
-use crate::budgets::Budgets;
 use crate::clients::Clients;
-use crate::clock::{millis, Clock};
+use crate::clock::millis;
 use crate::common::Common;
-use crate::fanout::FanOut;
-use crate::ground::Ground;
 use crate::mail::CameIn;
 
 fn main() {
@@ -69,35 +62,7 @@
     // What it is told may be more than the system gives: clients would then leave none for discovery and the targets.
     let given = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
     told.sockets = told.sockets.min(usize::try_from(given).unwrap_or(usize::MAX));
-    let told = Rc::new(told);
-    let decorator = slog_term::PlainSyncDecorator::new(std::io::stdout());
-    let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
-    let log = Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
-    let fleet = Ground::start(&told, &log)?;
-    let (ground, news) = fleet.map_or((None, None), |(ground, news)| (Some(Rc::new(ground)), Some(news)));
-    let clock = Clock::start();
-    let part = ground.as_ref().zip(told.fanout.clone());
-    let fanout = part.map(|(ground, layout)| FanOut::new(clock.clone(), ground.incarnation(), layout));
-    let grace = |ground: &Rc<Ground>| (ground.incarnation(), ground.stall);
-    let budgets = ground.as_ref().map(grace).and_then(|(who, grace)| Budgets::start(&told, who, grace));
-    let common = Common {
-        executor: Rc::new(LocalExecutor::new()),
-        // Half of the memory is for bodies and messages under way.
-        pool: Pool::new(exchange::MESSAGE, (told.memory / 2) as usize / exchange::MESSAGE),
-        clock,
-        log,
-        discovery: Rc::new(Cell::new(told.discovery)),
-        gate: Rc::default(),
-        ready: Rc::default(),
-        clients: Rc::default(),
-        aside: Rc::default(),
-        numbers: Rc::default(),
-        passes: Rc::default(),
-        told,
-        ground,
-        fanout,
-        budgets,
-    };
+    let (common, news) = Common::start(told)?;
     let executor = common.executor.clone();
     async_io::block_on(executor.run(serve(common, known, news)))
 }
