What actors are given is made in one place, for the program and its stories

The fields of Common stood written out three times: in Common::start, in clients/tests.rs and in rounds/stories/mod.rs, and the file that tells a story's process twice. Common::alone makes what a process has that is of no fleet; start adds the fleet's parts, and the stories take it from common/tests.rs. list::run takes its start apart before it is used. Behaviour and assertions are as they were.

--- a/forwarder/src/clients/tests.rs
+++ b/forwarder/src/clients/tests.rs
@@ -1,21 +1,17 @@
 //! The clients' side alone, at its end: the decisions are a mailbox that nobody reads.
 
-use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use async_executor::LocalExecutor;
 use async_io::{block_on, Async};
-use plankhill_buffers::Pool;
 use serde_json::json;
 
 use super::{all_served, Clients};
-use crate::clock::Clock;
+use crate::common::tests::{quiet, told};
 use crate::common::Common;
-use crate::exchange::{until, MESSAGE};
+use crate::exchange::until;
 use crate::mail::CameIn;
 
 const LONG: Duration = Duration::from_secs(30);
@@ -41,31 +37,7 @@
             "profiles": [job], "rules": {"coldFrom": 0.2, "coldUs": 9000000, "tipMultiple": 2}});
         let config = json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
             "limits": {"memory_mb": 16, "sockets": 256, "disk_mb": 3}, "settings": settings});
-        let path = folder.path().join("config.json");
-        std::fs::write(&path, config.to_string()).expect("writes");
-        let told = plankhill_terms::told(|name| match name {
-            "PROXY_CONFIG" => path.to_str().map(str::to_owned),
-            "PROXY_STATE" => folder.path().to_str().map(str::to_owned),
-            _ => None,
-        });
-        let told = Rc::new(told.expect("fits"));
-        let common = Common {
-            executor: Rc::new(LocalExecutor::new()),
-            pool: Pool::new(MESSAGE, 20),
-            clock: Clock::start(),
-            log: slog::Logger::root(slog::Discard, slog::o!()),
-            discovery: Rc::new(Cell::new(told.discovery)),
-            gate: Rc::default(),
-            ready: Rc::default(),
-            clients: Rc::default(),
-            aside: Rc::default(),
-            numbers: Rc::default(),
-            passes: Rc::default(),
-            ground: None,
-            fanout: None,
-            budgets: None,
-            told,
-        };
+        let common = quiet(told(&config, folder.path()));
         let (to_rounds, mailbox) = async_channel::bounded(4);
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
         let address = listener.get_ref().local_addr().expect("bound");
--- a/forwarder/src/common.rs
+++ b/forwarder/src/common.rs
@@ -58,16 +58,24 @@
             Logger::root(drain.filter_level(told.log_level).ignore_res(), o!("name" => told.name.clone()));
         let fleet = Ground::start(&told, &log)?;
         let (ground, news) = fleet.map_or((None, None), |(ground, news)| (Some(Rc::new(ground)), Some(news)));
-        let clock = Clock::start();
-        let part = ground.as_ref().zip(told.fanout.clone());
-        let fanout = part.map(|(ground, layout)| FanOut::new(clock.clone(), ground.incarnation(), layout));
+        let mut common = Common::alone(told, log);
+        let part = ground.as_ref().zip(common.told.fanout.clone());
+        let fanout =
+            part.map(|(ground, layout)| FanOut::new(common.clock.clone(), ground.incarnation(), layout));
         let grace = |ground: &Rc<Ground>| (ground.incarnation(), ground.stall);
-        let budgets = ground.as_ref().map(grace).and_then(|(who, grace)| Budgets::start(&told, who, grace));
-        let common = Common {
+        let budgets = ground.as_ref().map(grace);
+        let budgets = budgets.and_then(|(who, grace)| Budgets::start(&common.told, who, grace));
+        (common.ground, common.fanout, common.budgets) = (ground, fanout, budgets);
+        Ok((common, news))
+    }
+
+    /// Of a process that is an instance of no fleet.
+    fn alone(told: Rc<Told>, log: Logger) -> Self {
+        Common {
             executor: Rc::new(LocalExecutor::new()),
             // Half of the memory is for bodies and messages under way.
             pool: Pool::new(MESSAGE, (told.memory / 2) as usize / MESSAGE),
-            clock,
+            clock: Clock::start(),
             log,
             discovery: Rc::new(Cell::new(told.discovery)),
             gate: Rc::default(),
@@ -76,12 +84,11 @@
             aside: Rc::default(),
             numbers: Rc::default(),
             passes: Rc::default(),
+            ground: None,
+            fanout: None,
+            budgets: None,
             told,
-            ground,
-            fanout,
-            budgets,
-        };
-        Ok((common, news))
+        }
     }
 
     /// Where copies of what it takes on are kept; none: in its folder alone.
@@ -99,3 +106,6 @@
         self.numbers.get()
     }
 }
+
+#[cfg(test)]
+pub mod tests;
--- a/forwarder/src/list.rs
+++ b/forwarder/src/list.rs
@@ -74,8 +74,8 @@
     // It has a small part of the disk.
     let most = common.told.disk / 40;
     let mut list = Kept::default();
-    list.take(&start.known);
     let Start { known, had } = start;
+    list.take(&known);
     drop(known);
     list.write(&common.told.state, most);
     let (mut bytes, mut stream) = (vec![0; LONGEST], None);
--- a/forwarder/src/rounds/stories/mod.rs
+++ b/forwarder/src/rounds/stories/mod.rs
@@ -22,7 +22,6 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use plankhill::interface::*;
-use plankhill_buffers::Pool;
 use plankhill_copies::machine::{command, read_command};
 use plankhill_copies::KeptHere;
 use plankhill_fleet::{GroupId, Incarnation, Machine, News, Order, Purpose, Term};
@@ -34,6 +33,7 @@
 use self::stand_ins::Asked;
 use super::Rounds;
 use crate::clock::Clock;
+use crate::common::tests::{quiet, told};
 use crate::common::Common;
 use crate::ground::{Fleet, Ground};
 use crate::left_out::LeftOut;
@@ -71,14 +71,7 @@
     fn calling(target: SocketAddr, calls: Calls<Asked>, before: impl FnOnce(&mut Ledger)) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let (config, known) = config(target);
-        let path = folder.path().join("config.json");
-        std::fs::write(&path, config.to_string()).expect("writes");
-        let told = plankhill_terms::told(|name| match name {
-            "PROXY_CONFIG" => path.to_str().map(str::to_owned),
-            "PROXY_STATE" => folder.path().to_str().map(str::to_owned),
-            _ => None,
-        });
-        let told = Rc::new(told.expect("fits"));
+        let told = told(&config, folder.path());
         let (mut ledger, _) = Ledger::open(&told.state, told.disk).expect("opens");
         before(&mut ledger);
         ledger.commit().expect("writes");
@@ -87,31 +80,10 @@
         fleet.holds.set(true);
         fleet.has_room.set(true);
         let handle = RefCell::new(Box::new(fleet.clone()) as Box<dyn Fleet>);
-        let executor = Rc::new(LocalExecutor::new());
         let kept = KeptHere::default();
-        let common = Common {
-            executor: executor.clone(),
-            pool: Pool::new(crate::exchange::MESSAGE, 20),
-            clock: Clock::start(),
-            log: slog::Logger::root(slog::Discard, slog::o!()),
-            discovery: Rc::new(Cell::new(told.discovery)),
-            gate: Rc::default(),
-            ready: Rc::default(),
-            clients: Rc::default(),
-            aside: Rc::default(),
-            numbers: Rc::default(),
-            passes: Rc::default(),
-            ground: Some(Rc::new(Ground {
-                handle,
-                stall: STALL,
-                copies: true,
-                own: Cell::default(),
-                kept: kept.clone(),
-            })),
-            fanout: None,
-            budgets: None,
-            told,
-        };
+        let ground = Ground { handle, stall: STALL, copies: true, own: Cell::default(), kept: kept.clone() };
+        let common = Common { ground: Some(Rc::new(ground)), ..quiet(told) };
+        let executor = common.executor.clone();
         let (to_rounds, came_in) = async_channel::bounded(super::MAILBOX);
         let (to_notices, notices) = async_channel::bounded(crate::notices::MAILBOX);
         let left_out = LeftOut::open(folder.path(), 1 << 20).expect("opens");
