--- /dev/null
+++ b/tier/chain/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chain replication and its membership view, without I/O.
--- /dev/null
+++ b/tier/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's configuration: reading, checking, route lookup.
--- /dev/null
+++ b/tier/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control plane process: operator API, heartbeats of targets, subscriptions.
--- /dev/null
+++ b/tier/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rendezvous hashing, monitored peers and homes of services, without I/O.
--- /dev/null
+++ b/tier/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane process: clients, targets, streams.
--- /dev/null
+++ b/tier/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reads and checks the settings file of a process of the serving tier.
--- /dev/null
+++ b/tier/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The storage process: retained turns and token budgets on disk.
--- /dev/null
+++ b/tier/turns/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retained turns and token budgets over several stores, without I/O.
