--- /dev/null
+++ b/tier/protocol/src/feed.rs
@@ -0,0 +1,55 @@
+//! Subscriptions to the control plane: agents and stores with a controller, agents with the home of a
+//! service, a proxy with the agent of its machine.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{NodeId, Revision, StoreEpoch};
+use crate::tables::{Edge, StoreMember, TablesUpdate};
+
+/// Who subscribes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Subscriber {
+    /// The agent of an edge machine; subscribing registers it.
+    Edge(Edge),
+    /// A store; subscribing registers it.
+    Store(StoreMember),
+    /// The proxy of the same machine, at its agent.
+    Proxy,
+}
+
+/// From a subscriber.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromSubscriber {
+    /// The first message on a connection.
+    Subscribe {
+        /// Who it is.
+        subscriber: Subscriber,
+        /// The revision that it holds already; 0 for nothing.
+        held: Revision,
+    },
+    /// It has applied updates up to here; also sent as a heartbeat.
+    Applied(Revision),
+    /// An update did not fit: it wants a snapshot.
+    WantsSnapshot,
+    /// A store has copied all that belongs to it in the next set of this epoch.
+    StoreSynced(StoreEpoch),
+    /// An agent no longer hears a peer that it monitors.
+    Suspects(NodeId),
+    /// An orderly end: the edge is to be forgotten at once.
+    Leaving,
+}
+
+/// To a subscriber.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToSubscriber {
+    /// What brings it up to date.
+    Update(TablesUpdate),
+    /// Heartbeat: the sender's committed revision, and whether it knows that this is the newest. A subscriber
+    /// whose controller is not current asks another one.
+    Heartbeat {
+        /// The sender's committed revision.
+        revision: Revision,
+        /// Whether the sender has confirmed lately that no later one exists without it.
+        current: bool,
+    },
+}
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -1,1 +1,11 @@
-//! Messages between processes of the serving tier, and the connections that carry them.
+//! Messages between the processes of the serving tier, and the connections that carry them.
+//!
+//! Everything inside the tier is `postcard` in length-prefixed frames over TCP. Message types stand apart
+//! from the transport, so that the packages without I/O can use the former alone.
+
+pub mod feed;
+pub mod ids;
+pub mod ports;
+pub mod tables;
+pub mod transport;
+pub mod turns;
--- /dev/null
+++ b/tier/protocol/src/ports.rs
@@ -0,0 +1,45 @@
+//! Which port of the machines' common range carries what. All machines of a deployment share one range.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+/// Offset of the controllers' own port: chain, subscriptions of agents, registrations of stores.
+const CONTROLLER: u16 = 0;
+/// Offset of the stores' port: calls of proxies and of other stores.
+const STORE: u16 = 1;
+/// Offset of the agents' port on the machine's address: probes (UDP) and subscriptions of peers (TCP).
+const AGENT: u16 = 2;
+/// Offset of the agents' port on the loopback address, for the proxy of the same machine.
+const LOOPBACK: u16 = 3;
+
+/// The first port of the range that the settings name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PortRange {
+    /// The first port of the range.
+    pub first: u16,
+}
+
+impl PortRange {
+    /// Where the controller on a machine listens for other processes of the tier.
+    pub fn controller(self, ip: Ipv4Addr) -> SocketAddr {
+        self.at(ip, CONTROLLER)
+    }
+
+    /// Where the store on a machine listens.
+    pub fn store(self, ip: Ipv4Addr) -> SocketAddr {
+        self.at(ip, STORE)
+    }
+
+    /// Where the agent on a machine listens for its peers.
+    pub fn agent(self, ip: Ipv4Addr) -> SocketAddr {
+        self.at(ip, AGENT)
+    }
+
+    /// Where the agent listens for the proxy of its own machine.
+    pub fn agent_loopback(self) -> SocketAddr {
+        self.at(Ipv4Addr::LOCALHOST, LOOPBACK)
+    }
+
+    fn at(self, ip: Ipv4Addr, offset: u16) -> SocketAddr {
+        SocketAddr::V4(SocketAddrV4::new(ip, self.first.saturating_add(offset)))
+    }
+}
--- /dev/null
+++ b/tier/protocol/src/transport/frame.rs
@@ -0,0 +1,91 @@
+//! Frames: a 4-byte little-endian length and that many bytes of `postcard`.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use super::{TransportError, MAX_FRAME};
+
+const LENGTH_BYTES: usize = 4;
+/// Room for reading: most frames are small, large ones are read past the buffer.
+const READ_BUFFER: usize = 8 * 1024;
+/// Frames up to this size keep their buffer for the next one.
+const KEPT_BUFFER: usize = 64 * 1024;
+
+/// The incoming half of a connection.
+pub struct FrameReader {
+    stream: BufReader<OwnedReadHalf>,
+    buffer: Vec<u8>,
+}
+
+impl FrameReader {
+    /// Reads frames from this half.
+    pub fn new(stream: OwnedReadHalf) -> Self {
+        FrameReader { stream: BufReader::with_capacity(READ_BUFFER, stream), buffer: Vec::new() }
+    }
+
+    /// The next message. Not cancel-safe: a dropped call may have taken part of a frame.
+    ///
+    /// # Errors
+    /// As [`TransportError`] says; the connection is of no further use.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T, TransportError> {
+        let length = self.stream.read_u32_le().await? as usize;
+        if length > MAX_FRAME {
+            return Err(TransportError::FrameTooLong(length));
+        }
+        self.buffer.clear();
+        let taken = (&mut self.stream).take(length as u64).read_to_end(&mut self.buffer).await?;
+        if taken < length {
+            return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
+        }
+        let message = postcard::from_bytes(&self.buffer)?;
+        if self.buffer.capacity() > KEPT_BUFFER {
+            self.buffer = Vec::new();
+        }
+        Ok(message)
+    }
+}
+
+/// The outgoing half of a connection.
+pub struct FrameWriter {
+    stream: OwnedWriteHalf,
+}
+
+impl FrameWriter {
+    /// Writes frames to this half.
+    pub fn new(stream: OwnedWriteHalf) -> Self {
+        FrameWriter { stream }
+    }
+
+    /// Sends one message.
+    ///
+    /// # Errors
+    /// As [`TransportError`] says; the connection is of no further use.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), TransportError> {
+        let frame = encode(message)?;
+        Ok(self.stream.write_all(&frame).await?)
+    }
+
+    /// Sends several messages in one write.
+    ///
+    /// # Errors
+    /// As [`TransportError`] says; the connection is of no further use.
+    pub async fn send_all<T: Serialize>(&mut self, messages: &[T]) -> Result<(), TransportError> {
+        let mut frames = Vec::new();
+        for message in messages {
+            frames.extend(encode(message)?);
+        }
+        Ok(self.stream.write_all(&frames).await?)
+    }
+}
+
+fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, TransportError> {
+    let mut frame = postcard::to_extend(message, vec![0; LENGTH_BYTES])?;
+    let length = frame.len() - LENGTH_BYTES;
+    if length > MAX_FRAME {
+        return Err(TransportError::FrameTooLong(length));
+    }
+    frame[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
+    Ok(frame)
+}
