--- /dev/null
+++ b/tier/replica/src/handle.rs
@@ -0,0 +1,124 @@
+//! The handle of the local chain member.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use plankhill_chain::{Member, ViewNumber};
+
+use crate::state::{CommittedState, ReplicatedState};
+
+/// No answer could be had: this member is cut off, or the time was up. An operation proposed may still be
+/// committed later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the chain cannot be reached")]
+pub struct Unavailable;
+
+/// The place of a member in the present view.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Number of the newest view that this member knows; 0 before the first.
+    pub view: ViewNumber,
+    /// Whether this member heads the chain of that view and has lately heard that the view is current.
+    pub is_head: bool,
+    /// The chain, head first.
+    pub chain: Vec<Member>,
+    /// All voters, also those out of service.
+    pub voters: Vec<Member>,
+}
+
+/// What the handle asks of the member's task.
+pub(crate) enum Command<S: ReplicatedState> {
+    /// Get an operation committed.
+    Propose {
+        /// What to commit.
+        operation: Box<S::Operation>,
+        /// Given up after this long.
+        timeout: Duration,
+        /// Where the outcome goes; dropped without an answer when there is none.
+        answer: oneshot::Sender<S::Outcome>,
+    },
+    /// Bring the state here up to what was committed when this was asked.
+    Read {
+        /// Given up after this long.
+        timeout: Duration,
+        /// Where the state goes.
+        answer: oneshot::Sender<Arc<CommittedState<S>>>,
+    },
+    /// Leave the chain; answered when it goes on without this member.
+    Leave {
+        /// Dropped when done or given up.
+        answer: oneshot::Sender<()>,
+    },
+}
+
+/// The handle of the local chain member; cheap to clone.
+pub struct Log<S: ReplicatedState> {
+    pub(crate) commands: mpsc::Sender<Command<S>>,
+    pub(crate) state: watch::Receiver<Arc<CommittedState<S>>>,
+    pub(crate) standing: watch::Receiver<Standing>,
+    pub(crate) current: watch::Receiver<bool>,
+}
+
+impl<S: ReplicatedState> Clone for Log<S> {
+    fn clone(&self) -> Self {
+        Self {
+            commands: self.commands.clone(),
+            state: self.state.clone(),
+            standing: self.standing.clone(),
+            current: self.current.clone(),
+        }
+    }
+}
+
+impl<S: ReplicatedState> Log<S> {
+    /// Gets an operation committed, from whichever member; resolves with its outcome once every link of the
+    /// chain has it on disk. Applied at most once, however often it has to be sent on. Fails at once when this
+    /// member knows that it is cut off, otherwise after `timeout`.
+    pub async fn propose(
+        &self,
+        operation: S::Operation,
+        timeout: Duration,
+    ) -> Result<S::Outcome, Unavailable> {
+        let (answer, outcome) = oneshot::channel();
+        let operation = Box::new(operation);
+        let command = Command::Propose { operation, timeout, answer };
+        self.ask(command, outcome).await
+    }
+
+    /// The newest committed state known here, replaced whole; it never goes back.
+    pub fn state(&self) -> watch::Receiver<Arc<CommittedState<S>>> {
+        self.state.clone()
+    }
+
+    /// A linearizable read: a state that holds everything that was committed when this was called.
+    pub async fn read(&self, timeout: Duration) -> Result<Arc<CommittedState<S>>, Unavailable> {
+        let (answer, state) = oneshot::channel();
+        let command = Command::Read { timeout, answer };
+        self.ask(command, state).await
+    }
+
+    /// Whether this member has heard, within a short bound, that the present chain's tail is confirmed by a
+    /// majority and that nothing was committed there which is missing here.
+    pub fn is_current(&self) -> bool {
+        *self.current.borrow()
+    }
+
+    /// This member's place in the present view.
+    pub fn standing(&self) -> Standing {
+        self.standing.borrow().clone()
+    }
+
+    /// Leaves the chain, for an orderly end; returns when it goes on without this member, or cannot.
+    pub async fn leave(&self) {
+        let (answer, left) = oneshot::channel();
+        let _ = self.ask(Command::Leave { answer }, left).await;
+    }
+
+    async fn ask<T>(&self, command: Command<S>, answer: oneshot::Receiver<T>) -> Result<T, Unavailable> {
+        self.commands.send(command).await.map_err(|_| Unavailable)?;
+        answer.await.map_err(|_| Unavailable)
+    }
+}
--- /dev/null
+++ b/tier/replica/src/state.rs
@@ -0,0 +1,60 @@
+//! The replicated state as the process sees it: typed, immutable, swapped whole.
+
+use std::sync::Arc;
+
+use plankhill_protocol::ids::Revision;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use plankhill_chain::ViewNumber;
+
+/// A state that changes only by operations, the same way on every member.
+pub trait ReplicatedState: Clone + Default + Serialize + DeserializeOwned + Send + Sync + 'static {
+    /// What changes it.
+    type Operation: Serialize + DeserializeOwned + Send + Sync + 'static;
+    /// What an operation came to, also when the state refused it.
+    type Outcome: Serialize + DeserializeOwned + Send + Sync + 'static;
+
+    /// Applies an operation. The result may depend on nothing but the state, the revision and the operation.
+    fn apply(&mut self, revision: Revision, operation: &Self::Operation) -> Self::Outcome;
+}
+
+/// One committed operation, kept for a while so that subscribers can be sent changes instead of snapshots.
+#[derive(Debug)]
+pub struct AppliedOperation<O> {
+    /// The revision that it made.
+    pub revision: Revision,
+    /// The operation.
+    pub operation: Arc<O>,
+}
+
+impl<O> Clone for AppliedOperation<O> {
+    fn clone(&self) -> Self {
+        Self { revision: self.revision, operation: Arc::clone(&self.operation) }
+    }
+}
+
+/// The newest committed state that this member knows.
+#[derive(Debug)]
+pub struct CommittedState<S: ReplicatedState> {
+    /// How many operations have been committed.
+    pub revision: Revision,
+    /// The view in which this member learnt it.
+    pub view: ViewNumber,
+    /// The state.
+    pub state: Arc<S>,
+    /// The newest operations, in order, the last one being `revision`; empty after a snapshot was taken over.
+    pub recent: Vec<AppliedOperation<S::Operation>>,
+}
+
+impl<S: ReplicatedState> CommittedState<S> {
+    /// The state before the first operation.
+    pub fn empty() -> Self {
+        Self {
+            revision: Revision::default(),
+            view: ViewNumber::default(),
+            state: Arc::new(S::default()),
+            recent: Vec::new(),
+        }
+    }
+}
