--- /dev/null
+++ b/tier/chain/src/member/presence.rs
@@ -0,0 +1,168 @@
+//! Heartbeats: who lives, who is cut off, and whose view is confirmed.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use plankhill_protocol::ids::Revision;
+
+use crate::effect::Millis;
+use crate::machine::StateMachine;
+use crate::message::{Heartbeat, Message};
+use crate::timing::{CURRENT, FROZEN, HEARTBEAT};
+use crate::view::Identity;
+
+use super::ChainMember;
+
+/// The member's own heartbeats and what it derives from those of others.
+#[derive(Debug)]
+pub(super) struct Presence {
+    sequence: u64,
+    next: Millis,
+    last_tick: Millis,
+    pub(super) started: Millis,
+    pub(super) leaving: bool,
+    /// At this time the tail was sure of its view, and nothing was committed that is missing here.
+    current_at: Option<Millis>,
+}
+
+impl Presence {
+    pub(super) fn new(sequence: u64, now: Millis) -> Self {
+        Self { sequence, next: now, last_tick: now, started: now, leaving: false, current_at: None }
+    }
+
+    pub(super) fn forget_confirmation(&mut self) {
+        self.current_at = None;
+    }
+}
+
+impl<M: StateMachine> ChainMember<M> {
+    /// When `tick` has something to do next.
+    pub fn next_tick(&self) -> Millis {
+        let busy = !self.attempts.is_idle() || !self.proposals.is_empty() || !self.reads.is_empty();
+        let soon = if busy { self.now + HEARTBEAT / 3 } else { self.now + HEARTBEAT };
+        self.presence.next.min(soon)
+    }
+
+    /// Whether a confirmation of this view by a majority, with everything committed by then, is fresh here.
+    pub fn is_current(&self, now: Millis) -> bool {
+        let confirmed = if self.is_tail() { self.confirmed_at() } else { self.presence.current_at };
+        confirmed.is_some_and(|at| now.saturating_sub(at) < CURRENT)
+    }
+
+    /// Whether this member reaches a majority of the voters, both ways.
+    pub fn is_connected(&self, now: Millis) -> bool {
+        let me = &self.me.identity;
+        let reached = |voter: &&Identity| *voter == me || self.peers.is_reached(voter, now);
+        let voters = self.view.voters.iter().map(|voter| &voter.identity);
+        self.view.number.0 > 0 && voters.filter(|voter| reached(voter)).count() >= self.view.majority()
+    }
+
+    /// Takes over other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Asks the others to go on without this member.
+    pub fn leave(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        self.presence.leaving = true;
+        self.send_heartbeats();
+    }
+
+    pub(super) fn keep_presence(&mut self) {
+        if self.now.saturating_sub(self.presence.last_tick) >= FROZEN {
+            self.peers.woke(self.now);
+        }
+        self.presence.last_tick = self.now;
+        self.peers.prune(self.now);
+        if self.now >= self.presence.next {
+            self.send_heartbeats();
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self) {
+        self.presence.sequence = self.presence.sequence.wrapping_add(1);
+        self.presence.next = self.now + HEARTBEAT;
+        self.peers.sent(self.presence.sequence, self.now);
+        let heartbeat = self.heartbeat();
+        for contact in self.contacts() {
+            self.send(contact, Message::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let confirmed_at = if self.is_tail() { self.confirmed_at() } else { None };
+        Heartbeat {
+            member: self.me.clone(),
+            sequence: self.presence.sequence,
+            echoes: self.peers.echoes(self.now),
+            view: self.durable.0,
+            sealed: self.is_sealed(),
+            position: self.durable.1,
+            committed: self.replicated.revision(),
+            leaving: self.presence.leaving,
+            founder: self.founders.is_some(),
+            confirmed_age: confirmed_at.map(|at| self.now.saturating_sub(at)),
+        }
+    }
+
+    /// Everyone who may be a member or may want to become one.
+    pub fn contacts(&self) -> BTreeSet<SocketAddr> {
+        let founders = self.founders.iter().flatten().filter(|_| self.view.number.0 == 0);
+        let seeds = self.seeds.iter().chain(founders).copied();
+        let voters = self.view.voters.iter().map(|voter| voter.address);
+        let heard = self.peers.all().map(|peer| peer.heartbeat.member.address);
+        let mut contacts: BTreeSet<_> = seeds.chain(voters).chain(heard).collect();
+        contacts.remove(&self.me.address);
+        contacts
+    }
+
+    pub(super) fn on_heartbeat(&mut self, from: &Identity, heartbeat: Heartbeat) {
+        if heartbeat.member.identity != *from || heartbeat.member.identity == self.me.identity {
+            return;
+        }
+        let same_view = heartbeat.view == self.view.number;
+        let (view, committed, position) = (heartbeat.view, heartbeat.committed, heartbeat.position);
+        self.take_confirmation(&heartbeat);
+        self.peers.heard(heartbeat.clone(), &self.me.identity, same_view && !heartbeat.sealed, self.now);
+        if view < self.view.number {
+            let decided = Message::Decided(self.view.clone());
+            self.send_to(from, decided);
+        } else if same_view {
+            self.on_link_position(from, position);
+            self.on_committed(from, view, committed);
+            self.fetch_if_behind(from, position);
+        }
+    }
+
+    /// The tail says how long ago it was sure of its view; this member's heartbeat that it echoes was sent
+    /// before it said so.
+    fn take_confirmation(&mut self, heartbeat: &Heartbeat) {
+        let from_tail = self.view.tail().is_some_and(|tail| tail.identity == heartbeat.member.identity);
+        let Some(age) = heartbeat.confirmed_age else { return };
+        if !from_tail || heartbeat.view != self.view.number || !self.holds(heartbeat.committed) {
+            return;
+        }
+        let echo = heartbeat.echoes.iter().find(|echo| echo.identity == self.me.identity);
+        let said_after = echo.and_then(|echo| self.peers.sent_at(echo.sequence));
+        let sure_at = said_after.and_then(|at| at.checked_sub(age));
+        self.presence.current_at = self.presence.current_at.max(sure_at);
+    }
+
+    /// Whether this member can apply everything up to here.
+    fn holds(&self, revision: Revision) -> bool {
+        self.log.last() >= revision
+    }
+
+    /// The latest time at which a majority of the voters was surely in this view.
+    fn confirmed_at(&self) -> Option<Millis> {
+        let confirmation = |voter: &Identity| match *voter == self.me.identity {
+            true => Some(self.now).filter(|_| !self.is_sealed()),
+            false => self.peers.get(voter).and_then(|peer| peer.confirmed),
+        };
+        let mut times: Vec<_> =
+            self.view.voters.iter().filter_map(|voter| confirmation(&voter.identity)).collect();
+        times.sort_unstable_by(|one, other| other.cmp(one));
+        times.get(self.view.majority() - 1).copied()
+    }
+}
--- a/tier/replica/src/handle.rs
+++ b/tier/replica/src/handle.rs
@@ -1,13 +1,17 @@
 //! The handle of the local chain member.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
 
 use plankhill_chain::{Member, ViewNumber};
+use plankhill_protocol::transport::Connection;
 
+use crate::links::{receive_from, Received};
 use crate::state::{CommittedState, ReplicatedState};
 
 /// No answer could be had: this member is cut off, or the time was up. An operation proposed may still be
@@ -52,23 +56,31 @@
         /// Dropped when done or given up.
         answer: oneshot::Sender<()>,
     },
+    /// The seeds have changed.
+    SetSeeds(Vec<SocketAddr>),
 }
 
 /// The handle of the local chain member; cheap to clone.
 pub struct Log<S: ReplicatedState> {
     pub(crate) commands: mpsc::Sender<Command<S>>,
+    pub(crate) received: mpsc::Sender<Received>,
     pub(crate) state: watch::Receiver<Arc<CommittedState<S>>>,
     pub(crate) standing: watch::Receiver<Standing>,
     pub(crate) current: watch::Receiver<bool>,
+    pub(crate) task: AbortHandle,
+    pub(crate) disk_open: watch::Receiver<()>,
 }
 
 impl<S: ReplicatedState> Clone for Log<S> {
     fn clone(&self) -> Self {
         Self {
             commands: self.commands.clone(),
+            received: self.received.clone(),
             state: self.state.clone(),
             standing: self.standing.clone(),
             current: self.current.clone(),
+            task: self.task.clone(),
+            disk_open: self.disk_open.clone(),
         }
     }
 }
@@ -111,12 +123,45 @@
         self.standing.borrow().clone()
     }
 
+    /// The same, to wait for changes.
+    pub fn standing_changes(&self) -> watch::Receiver<Standing> {
+        self.standing.clone()
+    }
+
+    /// Whether this member is current, to wait for changes.
+    pub fn current_changes(&self) -> watch::Receiver<bool> {
+        self.current.clone()
+    }
+
+    /// Ends the member at once, as the end of the process would; what was handed to the disk is still written.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+
     /// Leaves the chain, for an orderly end; returns when it goes on without this member, or cannot.
     pub async fn leave(&self) {
         let (answer, left) = oneshot::channel();
         let _ = self.ask(Command::Leave { answer }, left).await;
     }
 
+    /// Serves a connection on the chain's channel that another member has opened, until it ends.
+    pub async fn serve(&self, connection: Connection) {
+        receive_from(connection, self.received.clone()).await;
+    }
+
+    /// Takes over other seeds from changed settings.
+    pub async fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        // Without the task there is nobody to tell.
+        let _ = self.commands.send(Command::SetSeeds(seeds)).await;
+    }
+
+    /// Resolves when the member has ended, as it does when its disk fails, and its files are closed. The process
+    /// should end then.
+    pub async fn ended(&self) {
+        self.commands.closed().await;
+        while self.disk_open.clone().changed().await.is_ok() {}
+    }
+
     async fn ask<T>(&self, command: Command<S>, answer: oneshot::Receiver<T>) -> Result<T, Unavailable> {
         self.commands.send(command).await.map_err(|_| Unavailable)?;
         answer.await.map_err(|_| Unavailable)
--- a/tier/replica/src/lib.rs
+++ b/tier/replica/src/lib.rs
@@ -2,8 +2,14 @@
 //!
 //! [`Log`] is the handle that the rest of the process uses; the member itself runs as one task.
 
-pub mod handle;
-pub mod state;
+mod handle;
+mod links;
+mod machine;
+mod start;
+mod state;
+pub mod storage;
+mod task;
 
 pub use handle::{Log, Standing, Unavailable};
+pub use start::{start, ReplicaSettings, StartError};
 pub use state::{AppliedOperation, CommittedState, ReplicatedState};
--- /dev/null
+++ b/tier/replica/src/links.rs
@@ -0,0 +1,135 @@
+//! Connections to other members. Each member sends over connections that it opened itself and receives over
+//! those that it accepted, so that a cut in one direction stops one direction only.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use plankhill_chain::{Identity, Message};
+use plankhill_protocol::transport::{dial, Channel, Connection, Hello};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Messages that wait for a connection; more are dropped, as every message may be.
+const QUEUE: usize = 1_024;
+/// Messages written together.
+const BATCH: usize = 64;
+/// Between attempts to connect.
+const REDIAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// The first message on a connection: which disk speaks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Introduction {
+    identity: Identity,
+}
+
+/// A message that came in.
+pub(crate) struct Received {
+    /// From whom.
+    pub(crate) from: Identity,
+    /// The message.
+    pub(crate) message: Message,
+}
+
+/// The connections that this member opened.
+pub(crate) struct Links {
+    me: Identity,
+    open: BTreeMap<SocketAddr, Link>,
+}
+
+struct Link {
+    queue: mpsc::Sender<Message>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Links {
+    pub(crate) fn new(me: Identity) -> Self {
+        Self { me, open: BTreeMap::new() }
+    }
+
+    /// Queues a message; the connection comes up when it is needed.
+    pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
+        let me = &self.me;
+        let link = self.open.entry(to).or_insert_with(|| Link::start(to, me.clone()));
+        // A full queue loses the message.
+        let _ = link.queue.try_send(message);
+    }
+
+    /// Closes the connections to everyone else.
+    pub(crate) fn keep_only(&mut self, contacts: &std::collections::BTreeSet<SocketAddr>) {
+        self.open.retain(|address, _| contacts.contains(address));
+    }
+}
+
+impl Link {
+    fn start(to: SocketAddr, me: Identity) -> Self {
+        let (queue, messages) = mpsc::channel(QUEUE);
+        let task = tokio::spawn(keep_sending(to, me, messages));
+        Self { queue, task }
+    }
+}
+
+async fn keep_sending(to: SocketAddr, me: Identity, mut messages: mpsc::Receiver<Message>) {
+    let hello = Hello::new(Channel::Chain, me.node.clone());
+    loop {
+        match dial(to, &hello).await {
+            Ok(connection) => {
+                drop_waiting(&mut messages);
+                send_over(connection, &me, &mut messages).await;
+                tracing::debug!(%to, "connection to another member ended");
+            }
+            Err(error) => tracing::debug!(%to, %error, "another member cannot be reached"),
+        }
+        tokio::time::sleep(REDIAL_PAUSE).await;
+    }
+}
+
+/// What waited for the connection is too old to be of use.
+fn drop_waiting(messages: &mut mpsc::Receiver<Message>) {
+    while messages.try_recv().is_ok() {}
+}
+
+async fn send_over(connection: Connection, me: &Identity, messages: &mut mpsc::Receiver<Message>) {
+    let Connection { mut reader, mut writer, .. } = connection;
+    if writer.send(&Introduction { identity: me.clone() }).await.is_err() {
+        return;
+    }
+    // Nothing comes back on this connection but its end.
+    let ended = reader.next::<Introduction>();
+    tokio::pin!(ended);
+    let mut batch = Vec::new();
+    loop {
+        tokio::select! {
+            _ = &mut ended => return,
+            taken = messages.recv_many(&mut batch, BATCH) => {
+                if taken == 0 || writer.send_all(&batch).await.is_err() {
+                    return;
+                }
+                batch.clear();
+            }
+        }
+    }
+}
+
+/// Receives from one accepted connection until it ends.
+pub(crate) async fn receive_from(connection: Connection, inbox: mpsc::Sender<Received>) {
+    let Connection { mut reader, writer, peer, .. } = connection;
+    let Ok(Introduction { identity }) = reader.next().await else { return };
+    if identity.node != peer.node {
+        return;
+    }
+    while let Ok(message) = reader.next().await {
+        let received = Received { from: identity.clone(), message };
+        if inbox.send(received).await.is_err() {
+            break;
+        }
+    }
+    drop(writer);
+}
--- /dev/null
+++ b/tier/replica/src/storage/mod.rs
@@ -0,0 +1,11 @@
+//! Storages of a member, and the thread that writes to one.
+
+mod fjall;
+mod folder;
+mod memory;
+mod writer;
+
+pub use self::fjall::{FjallStorage, StorageError};
+pub use folder::{open_folder, OpenedFolder};
+pub use memory::MemoryStorage;
+pub(crate) use writer::{start_writer, Written};
--- /dev/null
+++ b/tier/replica/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! Members of a chain on loopback, each with a folder of its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use plankhill_protocol::ids::{NodeId, Revision};
+use plankhill_protocol::transport::{accept, Channel, Hello};
+use plankhill_replica::{start, Log, ReplicaSettings, ReplicatedState, Standing};
+use serde::{Deserialize, Serialize};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Long enough for every change of view, short enough to fail a test that hangs.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A list of words.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Words(pub Vec<String>);
+
+impl ReplicatedState for Words {
+    type Operation = String;
+    type Outcome = usize;
+
+    fn apply(&mut self, _: Revision, operation: &String) -> usize {
+        self.0.push(operation.clone());
+        self.0.len()
+    }
+}
+
+/// One machine.
+pub struct Machine {
+    pub settings: ReplicaSettings,
+    folder: TempDir,
+    running: Option<Running>,
+}
+
+struct Running {
+    log: Log<Words>,
+    serving: JoinHandle<()>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
+/// An address that is free now.
+pub async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Machine {
+    pub fn new(name: &str, address: SocketAddr, seeds: Vec<SocketAddr>, bootstrap: bool) -> Self {
+        let folder = TempDir::new().unwrap();
+        let settings = ReplicaSettings {
+            node: NodeId::from(name),
+            address,
+            folder: folder.path().to_path_buf(),
+            seeds,
+            bootstrap,
+            tolerated: 1,
+        };
+        Self { settings, folder, running: None }
+    }
+
+    pub fn start(&mut self) {
+        let listener = plankhill_protocol::transport::listen(self.settings.address).unwrap();
+        let log = start::<Words>(self.settings.clone()).unwrap();
+        let serving = tokio::spawn(serve(listener, self.settings.node.clone(), log.clone()));
+        self.running = Some(Running { log, serving });
+    }
+
+    /// The process ends; the disk stays. Returns when the disk is free.
+    pub async fn kill(&mut self) {
+        let Some(running) = self.running.take() else { return };
+        running.log.abort();
+        running.log.ended().await;
+    }
+
+    /// The disk is lost.
+    pub fn wipe(&mut self) {
+        self.folder = TempDir::new().unwrap();
+        self.settings.folder = PathBuf::from(self.folder.path());
+        self.settings.bootstrap = false;
+    }
+
+    pub fn log(&self) -> &Log<Words> {
+        &self.running.as_ref().unwrap().log
+    }
+
+    /// Waits for a standing.
+    pub async fn until(&self, wanted: impl FnMut(&Standing) -> bool) -> Standing {
+        let mut standing = self.log().standing_changes();
+        let found = tokio::time::timeout(PATIENCE, standing.wait_for(wanted)).await;
+        let standing = found.expect("in time").unwrap().clone();
+        standing
+    }
+
+    /// Waits until the member knows that it is current.
+    pub async fn until_reaches_others(&self) {
+        self.until_current(true).await;
+    }
+
+    /// Waits until it knows that it is not.
+    pub async fn until_cut_off(&self) {
+        self.until_current(false).await;
+    }
+
+    async fn until_current(&self, wanted: bool) {
+        let mut current = self.log().current_changes();
+        let found = tokio::time::timeout(PATIENCE, current.wait_for(|held| *held == wanted)).await;
+        found.expect("in time").unwrap();
+    }
+
+    pub async fn say(&self, word: &str) -> usize {
+        self.log().propose(word.to_owned(), PATIENCE).await.unwrap()
+    }
+}
+
+async fn serve(listener: TcpListener, node: NodeId, log: Log<Words>) {
+    let hello = Hello::new(Channel::Chain, node);
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let (stream, address) = listener.accept().await.unwrap();
+        let (hello, log) = (hello.clone(), log.clone());
+        connections.spawn(async move {
+            if let Ok(connection) = accept(stream, address, &hello).await {
+                log.serve(connection).await;
+            }
+        });
+    }
+}
+
+/// Three machines that found a chain, all in service.
+pub async fn three() -> Vec<Machine> {
+    let addresses = [free_address().await, free_address().await, free_address().await];
+    let names = ["a", "b", "c"];
+    let mut machines: Vec<_> = names
+        .iter()
+        .zip(addresses)
+        .map(|(name, address)| Machine::new(name, address, addresses.to_vec(), true))
+        .collect();
+    machines.iter_mut().for_each(Machine::start);
+    for machine in &machines {
+        machine.until(|standing| standing.chain.len() == 3).await;
+    }
+    machines
+}
