--- a/tier/replica/src/handle.rs
+++ b/tier/replica/src/handle.rs
@@ -27,6 +27,8 @@
     pub view: ViewNumber,
     /// Whether this member heads the chain of that view and has lately heard that the view is current.
     pub is_head: bool,
+    /// Whether this member, with the disk that it has now, is in service.
+    pub in_chain: bool,
     /// The chain, head first.
     pub chain: Vec<Member>,
     /// All voters, also those out of service.
--- a/tier/replica/src/storage/fjall.rs
+++ b/tier/replica/src/storage/fjall.rs
@@ -1,5 +1,6 @@
 //! A member's data in a `fjall` database.
 
+use std::io;
 use std::path::Path;
 
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, OwnedWriteBatch, PersistMode};
@@ -44,6 +45,19 @@
     Folder(#[from] std::io::Error),
 }
 
+impl StorageError {
+    /// Whether another attempt may find everything as it was: the data has not been shown to be damaged.
+    pub(crate) fn may_pass(&self) -> bool {
+        match self {
+            Self::Database(fjall::Error::Io(error)) | Self::Folder(error) => {
+                !matches!(error.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData)
+            }
+            Self::Database(fjall::Error::Locked) => true,
+            Self::Database(_) | Self::Row(_) => false,
+        }
+    }
+}
+
 /// A member's data in a `fjall` database.
 pub struct FjallStorage {
     database: Database,
--- a/tier/replica/src/storage/folder.rs
+++ b/tier/replica/src/storage/folder.rs
@@ -40,6 +40,7 @@
         match open_existing(&folder.join(DATABASE)) {
             Ok(Some(opened)) => return Ok(opened),
             Ok(None) => tracing::error!("database without an incarnation; starting with an empty disk"),
+            Err(error) if error.may_pass() => return Err(error),
             Err(error) => tracing::error!(%error, "database cannot be read; starting with an empty disk"),
         }
         return make_new(folder, fresh, None);
--- a/tier/replica/src/task.rs
+++ b/tier/replica/src/task.rs
@@ -160,6 +160,7 @@
         Standing {
             view: view.number,
             is_head,
+            in_chain: view.in_chain(&self.member.me().identity),
             chain: view.links().cloned().collect(),
             voters: view.voters.clone(),
         }
--- a/tier/replica/tests/common/mod.rs
+++ b/tier/replica/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use plankhill_protocol::ids::{NodeId, Revision};
@@ -47,10 +48,16 @@
     }
 }
 
-/// An address that is free now.
+/// An address that is free now, below the ports that outgoing connections take.
 pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let offset = (std::process::id() as u16).wrapping_mul(64) % 10_000;
+        let port = 20_000 + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % 10_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 impl Machine {
@@ -76,9 +83,12 @@
 
     /// The process ends; the disk stays. Returns when the disk is free.
     pub async fn kill(&mut self) {
-        let Some(running) = self.running.take() else { return };
+        let Some(mut running) = self.running.take() else { return };
         running.log.abort();
         running.log.ended().await;
+        running.serving.abort();
+        // It was told to end.
+        let _ = (&mut running.serving).await;
     }
 
     /// The disk is lost.
