--- a/tier/settings/src/lib.rs
+++ b/tier/settings/src/lib.rs
@@ -1,1 +1,20 @@
 //! Reads and checks the settings file of a process of the serving tier.
+//!
+//! The file is TOML. Keys that this package doesn't know are skipped; every error names its key.
+
+mod bounds;
+mod error;
+mod figure;
+mod limits;
+mod listeners;
+mod load;
+mod settings;
+mod zones;
+
+pub use bounds::Bounds;
+pub use error::SettingsError;
+pub use limits::{FaultTolerance, Limits};
+pub use listeners::Listeners;
+pub use load::{settings_path, DEFAULT_PATH, MAX_FILE_BYTES, PATH_VARIABLE};
+pub use settings::{MachineClass, PortRange, Settings};
+pub use zones::Zones;
--- /dev/null
+++ b/tier/settings/src/settings.rs
@@ -0,0 +1,167 @@
+//! The settings of one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use validator::{Validate, ValidationError};
+
+use crate::{Bounds, FaultTolerance, Limits, Listeners, Zones};
+
+/// Most seed nodes accepted; the pages speak of three.
+const MAX_SEED_NODES: u64 = 64;
+
+/// Longest name of a node, role, zone or region, in bytes.
+const MAX_NAME_BYTES: u64 = 255;
+
+/// Longest interval between heartbeats accepted, in milliseconds (one hour).
+const MAX_HEARTBEAT_MS: u64 = 3_600_000;
+
+/// What the settings file tells a process about itself and its surroundings.
+#[derive(Debug, Clone, PartialEq, Deserialize, Validate)]
+pub struct Settings {
+    /// Name of this machine, unique in the system.
+    #[validate(length(min = 1, max = MAX_NAME_BYTES, message = "must have 1 to 255 bytes"))]
+    pub node_id: String,
+    /// Name of the role in the deploy file that this process plays.
+    #[validate(length(min = 1, max = MAX_NAME_BYTES, message = "must have 1 to 255 bytes"))]
+    pub role: String,
+    /// The class this machine belongs to.
+    pub machine_class: MachineClass,
+    /// What the role serves to callers from outside.
+    #[serde(default)]
+    pub serves: Vec<String>,
+    /// Address of this machine.
+    #[validate(custom(function = check_address))]
+    pub ip: Ipv4Addr,
+    /// Zone of this machine.
+    #[validate(length(min = 1, max = MAX_NAME_BYTES, message = "must have 1 to 255 bytes"))]
+    pub zone: String,
+    /// Region of the zone.
+    #[validate(length(min = 1, max = MAX_NAME_BYTES, message = "must have 1 to 255 bytes"))]
+    pub region: String,
+    /// Ports for the traffic between the processes of the tier, the same on all machines.
+    #[validate(custom(function = check_port_range))]
+    pub port_range: PortRange,
+    /// Addresses of a few controllers from which the others are found.
+    #[serde(default)]
+    #[validate(length(max = MAX_SEED_NODES, message = "must hold at most 64 addresses"))]
+    pub seed_nodes: Vec<SocketAddr>,
+    /// True only at the very first start of the whole system.
+    #[serde(default)]
+    pub bootstrap: bool,
+    /// True if the loss of this machine counts against [`FaultTolerance::nodes`].
+    #[serde(default)]
+    pub counts_for_quorum: bool,
+    /// Folder for this process's data, on machines with a disk.
+    #[serde(default)]
+    pub data_path: Option<PathBuf>,
+    /// Time between two heartbeats of a target, in milliseconds.
+    #[validate(range(min = 1, max = MAX_HEARTBEAT_MS, message = "must lie between 1 and 3600000"))]
+    pub heartbeat_ms: u64,
+    /// Names of the parts of the rules in force; unknown ones are allowed.
+    #[serde(default)]
+    pub invariants: Vec<String>,
+    /// Region of each zone of the system.
+    #[serde(default)]
+    pub zones: Zones,
+    /// Addresses at which this process serves callers from outside.
+    #[serde(default)]
+    pub listeners_map: Listeners,
+    /// What this process may use.
+    #[validate(nested)]
+    pub limits: Limits,
+    /// What may be lost at once.
+    pub fault_tolerance: FaultTolerance,
+    /// Figures of the rules.
+    #[serde(default)]
+    #[validate(nested)]
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Time between two heartbeats of a target.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
+    /// True if the part of the rules called `name` is in force.
+    pub fn has_invariant(&self, name: &str) -> bool {
+        self.invariants.iter().any(|invariant| invariant == name)
+    }
+
+    /// True if the role serves `what` to callers from outside.
+    pub fn serves(&self, what: &str) -> bool {
+        self.serves.iter().any(|served| served == what)
+    }
+}
+
+/// Class of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MachineClass {
+    /// Reached by clients; has no disk.
+    Edge,
+    /// Holds the control state.
+    Core,
+    /// Holds turns and budgets.
+    Storage,
+    /// A class that this version doesn't know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// A range of ports, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u16, u16)")]
+pub struct PortRange {
+    /// First port of the range.
+    pub first: u16,
+    /// Last port of the range.
+    pub last: u16,
+}
+
+impl PortRange {
+    /// Number of ports in the range.
+    pub fn len(&self) -> usize {
+        usize::from(self.last).saturating_sub(usize::from(self.first)) + 1
+    }
+
+    /// False: a checked range holds at least one port.
+    pub fn is_empty(&self) -> bool {
+        self.first > self.last
+    }
+
+    /// The port `offset` places after the first, if the range holds it.
+    pub fn port(&self, offset: u16) -> Option<u16> {
+        self.first.checked_add(offset).filter(|port| *port <= self.last)
+    }
+}
+
+impl From<(u16, u16)> for PortRange {
+    fn from((first, last): (u16, u16)) -> Self {
+        PortRange { first, last }
+    }
+}
+
+fn check_port_range(range: &PortRange) -> Result<(), ValidationError> {
+    if range.first == 0 {
+        return Err(fault("the first port must not be 0"));
+    }
+    if range.first > range.last {
+        return Err(fault("the first port must not lie above the last"));
+    }
+    Ok(())
+}
+
+fn check_address(address: &Ipv4Addr) -> Result<(), ValidationError> {
+    if address.is_unspecified() || address.is_multicast() || address.is_broadcast() {
+        return Err(fault("must be the address of one machine"));
+    }
+    Ok(())
+}
+
+fn fault(message: &'static str) -> ValidationError {
+    ValidationError::new("value").with_message(message.into())
+}
--- /dev/null
+++ b/tier/settings/src/zones.rs
@@ -0,0 +1,37 @@
+//! The zones of the system and their regions.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+/// Region of each zone, sorted by the zone's name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct Zones(BTreeMap<String, String>);
+
+impl Zones {
+    /// Region of `zone`, if the zone is known.
+    pub fn region_of(&self, zone: &str) -> Option<&str> {
+        self.0.get(zone).map(String::as_str)
+    }
+
+    /// Names of all zones, sorted.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.0.keys().map(String::as_str)
+    }
+
+    /// Names of the zones of `region`, sorted.
+    pub fn in_region<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a str> {
+        self.0.iter().filter(move |(_, of_zone)| *of_zone == region).map(|(zone, _)| zone.as_str())
+    }
+
+    /// Number of zones.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// True if the file lists no zone.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
