--- /dev/null
+++ b/tier/configuration/src/document.rs
@@ -0,0 +1,62 @@
+//! The operator's document as it was sent.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{same_content, Configuration, ConfigurationError};
+
+/// Largest document accepted, in bytes: about 40,000 routes, a sixteenth of a small machine's memory.
+pub const MAX_DOCUMENT_BYTES: usize = 16 << 20;
+
+/// The bytes of a configuration, kept so that the operator reads back what was sent.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Number of the version that the bytes hold.
+    pub version: u64,
+    /// The JSON text.
+    #[serde(serialize_with = "serialize_bytes", deserialize_with = "deserialize_bytes")]
+    pub bytes: Arc<[u8]>,
+}
+
+impl Document {
+    /// Keeps `bytes`, which hold the version `version`.
+    pub fn new(version: u64, bytes: impl Into<Arc<[u8]>>) -> Document {
+        Document { version, bytes: bytes.into() }
+    }
+
+    /// Reads and checks `bytes`, and keeps them.
+    ///
+    /// # Errors
+    /// As [`Configuration::parse`].
+    pub fn parse(bytes: impl Into<Arc<[u8]>>) -> Result<(Document, Configuration), ConfigurationError> {
+        let bytes = bytes.into();
+        let configuration = Configuration::parse(&bytes)?;
+        Ok((Document { version: configuration.version, bytes }, configuration))
+    }
+
+    /// True if `other` has the same number and says the same.
+    pub fn same_content(&self, other: &Document) -> bool {
+        self.version == other.version && same_content(&self.bytes, &other.bytes)
+    }
+}
+
+impl fmt::Debug for Document {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Document")
+            .field("version", &self.version)
+            .field("length", &self.bytes.len())
+            .finish()
+    }
+}
+
+fn serialize_bytes<S: Serializer>(bytes: &Arc<[u8]>, target: S) -> Result<S::Ok, S::Error> {
+    target.serialize_bytes(bytes)
+}
+
+fn deserialize_bytes<'de, D: Deserializer<'de>>(source: D) -> Result<Arc<[u8]>, D::Error> {
+    let bytes = serde_bytes::ByteBuf::deserialize(source)?;
+    Ok(bytes.into_vec().into())
+}
--- /dev/null
+++ b/tier/configuration/src/patch_apply.rs
@@ -0,0 +1,117 @@
+//! Applies a change to the document it builds on.
+
+use serde_json::value::RawValue;
+
+use crate::patch_between::{raw_elements, raw_fields, RawFields};
+use crate::{Document, FieldChange, FieldPatch, ListPart, Patch, PatchError, MAX_DOCUMENT_BYTES};
+
+impl Patch {
+    /// The document that results from applying this to `old`.
+    ///
+    /// Its content is that of the document the patch was made from; white space and the order of
+    /// keys may differ.
+    ///
+    /// # Errors
+    /// If `old` has another version, or lacks what the patch keeps, or the result is too large.
+    pub fn apply(&self, old: &Document) -> Result<Document, PatchError> {
+        if old.version != self.base {
+            return Err(PatchError::OtherBase { expected: self.base, found: old.version });
+        }
+        let old_fields = raw_fields(&old.bytes)?;
+        let mut writer = Writer::new(old.bytes.len() + self.text_bytes());
+        writer.push("{")?;
+        for (index, field) in self.fields.iter().enumerate() {
+            writer.separate(index)?;
+            write_field(field, &old_fields, &mut writer)?;
+        }
+        writer.push("}")?;
+        Ok(Document::new(self.version, writer.text.into_bytes()))
+    }
+}
+
+fn write_field(field: &FieldPatch, old: &RawFields<'_>, writer: &mut Writer) -> Result<(), PatchError> {
+    writer.push(&quoted(&field.key)?)?;
+    writer.push(":")?;
+    match &field.change {
+        FieldChange::Keep => writer.push(kept(&field.key, old)?.get()),
+        FieldChange::Value(text) => writer.push(text),
+        FieldChange::List(parts) => {
+            let elements = raw_elements(kept(&field.key, old)?)?;
+            write_list(&field.key, parts, &elements, writer)
+        }
+    }
+}
+
+fn quoted(key: &str) -> Result<String, PatchError> {
+    serde_json::to_string(key).map_err(|error| PatchError::Document(error.to_string()))
+}
+
+fn kept<'a>(key: &str, old: &RawFields<'a>) -> Result<&'a RawValue, PatchError> {
+    old.get(key).copied().ok_or_else(|| PatchError::MissingKey(key.to_owned()))
+}
+
+fn write_list(
+    key: &str,
+    parts: &[ListPart],
+    old: &[&RawValue],
+    writer: &mut Writer,
+) -> Result<(), PatchError> {
+    let mut written = 0;
+    writer.push("[")?;
+    for part in parts {
+        match part {
+            ListPart::Add(text) => {
+                writer.separate(written)?;
+                writer.push(text)?;
+                written += 1;
+            }
+            ListPart::Keep { first, count } => {
+                for element in kept_elements(key, old, *first, *count)? {
+                    writer.separate(written)?;
+                    writer.push(element.get())?;
+                    written += 1;
+                }
+            }
+        }
+    }
+    writer.push("]")
+}
+
+fn kept_elements<'a, 'b>(
+    key: &str,
+    old: &'b [&'a RawValue],
+    first: u32,
+    count: u32,
+) -> Result<&'b [&'a RawValue], PatchError> {
+    let first = first as usize;
+    let end = first.saturating_add(count as usize);
+    old.get(first..end).ok_or_else(|| PatchError::MissingElements(key.to_owned()))
+}
+
+/// JSON text under construction, bounded by [`MAX_DOCUMENT_BYTES`].
+struct Writer {
+    text: String,
+}
+
+impl Writer {
+    fn new(expected_bytes: usize) -> Writer {
+        Writer { text: String::with_capacity(expected_bytes.min(MAX_DOCUMENT_BYTES)) }
+    }
+
+    fn push(&mut self, text: &str) -> Result<(), PatchError> {
+        if self.text.len() + text.len() > MAX_DOCUMENT_BYTES {
+            return Err(PatchError::TooLarge);
+        }
+        self.text.push_str(text);
+        Ok(())
+    }
+
+    /// Writes a comma unless `index` is that of the first element.
+    fn separate(&mut self, index: usize) -> Result<(), PatchError> {
+        if index == 0 {
+            Ok(())
+        } else {
+            self.push(",")
+        }
+    }
+}
--- /dev/null
+++ b/tier/configuration/src/patch_between.rs
@@ -0,0 +1,85 @@
+//! Finds what differs between two documents.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde_json::value::RawValue;
+
+use crate::{Document, FieldChange, FieldPatch, ListPart, Patch, PatchError};
+
+/// The keys of a document with their JSON text.
+pub(crate) type RawFields<'a> = BTreeMap<String, &'a RawValue>;
+
+impl Patch {
+    /// What turns `old` into `new`.
+    ///
+    /// # Errors
+    /// If one of the two is no JSON object.
+    pub fn between(old: &Document, new: &Document) -> Result<Patch, PatchError> {
+        let old_fields = raw_fields(&old.bytes)?;
+        let new_fields = raw_fields(&new.bytes)?;
+        let mut fields = Vec::with_capacity(new_fields.len());
+        for (key, value) in new_fields {
+            let change = match old_fields.get(&key) {
+                Some(old_value) => change_between(old_value, value)?,
+                None => FieldChange::Value(value.get().to_owned()),
+            };
+            fields.push(FieldPatch { key, change });
+        }
+        Ok(Patch { base: old.version, version: new.version, fields })
+    }
+}
+
+/// Reads the keys of a document and the JSON text of each value.
+pub(crate) fn raw_fields(bytes: &[u8]) -> Result<RawFields<'_>, PatchError> {
+    serde_json::from_slice(bytes).map_err(|error| PatchError::Document(error.to_string()))
+}
+
+/// Reads the JSON text of each element of a list.
+pub(crate) fn raw_elements(list: &RawValue) -> Result<Vec<&RawValue>, PatchError> {
+    serde_json::from_str(list.get()).map_err(|error| PatchError::Document(error.to_string()))
+}
+
+fn change_between(old: &RawValue, new: &RawValue) -> Result<FieldChange, PatchError> {
+    if old.get() == new.get() {
+        Ok(FieldChange::Keep)
+    } else if is_list(old) && is_list(new) {
+        Ok(FieldChange::List(list_parts(&raw_elements(old)?, &raw_elements(new)?)))
+    } else {
+        Ok(FieldChange::Value(new.get().to_owned()))
+    }
+}
+
+fn is_list(value: &RawValue) -> bool {
+    value.get().starts_with('[')
+}
+
+fn list_parts(old: &[&RawValue], new: &[&RawValue]) -> Vec<ListPart> {
+    let mut places: HashMap<&str, u32> = HashMap::with_capacity(old.len());
+    for (place, element) in (0_u32..).zip(old) {
+        places.entry(element.get()).or_insert(place);
+    }
+    let mut parts: Vec<ListPart> = Vec::new();
+    for element in new {
+        if extend_last(&mut parts, old, element) {
+            continue;
+        }
+        parts.push(match places.get(element.get()) {
+            Some(first) => ListPart::Keep { first: *first, count: 1 },
+            None => ListPart::Add(element.get().to_owned()),
+        });
+    }
+    parts
+}
+
+/// Lengthens the last kept run if the old list goes on with `element`.
+fn extend_last(parts: &mut [ListPart], old: &[&RawValue], element: &RawValue) -> bool {
+    let Some(ListPart::Keep { first, count }) = parts.last_mut() else {
+        return false;
+    };
+    let next = (*first + *count) as usize;
+    let goes_on = old.get(next).is_some_and(|candidate| candidate.get() == element.get());
+    if goes_on {
+        *count += 1;
+    }
+    goes_on
+}
