--- /dev/null
+++ b/tier/proxy/src/exchange.rs
@@ -0,0 +1,194 @@
+//! One call of a target: the request is written, the answer's head is read and checked.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use plankhill_dispatch::{Fate, Ms, UpstreamLoad};
+use plankhill_protocol::ids::RequestId;
+use tokio::time::{timeout_at, Instant};
+
+use crate::admission::Call;
+use crate::clock::Clock;
+use crate::connect::connect;
+use crate::facts::{number, text};
+use crate::headers;
+use crate::target_pool::{OpenPermit, TargetConnection, TargetPool};
+
+/// A connection that takes longer to come up counts as failed: far more than any way to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What is sent to targets, the same for every call of a request but for a few headers.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The client's method.
+    pub method: Method,
+    /// The client's path and query.
+    pub uri: Uri,
+    /// The client's headers but for those that concern its connection.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The client's name for its try.
+    pub request_id: RequestId,
+    /// From which event on the stream goes on, if not from where the client asked.
+    pub last_event_id: Option<u64>,
+}
+
+impl Outgoing {
+    fn request(&self, call: &Call, now: Ms) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        if let Ok(id) = call.target.as_str().parse() {
+            headers.insert(headers::EXPECTED_INSTANCE, id);
+        }
+        let left = (call.deadline - now).max(1.0) as u64;
+        headers.insert(headers::DEADLINE_MS, headers::number_value(left));
+        headers.insert(headers::PRIORITY, headers::number_value(call.priority.into()));
+        if let Some(id) = self.last_event_id {
+            headers.insert(headers::LAST_EVENT_ID, headers::number_value(id));
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The head of a target's answer; its body is still to come.
+#[derive(Debug)]
+pub struct TargetHead {
+    /// As the target sent it.
+    pub status: StatusCode,
+    /// As the target sent them.
+    pub headers: HeaderMap,
+    /// The rest of the answer.
+    pub body: Incoming,
+    /// To be put back once the body has come whole.
+    pub connection: TargetConnection,
+}
+
+impl TargetHead {
+    /// How the call ends if the whole answer comes.
+    pub fn fate(&self) -> Fate {
+        if self.status == StatusCode::MISDIRECTED_REQUEST {
+            // Another target listens there: the one that was meant is gone.
+            Fate::NoConnection
+        } else if self.headers.contains_key(headers::NOT_EXECUTED) {
+            Fate::Full
+        } else if self.status.is_server_error() {
+            Fate::Error
+        } else {
+            Fate::Delivered
+        }
+    }
+
+    /// The target's `Upstream-Load`.
+    pub fn load(&self) -> Option<UpstreamLoad> {
+        let value = text(&self.headers, headers::UPSTREAM_LOAD.as_str())?;
+        let mut parts = value.split(',').map(|part| part.trim().parse::<u32>().ok());
+        let (running, waiting, slots) = (parts.next()??, parts.next()??, parts.next()??);
+        Some(UpstreamLoad { running, waiting, slots })
+    }
+
+    /// The target's `Retry-After`, in milliseconds.
+    pub fn retry_after(&self) -> Option<Ms> {
+        number::<f64>(&self.headers, "retry-after").filter(|seconds| seconds.is_finite()).map(|s| s * 1e3)
+    }
+}
+
+/// What an exchange needs of the process.
+#[derive(Clone, Debug)]
+pub struct Targets {
+    /// The clock that deadlines are on.
+    pub clock: Clock,
+    /// Open connections.
+    pub pool: Rc<TargetPool>,
+}
+
+impl Targets {
+    /// Writes the request and reads the answer's head, with at most `most_connections` to the target.
+    ///
+    /// # Errors
+    /// How the call ended without an answer to this request.
+    pub async fn exchange(
+        &self,
+        call: &Call,
+        outgoing: &Outgoing,
+        most_connections: usize,
+    ) -> Result<TargetHead, Fate> {
+        let deadline = self.clock.instant(call.deadline);
+        loop {
+            let mut connection = self.connection(call, deadline, most_connections).await?;
+            let ready = timeout_at(deadline, connection.sender.ready()).await;
+            if call.leave.is_taken_back() || ready.is_err() {
+                return Err(Fate::NotSent);
+            }
+            let sent = match ready {
+                Ok(Ok(())) => {
+                    let request = outgoing.request(call, self.clock.now());
+                    timeout_at(deadline, connection.sender.try_send_request(request)).await
+                }
+                Ok(Err(_)) | Err(_) if connection.reused => continue,
+                Ok(Err(_)) | Err(_) => return Err(Fate::NoConnection),
+            };
+            match sent {
+                Err(_) => return Err(Fate::TimedOut),
+                Ok(Ok(response)) => return checked(response, connection, &outgoing.request_id),
+                // The message comes back: nothing of it was written.
+                Ok(Err(mut error)) if error.take_message().is_some() => {
+                    if !connection.reused {
+                        return Err(Fate::NoConnection);
+                    }
+                }
+                Ok(Err(_)) => return Err(Fate::Reset),
+            }
+        }
+    }
+
+    async fn connection(
+        &self,
+        call: &Call,
+        deadline: Instant,
+        most_connections: usize,
+    ) -> Result<TargetConnection, Fate> {
+        if let Some(connection) = self.pool.take_idle(&call.target, Instant::now()) {
+            return Ok(connection);
+        }
+        let permit = self.pool.permit(&call.target, most_connections).ok_or(Fate::NotSent)?;
+        let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        tokio::select! {
+            connected = dial(call.address, permit, until) => connected.ok_or(Fate::NoConnection),
+            () = call.leave.taken_back() => Err(Fate::NotSent),
+        }
+    }
+}
+
+async fn dial(address: SocketAddr, permit: OpenPermit, until: Instant) -> Option<TargetConnection> {
+    timeout_at(until, connect(address, permit)).await.ok()?.ok()
+}
+
+/// An answer of another request, or none that could be passed on, says nothing about this one.
+fn checked(
+    response: Response<Incoming>,
+    connection: TargetConnection,
+    request_id: &RequestId,
+) -> Result<TargetHead, Fate> {
+    let (head, body) = response.into_parts();
+    let ours = match text(&head.headers, headers::REQUEST_ID.as_str()) {
+        Some(echoed) => echoed == request_id.as_str(),
+        // Over a new connection no other answer can be on its way.
+        None => !connection.reused,
+    };
+    let stamped = head.headers.contains_key(headers::UPSTREAM_SIGNATURE);
+    let success = head.status.is_success();
+    if !ours || head.status.is_informational() || (success && !stamped) {
+        return Err(Fate::Reset);
+    }
+    Ok(TargetHead { status: head.status, headers: head.headers, body, connection })
+}
--- /dev/null
+++ b/tier/proxy/src/stream/mod.rs
@@ -0,0 +1,3 @@
+//! Answers that are series of events.
+
+pub mod events;
