--- a/tier/protocol/src/feed.rs
+++ b/tier/protocol/src/feed.rs
@@ -1,6 +1,8 @@
 //! Subscriptions to the control plane: agents and stores with a controller, agents with the home of a
 //! service, a proxy with the agent of its machine.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{NodeId, Revision, StoreEpoch};
@@ -42,9 +44,9 @@
 /// To a subscriber.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToSubscriber {
-    /// What brings it up to date.
+    /// What brings it up to date. On a new connection it comes first, unless the subscriber holds the newest.
     Update(TablesUpdate),
-    /// Heartbeat: the sender's committed revision, and whether it knows that this is the newest. A subscriber
+    /// Sent after the first update (or instead of it), and then regularly. The sender's committed revision, and whether it knows that this is the newest. A subscriber
     /// whose controller is not current asks another one.
     Heartbeat {
         /// The sender's committed revision.
@@ -52,4 +54,7 @@
         /// Whether the sender has confirmed lately that no later one exists without it.
         current: bool,
     },
+    /// Where the controllers listen for subscribers, all of them, also when the seeds are gone: sent once on
+    /// each connection, and when they change.
+    Controllers(Vec<SocketAddr>),
 }
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod ids;
 pub mod ports;
+pub mod subscription;
 pub mod tables;
 pub mod transport;
 pub mod turns;
--- /dev/null
+++ b/tier/protocol/src/subscription.rs
@@ -0,0 +1,114 @@
+//! The client side of [`crate::feed`]: keeps one connection to one of several feeders, and publishes what it
+//! tells as immutable tables. Agents and stores use it towards controllers, a proxy towards its agent.
+//!
+//! A feeder that falls silent, says that it is not current, or stays behind what is held already is left for
+//! the next one at once. The published revision never goes back within the life of a subscription.
+
+mod link;
+mod progress;
+mod rotation;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot, watch};
+
+pub use progress::{Progress, Step};
+pub use rotation::Rotation;
+
+use crate::feed::{FromSubscriber, Subscriber};
+use crate::tables::Tables;
+use crate::transport::Hello;
+
+/// Longest silence of a controller: two of its heartbeats (300 ms) may be lost or late.
+pub const CONTROLLER_SILENCE: Duration = Duration::from_millis(700);
+/// Longest silence of the agent of the same machine: its heartbeats (500 ms) share a fraction of a core with
+/// the proxy, and nothing else could be asked instead.
+pub const AGENT_SILENCE: Duration = Duration::from_millis(2_000);
+/// Messages of the owner that wait while no feeder is reached; further ones are dropped.
+const OUTBOX: usize = 64;
+
+/// What a subscription needs to know.
+pub struct SubscriptionOptions {
+    /// The greeting, which names this machine.
+    pub hello: Hello,
+    /// Who subscribes.
+    pub subscriber: Subscriber,
+    /// Feeders to choose from. Those that a feeder tells ([`crate::feed::ToSubscriber::Controllers`]) are
+    /// added to them.
+    pub candidates: watch::Receiver<Vec<SocketAddr>>,
+    /// A feeder that says nothing for this long is left.
+    pub silence: Duration,
+}
+
+/// How the connection to a feeder stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkStanding {
+    /// Whether the connection is up, the feeder says that it is current, and the tables are at its revision.
+    pub current: bool,
+    /// Since when `current` and `address` are as they are.
+    pub since: Instant,
+    /// The connected feeder; None while there is none.
+    pub address: Option<SocketAddr>,
+    /// When the tables were last known to be current. Rises without waking the watchers.
+    pub confirmed: Option<Instant>,
+}
+
+impl LinkStanding {
+    /// Whether the tables were known to be current at some moment within `age` before `now`.
+    pub fn confirmed_within(&self, age: Duration, now: Instant) -> bool {
+        self.confirmed.is_some_and(|at| now.saturating_duration_since(at) <= age)
+    }
+}
+
+/// A running subscription. It ends when this is dropped.
+pub struct Subscription {
+    tables: watch::Receiver<Arc<Tables>>,
+    standing: watch::Receiver<LinkStanding>,
+    outbox: mpsc::Sender<Outgoing>,
+}
+
+/// A message of the owner.
+struct Outgoing {
+    message: FromSubscriber,
+    written: Option<oneshot::Sender<()>>,
+}
+
+impl Subscription {
+    /// Starts a subscription on the current `LocalSet`, holding nothing.
+    pub fn start(options: SubscriptionOptions) -> Self {
+        let (publish_tables, tables) = watch::channel(Arc::new(Tables::default()));
+        let nothing = LinkStanding { current: false, since: Instant::now(), address: None, confirmed: None };
+        let (publish_standing, standing) = watch::channel(nothing);
+        let (outbox, queue) = mpsc::channel(OUTBOX);
+        let link = link::Link::new(options, publish_tables, publish_standing, queue);
+        tokio::task::spawn_local(link.run());
+        Subscription { tables, standing, outbox }
+    }
+
+    /// The tables, replaced whole with every change.
+    pub fn tables(&self) -> watch::Receiver<Arc<Tables>> {
+        self.tables.clone()
+    }
+
+    /// How the connection stands.
+    pub fn standing(&self) -> watch::Receiver<LinkStanding> {
+        self.standing.clone()
+    }
+
+    /// Sends a message to the feeder, once. It may be lost with the connection: what has to arrive is to be
+    /// sent again whenever [`LinkStanding::address`] changes. False if the queue is full.
+    pub fn send(&self, message: FromSubscriber) -> bool {
+        self.outbox.try_send(Outgoing { message, written: None }).is_ok()
+    }
+
+    /// Sends a message and waits until it has been handed to the operating system; false after `timeout`.
+    pub async fn send_written(&self, message: FromSubscriber, timeout: Duration) -> bool {
+        let (written, done) = oneshot::channel();
+        if self.outbox.try_send(Outgoing { message, written: Some(written) }).is_err() {
+            return false;
+        }
+        matches!(tokio::time::timeout(timeout, done).await, Ok(Ok(())))
+    }
+}
