Proxy: a first version that serves plain requests and streams

Cause: the tier needs its data plane process. Change: listeners, readiness, routing, one exchange with a target, streams event by event, turns behind a trait.

--- a/tier/proxy/src/exchange.rs
+++ b/tier/proxy/src/exchange.rs
@@ -125,32 +125,39 @@
         let deadline = self.clock.instant(call.deadline);
         loop {
             let mut connection = self.connection(call, deadline, most_connections).await?;
-            let ready = timeout_at(deadline, connection.sender.ready()).await;
-            if call.leave.is_taken_back() || ready.is_err() {
-                return Err(Fate::NotSent);
-            }
-            let sent = match ready {
-                Ok(Ok(())) => {
-                    let request = outgoing.request(call, self.clock.now());
-                    timeout_at(deadline, connection.sender.try_send_request(request)).await
-                }
-                Ok(Err(_)) | Err(_) if connection.reused => continue,
-                Ok(Err(_)) | Err(_) => return Err(Fate::NoConnection),
-            };
-            match sent {
-                Err(_) => return Err(Fate::TimedOut),
-                Ok(Ok(response)) => return checked(response, connection, &outgoing.request_id),
-                // The message comes back: nothing of it was written.
-                Ok(Err(mut error)) if error.take_message().is_some() => {
-                    if !connection.reused {
-                        return Err(Fate::NoConnection);
-                    }
-                }
-                Ok(Err(_)) => return Err(Fate::Reset),
+            match self.write(&mut connection, call, outgoing, deadline).await? {
+                Some(response) => return checked(response, connection, &outgoing.request_id),
+                // It was closed while it rested.
+                None if connection.reused => {}
+                None => return Err(Fate::NoConnection),
             }
         }
     }
 
+    /// The answer's head, or none if the connection has ended before anything was written.
+    async fn write(
+        &self,
+        connection: &mut TargetConnection,
+        call: &Call,
+        outgoing: &Outgoing,
+        deadline: Instant,
+    ) -> Result<Option<Response<Incoming>>, Fate> {
+        let ready = timeout_at(deadline, connection.sender.ready()).await.map_err(|_| Fate::NotSent)?;
+        if call.leave.is_taken_back() {
+            return Err(Fate::NotSent);
+        }
+        if ready.is_err() {
+            return Ok(None);
+        }
+        let request = outgoing.request(call, self.clock.now());
+        match timeout_at(deadline, connection.sender.try_send_request(request)).await {
+            Err(_) => Err(Fate::TimedOut),
+            Ok(Ok(response)) => Ok(Some(response)),
+            // The message comes back where nothing of it was written.
+            Ok(Err(mut error)) => error.take_message().map(|_| None).ok_or(Fate::Reset),
+        }
+    }
+
     async fn connection(
         &self,
         call: &Call,
--- a/tier/proxy/src/lib.rs
+++ b/tier/proxy/src/lib.rs
@@ -1,1 +1,33 @@
-//! The data plane process: clients, targets, streams.
+//! The data plane process: takes requests of clients, passes each to the target that the dispatcher names,
+//! and passes the answer back.
+//!
+//! One thread does all of it. Tables come from the agent of the same machine; turns and budgets lie with the
+//! stores.
+
+pub mod admission;
+pub mod answer;
+pub mod body;
+pub mod clock;
+mod connect;
+pub mod decisions;
+pub mod exchange;
+pub mod facts;
+mod feed;
+pub mod headers;
+mod intake;
+mod listener;
+mod ping;
+mod plain;
+mod process;
+mod ready;
+mod round_robin;
+mod run;
+mod shutdown;
+pub mod snapshot;
+pub mod stream;
+pub mod target_pool;
+pub mod turn;
+pub mod turn_store;
+mod whole;
+
+pub use run::{run, RunError};
--- /dev/null
+++ b/tier/proxy/src/listener.rs
@@ -0,0 +1,102 @@
+//! Accepts clients and serves their connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use plankhill_protocol::transport::tune;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::body::AnswerBody;
+use crate::intake::{take_in, Job};
+use crate::process::Proxy;
+use crate::snapshot::Snapshot;
+use crate::{answer, plain, stream};
+
+/// After a failed accept (no descriptor is left), connections that are open get this time to end.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// What a client is told while the tables are not there yet, in milliseconds.
+const PAUSE_UNTIL_READY: f64 = 200.0;
+/// Largest head while no configuration says otherwise.
+const MOST_HEADER_BYTES: usize = 64 * 1024;
+/// The smallest buffer that the HTTP library takes.
+const LEAST_HEADER_BYTES: usize = 8 * 1024;
+/// Clients may rest this long while no configuration says otherwise.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Accepts for ever, with at most `most_clients` connections at once; further ones wait in the system's queue.
+pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener, most_clients: usize) {
+    let places = Arc::new(tokio::sync::Semaphore::new(most_clients));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let proxy = proxy.clone();
+        tokio::task::spawn_local(async move {
+            serve_connection(proxy, stream).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection(proxy: Rc<Proxy>, stream: TcpStream) {
+    if tune(&stream).is_err() {
+        return;
+    }
+    let builder = builder(&proxy.snapshots.newest());
+    let service = service_fn(|request| {
+        let proxy = proxy.clone();
+        async move { Ok::<_, Infallible>(respond(proxy, request).await) }
+    });
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        tracing::debug!(%error, "connection of a client ended");
+    }
+}
+
+/// The library's time for a head also covers the rest between two requests, so that the longer of both holds.
+fn builder(snapshot: &Snapshot) -> http1::Builder {
+    let limits = snapshot.routes.as_ref().map(|routes| *routes.limits());
+    let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
+    let head = limits.map_or(MOST_HEADER_BYTES, |limits| {
+        usize::try_from(limits.max_header_bytes).unwrap_or(MOST_HEADER_BYTES)
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle).auto_date_header(false);
+    builder.max_header_size(head).max_buf_size(head.max(LEAST_HEADER_BYTES) * 2);
+    builder
+}
+
+async fn respond(proxy: Rc<Proxy>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let work = proxy.life.begin_work();
+    let arrived = proxy.clock.now();
+    let snapshot = proxy.snapshots.newest();
+    let mut response = match snapshot.routes.as_ref().filter(|_| proxy.life.is_current()) {
+        None => answer::refused(PAUSE_UNTIL_READY, None),
+        Some(routes) => match take_in(request, &snapshot, routes, arrived).await {
+            Ok(job) => answer_to(&proxy, job).await,
+            Err((status, facts)) => answer::empty(status, facts.request_id.as_ref()),
+        },
+    };
+    if proxy.life.is_ending() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    drop(work);
+    response
+}
+
+async fn answer_to(proxy: &Rc<Proxy>, job: Job) -> Response<AnswerBody> {
+    if job.route.is_streaming() {
+        stream::serve(proxy, job).await
+    } else {
+        plain::serve(proxy, &job).await
+    }
+}
--- /dev/null
+++ b/tier/proxy/src/plain.rs
@@ -0,0 +1,51 @@
+//! Requests whose answers are passed on whole.
+
+use std::rc::Rc;
+
+use hyper::Response;
+use plankhill_dispatch::{Ended, Fate};
+
+use crate::admission::{Call, Order};
+use crate::answer;
+use crate::body::AnswerBody;
+use crate::intake::Job;
+use crate::process::Proxy;
+use crate::whole::WholeAnswer;
+
+/// Has the request answered. Dropping the future gives the request up.
+pub async fn serve(proxy: &Rc<Proxy>, job: &Job) -> Response<AnswerBody> {
+    let mut admitted = proxy.admission.admit(job.for_dispatch(proxy.admission.next_key()));
+    let mut failure: Option<WholeAnswer> = None;
+    let request_id = Some(&job.outgoing.request_id);
+    loop {
+        let call = match admitted.next_order().await {
+            Order::Call(call) => call,
+            Order::Refuse(retry_after) => return answer::refused(retry_after, request_id),
+            Order::Fail(last) => {
+                return match failure {
+                    Some(failure) => failure.into_response(&job.outgoing.method),
+                    None => answer::failed(last, request_id),
+                }
+            }
+        };
+        let sent = proxy.clock.now();
+        let outcome = whole_answer(proxy, job, &call).await;
+        let took = proxy.clock.now() - sent;
+        match outcome {
+            Ok(answer) => {
+                admitted.ended(answer.ended(took));
+                match answer.fate() {
+                    Fate::Delivered => return answer.into_response(&job.outgoing.method),
+                    Fate::Error => failure = Some(answer),
+                    _ => {}
+                }
+            }
+            Err(fate) => admitted.ended(Ended { took, ..Ended::plain(fate) }),
+        }
+    }
+}
+
+async fn whole_answer(proxy: &Rc<Proxy>, job: &Job, call: &Call) -> Result<WholeAnswer, Fate> {
+    let head = proxy.targets.exchange(call, &job.outgoing, job.most_connections).await?;
+    WholeAnswer::read(head, &proxy.targets.pool, proxy.clock.instant(call.deadline)).await
+}
--- /dev/null
+++ b/tier/proxy/src/run.rs
@@ -0,0 +1,94 @@
+//! Puts the process together.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use plankhill_protocol::transport::listen;
+use plankhill_settings::Settings;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::admission::Admission;
+use crate::clock::Clock;
+use crate::exchange::Targets;
+use crate::process::{Life, Proxy};
+use crate::round_robin::RoundRobin;
+use crate::snapshot::SnapshotCell;
+use crate::target_pool::TargetPool;
+use crate::turn_store::Unstored;
+use crate::{feed, listener, ping, ready, shutdown};
+
+/// Descriptors that are left for connections to targets, to stores and to the agent, as a share of all.
+const SHARE_FOR_OTHERS: f64 = 0.4;
+
+/// Why the process ended without being asked to.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The settings name no address for clients, or none for readiness.
+    #[error("the settings lack listeners_map.{0}")]
+    NoListener(&'static str),
+    /// The address cannot be listened at.
+    #[error("cannot listen at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system answered.
+        source: io::Error,
+    },
+    /// The operating system refused something that the process cannot do without.
+    #[error("{0}")]
+    System(#[from] io::Error),
+}
+
+/// Runs the proxy until it is asked to end.
+///
+/// # Errors
+/// [`RunError`] if it cannot start.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    let clients = settings.listeners_map.http.ok_or(RunError::NoListener("http"))?;
+    let readiness = settings.listeners_map.readiness.ok_or(RunError::NoListener("readiness"))?;
+    let clients = bound(clients)?;
+    let readiness = bound(readiness)?;
+    let (pings, ping_orders) = mpsc::unbounded_channel();
+    let proxy = assemble(pings);
+    let (follower, subscription) = (proxy.clone(), feed::subscribe(&settings));
+    tokio::task::spawn_local(feed::follow(follower, subscription));
+    tokio::task::spawn_local(ping::carry_out(proxy.clone(), ping_orders));
+    let admission = proxy.admission.clone();
+    tokio::task::spawn_local(async move { admission.keep_time().await });
+    tokio::task::spawn_local(ready::serve(proxy.clone(), readiness));
+    tokio::task::spawn_local(listener::serve(proxy.clone(), clients, most_clients(&settings)));
+    tracing::info!(node = %settings.node_id, "proxy started");
+    shutdown::ended(proxy, settings.bounds).await?;
+    Ok(())
+}
+
+fn assemble(pings: mpsc::UnboundedSender<crate::admission::PingOrder>) -> Rc<Proxy> {
+    let clock = Clock::start();
+    let pool = Rc::new(TargetPool::default());
+    let decisions = Box::new(RoundRobin::default());
+    let admission = Rc::new(Admission::new(clock, decisions, pool.clone(), pings));
+    Rc::new(Proxy {
+        clock,
+        snapshots: SnapshotCell::default(),
+        admission,
+        targets: Targets { clock, pool },
+        turns: Rc::new(Unstored),
+        life: Rc::new(Life::default()),
+    })
+}
+
+fn bound(address: SocketAddr) -> Result<tokio::net::TcpListener, RunError> {
+    listen(address).map_err(|source| RunError::Listen { address, source })
+}
+
+fn most_clients(settings: &Settings) -> usize {
+    let most = settings.limits.max_fds as f64 * (1.0 - SHARE_FOR_OTHERS);
+    (most as usize).max(1)
+}
--- a/tier/proxy/src/snapshot.rs
+++ b/tier/proxy/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use plankhill_configuration::{Configuration, RouteTable};
 use plankhill_protocol::tables::{ConfigurationText, Tables};
@@ -10,7 +11,7 @@
 #[derive(Debug, Default)]
 pub struct Snapshot {
     /// As the agent sent them.
-    pub tables: Tables,
+    pub tables: Arc<Tables>,
     /// None before the operator's first configuration.
     pub routes: Option<Rc<RouteTable>>,
 }
@@ -28,7 +29,7 @@
     }
 
     /// Replaces the snapshot unless the tables are older than what is held; true if it did.
-    pub fn replace(&self, tables: Tables) -> bool {
+    pub fn replace(&self, tables: Arc<Tables>) -> bool {
         let held = self.newest();
         if tables.revision < held.tables.revision {
             return false;
@@ -47,7 +48,7 @@
         return held.routes.clone();
     }
     match Configuration::parse(&text.document) {
-        Ok(configuration) => Some(Rc::new(RouteTable::new(&configuration))),
+        Ok(configuration) => Some(Rc::new(RouteTable::new(configuration))),
         Err(error) => {
             tracing::error!(version = text.version, %error, "configuration cannot be read");
             held.routes.clone()
--- /dev/null
+++ b/tier/proxy/src/stream/run.rs
@@ -0,0 +1,167 @@
+//! One stream from its admission to its end, over all targets that it takes.
+
+use std::rc::Rc;
+
+use hyper::StatusCode;
+use plankhill_dispatch::{Ended, Fate, Ms};
+use tokio::time::Instant;
+
+use super::client::Client;
+use super::relay::{is_stream, Passed, Relay};
+use crate::admission::{Admitted, Call, Order};
+use crate::answer;
+use crate::exchange::TargetHead;
+use crate::intake::Job;
+use crate::process::Proxy;
+use crate::turn::{Handed, Turn, TurnRefusal};
+use crate::whole::WholeAnswer;
+
+/// A stream may run on this long after its deadline, in milliseconds: the target ends it by itself, and its
+/// last events are on their way then.
+const AFTER_DEADLINE: Ms = 50.0;
+/// What a client is told while the stores cannot tell, in milliseconds.
+const PAUSE_FOR_STORES: Ms = 200.0;
+
+/// What is left to be done for the turn, however the stream ends.
+pub struct Ending {
+    /// The turn, if the stores know of it.
+    pub turn: Option<Turn>,
+    /// What the client was handed.
+    pub handed: Handed,
+    /// Whether the stores have acknowledged the end.
+    pub settled: bool,
+}
+
+/// Has the stream answered. May be dropped at any time.
+pub async fn run(proxy: &Rc<Proxy>, job: &mut Job, client: &mut Client, ending: &mut Ending) {
+    if let Some(turn) = &mut ending.turn {
+        match turn.begin(proxy.clock.instant(job.deadline)).await {
+            Ok(body) => job.outgoing.body = body,
+            Err(refusal) => {
+                let id = Some(&job.outgoing.request_id);
+                client.answer(match refusal {
+                    TurnRefusal::BudgetSpent => answer::empty(StatusCode::PAYMENT_REQUIRED, id),
+                    TurnRefusal::NoSuchTurn => answer::empty(StatusCode::NOT_FOUND, id),
+                    TurnRefusal::Unsure => answer::refused(PAUSE_FOR_STORES, id),
+                });
+                return;
+            }
+        }
+    }
+    let admitted = proxy.admission.admit(job.for_dispatch(proxy.admission.next_key()));
+    let mut stream = StreamRun { proxy, job, client, ending, passed: Passed::default(), failure: None };
+    if stream.to_its_end(admitted).await {
+        stream.finish().await;
+    }
+}
+
+struct StreamRun<'run> {
+    proxy: &'run Rc<Proxy>,
+    job: &'run mut Job,
+    client: &'run mut Client,
+    ending: &'run mut Ending,
+    passed: Passed,
+    /// The last whole failure of a target.
+    failure: Option<WholeAnswer>,
+}
+
+impl StreamRun<'_> {
+    /// True if a stream has come whole; otherwise the client has its answer, or the stream is to be cut.
+    async fn to_its_end(&mut self, mut admitted: Admitted) -> bool {
+        loop {
+            let call = match admitted.next_order().await {
+                Order::Call(call) => call,
+                Order::Refuse(retry_after) => {
+                    let id = Some(&self.job.outgoing.request_id);
+                    self.client.answer(answer::refused(retry_after, id));
+                    return false;
+                }
+                Order::Fail(last) => {
+                    self.fail(last);
+                    return false;
+                }
+            };
+            let sent = self.proxy.clock.now();
+            let fate = match self.call(&call, sent).await {
+                Ok(ended) | Err(ended) => {
+                    let fate = ended.fate;
+                    admitted.ended(ended);
+                    fate
+                }
+            };
+            if fate == Fate::Delivered {
+                return self.ending.handed.whole;
+            }
+        }
+    }
+
+    async fn call(&mut self, call: &Call, sent: Ms) -> Result<Ended, Ended> {
+        self.job.outgoing.last_event_id = self.passed.last_id;
+        let exchange = self.proxy.targets.exchange(call, &self.job.outgoing, self.job.most_connections);
+        let head = exchange.await;
+        let took = self.proxy.clock.now() - sent;
+        let ended = |fate| Ended { took, ..Ended::plain(fate) };
+        let head = head.map_err(ended)?;
+        if is_stream(head.status, &head.headers) && head.fate() == Fate::Delivered {
+            self.stream(call, head).await.map_err(ended)?;
+            let longest_pause = Some(self.passed.longest_pause);
+            return Ok(Ended { longest_pause, ..ended(Fate::Delivered) });
+        }
+        let deadline = self.proxy.clock.instant(call.deadline);
+        let answer = WholeAnswer::read(head, &self.proxy.targets.pool, deadline).await.map_err(ended)?;
+        let mut told = answer.ended(took);
+        match answer.fate() {
+            Fate::Delivered if self.client.has_begun() => told.fate = Fate::Error,
+            Fate::Delivered => {
+                let response = answer.into_response(&self.job.outgoing.method);
+                self.client.answer(response);
+            }
+            Fate::Error => self.failure = Some(answer),
+            _ => {}
+        }
+        Ok(told)
+    }
+
+    /// Passes one target's stream on; it came whole if there is no error.
+    async fn stream(&mut self, call: &Call, head: TargetHead) -> Result<(), Fate> {
+        if let Some(load) = head.load() {
+            self.proxy.admission.load_seen(&call.target, load);
+        }
+        let TargetHead { status, headers, mut body, connection } = head;
+        let deadline = self.proxy.clock.instant(call.deadline + AFTER_DEADLINE);
+        let mut relay = Relay {
+            client: &mut *self.client,
+            handed: &mut self.ending.handed,
+            passed: &mut self.passed,
+            keep_output: self.ending.turn.as_ref().is_some_and(Turn::is_kept),
+        };
+        relay.pass_on(status, &headers, &mut body, deadline).await?;
+        self.proxy.targets.pool.put_back(connection, &headers, Instant::now());
+        self.ending.handed.whole = true;
+        Ok(())
+    }
+
+    /// The last target's own failure if it came whole; an answer that has begun is cut.
+    fn fail(&mut self, last: Fate) {
+        let response = match self.failure.take() {
+            Some(failure) => failure.into_response(&self.job.outgoing.method),
+            None => answer::failed(last, Some(&self.job.outgoing.request_id)),
+        };
+        self.client.answer(response);
+    }
+
+    /// Ends the answer as complete: a turn that is kept only once the stores have it.
+    async fn finish(&mut self) {
+        let kept = self.ending.turn.as_ref().filter(|turn| turn.is_kept());
+        if let Some(turn) = kept {
+            let until = self.proxy.clock.instant(self.job.deadline);
+            if !turn.end(&self.ending.handed, until).await {
+                // It is cut, and settled by what was handed out.
+                self.ending.handed.whole = false;
+                return;
+            }
+            self.ending.settled = true;
+        }
+        self.client.end().await;
+    }
+}
--- a/tier/proxy/src/target_pool.rs
+++ b/tier/proxy/src/target_pool.rs
@@ -164,7 +164,7 @@
 }
 
 fn usable(idle: &Idle, now: Instant) -> bool {
-    idle.until > now && idle.connection.sender.is_ready()
+    idle.until > now && !idle.connection.sender.is_closed()
 }
 
 /// How long a connection may rest after an answer with this head.
--- a/tier/proxy/src/turn_store.rs
+++ b/tier/proxy/src/turn_store.rs
@@ -46,3 +46,19 @@
     /// Settles the turn's budget and keeps what is to be kept; [`StoreReply::Unsure`] after `within`.
     fn end(&self, turn: EndTurn, within: Duration) -> LocalFuture<StoreReply>;
 }
+
+/// Keeps nothing: stands in for the stores.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unstored;
+
+impl TurnStore for Unstored {
+    fn view_changed(&self, _view: &StoreView) {}
+
+    fn begin(&self, _turn: BeginTurn, _within: Duration) -> LocalFuture<StoreReply> {
+        Box::pin(async { StoreReply::Begun { history: std::sync::Arc::from([]), previous: None } })
+    }
+
+    fn end(&self, _turn: EndTurn, _within: Duration) -> LocalFuture<StoreReply> {
+        Box::pin(async { StoreReply::Ended })
+    }
+}
--- /dev/null
+++ b/tier/proxy/src/whole.rs
@@ -0,0 +1,81 @@
+//! Answers of targets that are passed on whole.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Response, StatusCode};
+use plankhill_dispatch::{Ended, Fate, Ms, UpstreamLoad};
+use tokio::time::{timeout_at, Instant};
+
+use crate::body::AnswerBody;
+use crate::exchange::TargetHead;
+use crate::headers::strip_connection_headers;
+use crate::target_pool::TargetPool;
+
+/// The largest answer that is held whole, in bytes.
+const MOST_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// An answer that has come whole.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+    fate: Fate,
+    load: Option<UpstreamLoad>,
+    retry_after: Option<Ms>,
+}
+
+impl WholeAnswer {
+    /// Reads the rest of an answer. The connection goes back to the pool.
+    ///
+    /// # Errors
+    /// How the call ended if the answer does not come whole in time.
+    pub async fn read(head: TargetHead, pool: &TargetPool, deadline: Instant) -> Result<Self, Fate> {
+        let (fate, load, retry_after) = (head.fate(), head.load(), head.retry_after());
+        let bounded = is_bounded(&head);
+        let body = Limited::new(head.body, MOST_ANSWER_BYTES).collect();
+        let body = match timeout_at(deadline, body).await {
+            Err(_) => return Err(Fate::TimedOut),
+            Ok(Err(_)) => return Err(Fate::Reset),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        if !bounded {
+            // It ended with its connection: nobody can tell whether that was its end.
+            return Err(Fate::Reset);
+        }
+        pool.put_back(head.connection, &head.headers, Instant::now());
+        Ok(WholeAnswer { status: head.status, headers: head.headers, body, fate, load, retry_after })
+    }
+
+    /// How the call ended.
+    pub fn fate(&self) -> Fate {
+        self.fate
+    }
+
+    /// The end of the call as the dispatcher wants to hear it.
+    pub fn ended(&self, took: Ms) -> Ended {
+        Ended { fate: self.fate, took, retry_after: self.retry_after, load: self.load, longest_pause: None }
+    }
+
+    /// The answer to the client: the target's, unchanged.
+    pub fn into_response(self, method: &Method) -> Response<AnswerBody> {
+        let mut headers = self.headers;
+        strip_connection_headers(&mut headers);
+        if method != Method::HEAD {
+            headers.remove(header::CONTENT_LENGTH);
+        }
+        let mut response = Response::new(AnswerBody::whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
+
+/// Whether the end of the body is marked.
+fn is_bounded(head: &TargetHead) -> bool {
+    let without_body = head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
+    without_body
+        || head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
