--- a/tier/proxy/src/stream/run.rs
+++ b/tier/proxy/src/stream/run.rs
@@ -50,7 +50,7 @@
     }
     let admitted = proxy.admission.admit(job.for_dispatch(proxy.admission.next_key()));
     let mut stream = StreamRun { proxy, job, client, ending, passed: Passed::default(), failure: None };
-    if stream.to_its_end(admitted).await {
+    if stream.dispatch(admitted).await {
         stream.finish().await;
     }
 }
@@ -67,7 +67,7 @@
 
 impl StreamRun<'_> {
     /// True if a stream has come whole; otherwise the client has its answer, or the stream is to be cut.
-    async fn to_its_end(&mut self, mut admitted: Admitted) -> bool {
+    async fn dispatch(&mut self, mut admitted: Admitted) -> bool {
         loop {
             let call = match admitted.next_order().await {
                 Order::Call(call) => call,
