Decision module: pauses, spacing and the choice of a target may be told by the host

Cause: the serving tier applies the same module to model and tool targets. What it does not share stands in Terms::tuning, whose default is the present program, and in Decisions::choose, whose default leaves the draw as it was.

--- a/emulator/src/world/starts.rs
+++ b/emulator/src/world/starts.rs
@@ -71,6 +71,7 @@
             warm_after: rules.warm_after,
             tip_multiple: rules.tip_multiple,
             key_rest: rules.key_rest,
+            tuning: names::Tuning::default(),
         };
         let of = &scenario.forwarders;
         deciders::start(of.decisions, terms, of.time_out, &self.names, self.now)
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -50,8 +50,7 @@
         let event = events.get_mut(&place).expect("held");
         event.over = true;
         let effect = self.here.terms.traffic[event.traffic.0].effect;
-        let one_zone = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
-        let dismissed = event.may_have_run.is_none() || effect != Effect::Binding && !one_zone;
+        let dismissed = event.may_have_run.is_none() || effect != Effect::Binding && !effect.stays_in_zone();
         let advice = self.here.terms.longest_advice;
         event.unheard = if dismissed { out.dismiss(&event.id, advice) } else { out.write_off(&event.id) };
         self.unheard += event.unheard as usize;
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -80,7 +80,7 @@
             let budget = BUDGET * terms.tip_multiple * warm * self.usual(here);
             rate = rate.min(budget.max(least) * lane.trust.max(1.0));
         }
-        rate.is_finite().then_some(rate)
+        (rate.is_finite() && terms.tuning.spaced).then_some(rate)
     }
 
     /// What usually goes to each lane a second, now or before it was cold, also in an earlier process: events
--- a/src/decide/outcomes.rs
+++ b/src/decide/outcomes.rs
@@ -54,9 +54,9 @@
         }
         let event = to.events.get_mut(&place).expect("placed");
         event.over |= over || fate == Fate::Delivered;
-        // Half a second, doubling with its sends, jittered.
-        let pause = 500.0 * f64::powi(2.0, event.sends.min(6) as i32 - 1) * jitter(here.draw(place));
-        event.not_before = now + if fate == Fate::Full { 0.5 * pause } else { pause };
+        // Half a second, or as told, doubling with its sends, jittered.
+        let pause = here.terms.tuning.pauses.after(fate) * f64::powi(2.0, event.sends.min(6) as i32 - 1);
+        event.not_before = now + pause * jitter(here.draw(place));
         if fate.may_have_run() {
             event.may_have_run.get_or_insert((sent, zone));
         }
@@ -102,7 +102,7 @@
             // A connection refused, and answered soon after: no outage, its targets take no more of them.
             let crammed = lane.unconnected_at.take().is_some_and(|at| now - at < 3.0 * PING);
             here.counts[self.kind.0].unconnected.add(now, REUSE, crammed as u8 as f64);
-            lane.release(now);
+            (!lane.offline || !here.terms.tuning.released_by_pings).then(|| lane.release(now));
         }
         let target = lane.targets.iter_mut().find(|target| target.id == *id).expect("kept while called");
         match fate {
@@ -134,7 +134,7 @@
                     let KindCounts { full, answered, .. } = &here.counts[self.kind.0];
                     let share = full.read(now, REUSE) / (answered.read(now, REUSE) + 8.0);
                     let wide = (1.0 + EATEN * share * share) * f64::powi(2.0, lane.refusals.min(4));
-                    let base = (250.0 * here.terms.forwarders.sqrt()).min(1000.0);
+                    let base = (250.0 * here.terms.forwarders.sqrt()).min(here.terms.tuning.widest_spread());
                     let spread = (base * wide / (recent / OFTEN).max(1.0)).min(spacings);
                     lane.held_until = now + wait + spread.max(cold_spacing) * chance;
                 }
--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -35,7 +35,7 @@
         let (to, here) = (self.destinations.get_mut(&id).expect("ready"), &mut self.here);
         let (heads, open, _) = to.prospects(here, &self.keys);
         let Some(first) = heads.first() else { return };
-        let (at, target) = to.pick(here, &to.events[first], &open);
+        let (at, target) = to.pick(here, *first, &open, out);
         let called = &to.lanes[at].targets[target];
         let most = here.terms.kinds[to.kind.0].events_per_call.max(1);
         let most = if to.lanes[at].is_cold(here) { most.min(1 + (1.0 / RIDER) as usize) } else { most };
@@ -76,7 +76,7 @@
 impl Destination {
     /// The heads that can go now, the targets (lane and place in it) that take a call now, and when the next
     /// of either may.
-    pub(super) fn prospects(&self, here: &Here, keys: &Keys) -> (Vec<u64>, Vec<(usize, usize)>, Ms) {
+    pub(super) fn prospects(&self, here: &Here, keys: &Keys) -> (Vec<u64>, Vec<Spot>, Ms) {
         let (mut open, mut opens) = (Vec::new(), f64::INFINITY);
         for (at, lane) in self.lanes.iter().enumerate() {
             let from = self.opens_at(here, at);
@@ -120,14 +120,16 @@
     }
 
     /// Two targets drawn at random, and the one that our own counts favour: not just failed, fewer calls out,
-    /// and of two alike the one to which a connection stands idle, as a new one has its price and its time.
-    pub(super) fn pick(&self, here: &mut Here, event: &Event, open: &[(usize, usize)]) -> (usize, usize) {
-        let target = |&(at, target): &(usize, usize)| &self.lanes[at].targets[target];
+    /// and of two alike the one with an idle connection, as a new one has its price; or the one that the host names.
+    pub(super) fn pick(&self, here: &mut Here, first: u64, open: &[Spot], out: &mut impl Decisions) -> Spot {
+        let (event, target) = (&self.events[&first], |&(at, t): &Spot| &self.lanes[at].targets[t]);
         let from: Vec<_> = open.iter().filter(|t| here.may_go(event, target(t))).collect();
         let one = (here.draw(4) * from.len() as f64) as usize;
         let other = (one + 1 + (here.draw(5) * (from.len().max(2) - 1) as f64) as usize) % from.len();
         let weigh = |t: &Target| (t.shunned_until > here.now, t.out, t.idle_since.is_none());
-        *from[if weigh(target(from[other])) < weigh(target(from[one])) { other } else { one }]
+        let drawn = if weigh(target(from[other])) < weigh(target(from[one])) { other } else { one };
+        let chosen = out.choose(&event.id, &mut from.iter().map(|t| &target(t).id));
+        *from[chosen.filter(|at| *at < from.len()).unwrap_or(drawn)]
     }
 
     /// When something but a send is due here: an event's end, a ping, an idle connection's.
@@ -148,8 +150,7 @@
 
 impl Here {
     pub(super) fn may_go(&self, event: &Event, target: &Target) -> bool {
-        let effect = self.terms.traffic[event.traffic.0].effect;
-        let bound = matches!(effect, Effect::Fingerprinted { one_zone: true, .. });
+        let bound = self.terms.traffic[event.traffic.0].effect.stays_in_zone();
         !bound || event.may_have_run.is_none_or(|(_, zone)| zone == target.zone)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,13 @@
     Binding,
 }
 
+impl Effect {
+    /// Once it may have run, it may only go where its first send went.
+    pub fn stays_in_zone(self) -> bool {
+        matches!(self, Effect::Fingerprinted { one_zone: true, .. })
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct TrafficType {
     pub effect: Effect,
@@ -61,6 +68,56 @@
     pub events_per_call: usize,
 }
 
+/// The first pause before an event goes again, by how its send ended. It doubles with the sends.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryPauses {
+    /// After a failure.
+    pub failed: Ms,
+    /// After a refusal.
+    pub refused: Ms,
+    /// After a send of which nothing left.
+    pub unsent: Ms,
+}
+
+impl RetryPauses {
+    pub fn after(&self, fate: Fate) -> Ms {
+        match fate {
+            Fate::Full => self.refused,
+            Fate::NoConnection | Fate::NotSent => self.unsent,
+            _ => self.failed,
+        }
+    }
+}
+
+/// Where deployments of the module differ. The default is that of the forwarder of events.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    pub pauses: RetryPauses,
+    /// Calls are spaced after refusals and while a lane is cold. Off where targets queue and refuse for
+    /// themselves and a refusal costs nothing: only waits that were told hold a lane then.
+    pub spaced: bool,
+    /// An offline lane is released by a ping alone, not by the answer to a call that was still out.
+    pub released_by_pings: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        let pauses = RetryPauses { failed: 500.0, refused: 250.0, unsent: 500.0 };
+        Tuning { pauses, spaced: true, released_by_pings: false }
+    }
+}
+
+impl Tuning {
+    /// The most that the first spread after a refusal is, before it grows with the refusals in a row.
+    pub fn widest_spread(&self) -> Ms {
+        if self.spaced {
+            1000.0
+        } else {
+            0.0
+        }
+    }
+}
+
 /// What a forwarder is told once, at its start.
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
@@ -82,6 +139,7 @@
     pub warm_after: Ms,
     pub tip_multiple: f64,
     pub key_rest: Ms,
+    pub tuning: Tuning,
 }
 
 /// How the list speaks of a target.
@@ -139,6 +197,11 @@
 
 /// Takes the decisions of one round, in the order in which they are to run.
 pub trait Decisions {
+    /// The place among the targets that take the event now of the one that is to have it. None leaves it to
+    /// the draw of two.
+    fn choose(&mut self, _: &EventId, _: &mut dyn Iterator<Item = &TargetId>) -> Option<usize> {
+        None
+    }
     /// The call's last byte has to have left by `leaves_by`, or none of it may leave: it ends as not sent then.
     /// That is a time on the clock of the host, infinite where nothing bounds it.
     fn send(&mut self, event: &EventId, target: &TargetId, time_out: Ms, leaves_by: Ms);
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,9 @@
     pub(crate) answers: AnswerTimes,
 }
 
+/// A lane of its destination, and the place of a target in it.
+pub(crate) type Spot = (usize, usize);
+
 /// In doubt, calls out, and when it last had a turn: the least is next.
 pub(crate) type Turn = (bool, usize, u64);
 
--- a/terms/src/decisions.rs
+++ b/terms/src/decisions.rs
@@ -101,6 +101,7 @@
         warm_after: time(rules, "coldUs").map_err(within("rules"))?,
         tip_multiple: number(rules, "tipMultiple").map_err(within("rules"))?,
         key_rest: optional_time(rules, "keyQuietUs")?,
+        tuning: Tuning::default(),
     };
     Ok((terms, names))
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -53,6 +53,7 @@
         warm_after: 10_000.0,
         tip_multiple: 2.0,
         key_rest: 300.0,
+        tuning: Tuning::default(),
     }
 }
 
--- a/tier/dispatch/src/lib.rs
+++ b/tier/dispatch/src/lib.rs
@@ -1,1 +1,22 @@
-//! Which target gets which request and when: the decision module applied to the serving tier, without I/O.
+//! Dispatch of requests to targets, without I/O: the decision module (`plankhill`) applied inside the proxy.
+//!
+//! The decision module decides which request goes next and when; here stand what the tier knows besides
+//! (prefix caches, reported load, attempts, urgency) and the translation between both. Time is passed in as
+//! an argument, in milliseconds on the proxy's clock.
+
+pub mod admission;
+pub mod affinity;
+mod bridge;
+mod dispatcher;
+mod holds;
+mod interface;
+pub mod load;
+mod module_terms;
+mod requests;
+pub mod retry;
+pub mod settle;
+mod targets;
+
+pub use dispatcher::Dispatcher;
+pub use interface::*;
+pub use plankhill::interface::{Fate, Ms};
--- /dev/null
+++ b/tier/dispatch/src/load.rs
@@ -0,0 +1,110 @@
+//! How full a target is: the calls that this proxy has out there, and what the target last reported.
+
+use plankhill::interface::Ms;
+
+use crate::interface::UpstreamLoad;
+
+/// A report loses half of its weight in this time: about as long as a call takes.
+const HALF_LIFE: Ms = 400.0;
+/// What a target whose slots are all taken costs, in expected milliseconds; less in proportion while they are
+/// not. Batches slow down by about a tenth of a common answer, plain services near their limit by more.
+const ALL_SLOTS: Ms = 100.0;
+/// The weight of the newest answer in the usual answer time.
+const NEWEST: f64 = 0.1;
+/// The usual answer time before any answer was seen.
+const INITIAL_ANSWER: Ms = 100.0;
+/// A target that failed last is avoided for this long while others serve: until a ping or another's call
+/// tells more.
+const AVOIDED: Ms = 500.0;
+/// What that avoidance weighs, in expected milliseconds.
+const AVOIDED_COST: Ms = 1_000.0;
+/// Bounds of the wait derived from a refusal as full.
+const SHORTEST_WAIT: Ms = 20.0;
+const LONGEST_WAIT: Ms = 500.0;
+
+/// The load of one target as this proxy sees it.
+#[derive(Clone, Debug)]
+pub struct TargetLoad {
+    slots: f64,
+    out: u32,
+    reported_by_others: f64,
+    reported_at: Ms,
+    usual_answer: Option<Ms>,
+    avoided_until: Ms,
+}
+
+impl TargetLoad {
+    /// A target of which only the registered capacity is known.
+    pub fn new(capacity: u32) -> Self {
+        TargetLoad {
+            slots: f64::from(capacity.max(1)),
+            out: 0,
+            reported_by_others: 0.0,
+            reported_at: 0.0,
+            usual_answer: None,
+            avoided_until: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Calls of this proxy that are out.
+    pub fn out(&self) -> u32 {
+        self.out
+    }
+
+    /// A call leaves.
+    pub fn sent(&mut self) {
+        self.out += 1;
+    }
+
+    /// A call has ended.
+    pub fn ended(&mut self) {
+        self.out = self.out.saturating_sub(1);
+    }
+
+    /// Takes in a report. Calls of this proxy are not counted twice.
+    pub fn reported(&mut self, now: Ms, load: UpstreamLoad) {
+        let all = f64::from(load.running) + f64::from(load.waiting);
+        self.reported_by_others = (all - f64::from(self.out)).max(0.0);
+        self.reported_at = now;
+        if load.slots > 0 {
+            self.slots = f64::from(load.slots);
+        }
+    }
+
+    /// Takes in how long an answer's head took.
+    pub fn answered(&mut self, took: Ms) {
+        let before = self.usual_answer.unwrap_or(took);
+        self.usual_answer = Some(before + NEWEST * (took - before));
+        self.avoided_until = f64::NEG_INFINITY;
+    }
+
+    /// A call failed there.
+    pub fn failed(&mut self, now: Ms) {
+        self.avoided_until = now + AVOIDED;
+    }
+
+    /// Requests that are probably there, of all proxies.
+    pub fn estimate(&self, now: Ms) -> f64 {
+        let age = (now - self.reported_at).max(0.0);
+        f64::from(self.out) + self.reported_by_others * (-age / HALF_LIFE).exp2()
+    }
+
+    /// How much longer an answer from here takes than from an idle target, in expected milliseconds.
+    pub fn cost(&self, now: Ms) -> Ms {
+        let estimate = self.estimate(now);
+        let running = estimate.min(self.slots);
+        let waiting = estimate - running;
+        let avoided = if now < self.avoided_until { AVOIDED_COST } else { 0.0 };
+        ALL_SLOTS * running / self.slots + waiting * self.answer_time() / self.slots + avoided
+    }
+
+    /// How long a target that refused as full takes nothing: until a tenth of what it has there is done.
+    pub fn wait_after_refusal(&self, now: Ms) -> Ms {
+        let there = self.estimate(now).max(self.slots);
+        (0.1 * there * self.answer_time() / self.slots).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+    }
+
+    fn answer_time(&self) -> Ms {
+        self.usual_answer.unwrap_or(INITIAL_ANSWER)
+    }
+}
--- /dev/null
+++ b/tier/dispatch/src/retry.rs
@@ -0,0 +1,67 @@
+//! Whether a request whose call ended undelivered goes again.
+
+use plankhill::interface::Fate;
+
+use crate::interface::Repeats;
+
+/// What is known of a request after a call has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// The target did not run it and never will.
+    NotRun,
+    /// Nobody can tell.
+    MayHaveRun,
+    /// The target ran it, with success or not.
+    Ran,
+}
+
+impl Verdict {
+    /// What the end of a call says.
+    pub fn of(fate: Fate) -> Self {
+        match fate {
+            Fate::Full | Fate::NoConnection | Fate::NotSent => Verdict::NotRun,
+            Fate::TimedOut | Fate::Reset | Fate::Cancelled => Verdict::MayHaveRun,
+            Fate::Delivered | Fate::Error => Verdict::Ran,
+        }
+    }
+}
+
+/// Calls of one request that surely did not run, beyond `max_attempts`. Each costs a round trip or less; after
+/// this many the service as a whole is full or gone.
+const MOST_NOT_RUN: u32 = 4;
+
+/// What one request has been through so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Attempts {
+    /// Calls that ran or may have run. `max_attempts` bounds them.
+    pub run: u32,
+    /// Calls that surely did not.
+    pub not_run: u32,
+    /// How the last one ended.
+    pub last: Option<Fate>,
+}
+
+impl Attempts {
+    /// Counts a call that has ended.
+    pub fn count(&mut self, fate: Fate) {
+        self.last = Some(fate);
+        match Verdict::of(fate) {
+            Verdict::NotRun => self.not_run += 1,
+            Verdict::MayHaveRun | Verdict::Ran => self.run += 1,
+        }
+    }
+
+    /// Whether any call may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.run > 0
+    }
+
+    /// Whether another call is allowed. The proxy's own end of a call (`Cancelled`) is final.
+    pub fn allow_another(&self, repeats: Repeats, max_attempts: u32) -> bool {
+        if self.last == Some(Fate::Cancelled) {
+            return false;
+        }
+        let once = repeats == Repeats::Forbidden && self.may_have_run();
+        !once && self.run < max_attempts.max(1) && self.not_run <= MOST_NOT_RUN
+    }
+}
--- /dev/null
+++ b/tier/dispatch/src/settle.rs
@@ -0,0 +1,54 @@
+//! How long a session rests after a call that may still run, derived from the pauses within answers.
+//!
+//! A target drops a request whose connection has closed when it next writes to it, so that the longest pause
+//! between two writes bounds how long the request goes on unseen.
+
+use plankhill::interface::Ms;
+
+/// The rest before any answer was seen.
+const INITIAL: Ms = 200.0;
+/// Bounds of the rest: a round trip inside a region, and the time by which any target has noticed.
+const SHORTEST: Ms = 20.0;
+const LONGEST: Ms = 1_000.0;
+/// The weight of the newest answer in the average.
+const NEWEST: f64 = 0.1;
+/// The rest is that many times the usual longest pause.
+const MARGIN: f64 = 2.0;
+/// A change is passed on when it exceeds this share of the value in use.
+const NOTABLE: f64 = 0.3;
+
+/// The derived settle time.
+#[derive(Clone, Debug)]
+pub struct SettleTime {
+    usual_pause: Option<Ms>,
+    in_use: Ms,
+}
+
+impl Default for SettleTime {
+    fn default() -> Self {
+        SettleTime { usual_pause: None, in_use: INITIAL }
+    }
+}
+
+impl SettleTime {
+    /// The value in use.
+    pub fn value(&self) -> Ms {
+        self.in_use
+    }
+
+    /// Takes in the longest pause of an answer; returns a new value if it changed by much.
+    pub fn seen(&mut self, longest_pause: Ms) -> Option<Ms> {
+        if !longest_pause.is_finite() || longest_pause < 0.0 {
+            return None;
+        }
+        let before = self.usual_pause.unwrap_or(longest_pause);
+        let usual = before + NEWEST * (longest_pause - before);
+        self.usual_pause = Some(usual);
+        let derived = (MARGIN * usual).clamp(SHORTEST, LONGEST);
+        if (derived - self.in_use).abs() <= NOTABLE * self.in_use {
+            return None;
+        }
+        self.in_use = derived;
+        Some(derived)
+    }
+}
