Dispatcher of the serving tier: the API for the proxy, load, prefix affinity, attempts, holds

The decision module gets services as destinations, each target as a lane, sessions as keys. Cold budgets, pace and spread after refusals are off there (Tuning::spaced): targets refuse for themselves.

--- /dev/null
+++ b/tier/dispatch/src/bridge.rs
@@ -0,0 +1,146 @@
+//! Takes the module's decisions of one round and makes commands of them.
+
+use plankhill::interface::{Decisions, EventId, Ms, TargetId};
+
+use crate::admission;
+use crate::affinity::{rank_costs, TOKEN_COST};
+use crate::holds::Holds;
+use crate::interface::{Command, RequestKey};
+use crate::requests::{key_of, Request, Requests};
+use crate::targets::{KnownTarget, Targets};
+
+/// What a target in another zone costs, in expected milliseconds: a round trip between zones and the price of
+/// the bytes.
+const OTHER_ZONE_COST: Ms = 6.0;
+/// A target may have this many times the requests of the least loaded one, and a few more, before a prompt
+/// that it keeps goes elsewhere.
+const BOUND_SHARE: f64 = 1.25;
+const BOUND_FEW: f64 = 6.0;
+/// Added to wake-ups, so that none comes a rounding error early.
+const ROUNDING: Ms = 0.01;
+
+/// Everything that decisions are carried out with.
+pub(crate) struct Bridge<'a> {
+    pub(crate) now: Ms,
+    pub(crate) requests: &'a mut Requests,
+    pub(crate) targets: &'a mut Targets,
+    pub(crate) holds: &'a mut Holds,
+    pub(crate) commands: &'a mut Vec<Command>,
+    pub(crate) draws: &'a mut u64,
+    pub(crate) wake_at: &'a mut Option<Ms>,
+}
+
+impl Bridge<'_> {
+    /// The final answer of a request, as far as the proxy gives it.
+    pub(crate) fn end(&mut self, key: RequestKey) {
+        self.holds.remove(key);
+        let Some(request) = self.requests.get_mut(key) else { return };
+        if std::mem::replace(&mut request.is_over, true) {
+            return;
+        }
+        let command = if request.attempts.may_have_run() {
+            Command::Fail { request: key, last: request.last_fate() }
+        } else {
+            let chance = draw(self.draws);
+            let opens_at = self.targets.opens_at(request.service, self.now);
+            let retry_after = admission::retry_after(self.now, opens_at, request.objective, chance);
+            Command::Refuse { request: key, retry_after }
+        };
+        self.commands.push(command);
+        self.requests.forget_if_done(key);
+    }
+
+    /// The target that costs least, within the bound on load.
+    fn cheapest(&self, request: &Request, open: &[&KnownTarget]) -> Option<usize> {
+        let estimates: Vec<f64> = open.iter().map(|target| target.load.estimate(self.now)).collect();
+        let least = estimates.iter().copied().fold(f64::INFINITY, f64::min);
+        let bound = BOUND_SHARE * least + BOUND_FEW;
+        let mut costs: Vec<Ms> = open.iter().map(|target| self.cost(request, target)).collect();
+        if !request.chains.is_empty() {
+            let hashes: Vec<u64> = open.iter().map(|target| target.hash).collect();
+            let ranks = rank_costs(&request.chains, &hashes);
+            costs.iter_mut().zip(ranks).for_each(|(cost, rank)| *cost += rank);
+        }
+        let within = (0..open.len()).filter(|&at| estimates[at] <= bound);
+        within.min_by(|&one, &other| costs[one].total_cmp(&costs[other]))
+    }
+
+    fn cost(&self, request: &Request, target: &KnownTarget) -> Ms {
+        let zone = if target.in_own_zone { 0.0 } else { OTHER_ZONE_COST };
+        let reading = TOKEN_COST * f64::from(target.kept.missing(&request.chains));
+        target.load.cost(self.now) + zone + reading
+    }
+}
+
+impl Decisions for Bridge<'_> {
+    fn choose(&mut self, event: &EventId, open: &mut dyn Iterator<Item = &TargetId>) -> Option<usize> {
+        let request = self.requests.get(key_of(event)?)?;
+        let open: Option<Vec<&KnownTarget>> = open.map(|id| self.targets.get(id)).collect();
+        let open = open?;
+        if request.chains.is_empty() {
+            // Of those that cost alike any may be it: proxies that all took the first would meet there.
+            let start = (draw(self.draws) * open.len() as f64) as usize;
+            let turned: Vec<&KnownTarget> = open[start..].iter().chain(&open[..start]).copied().collect();
+            return self.cheapest(request, &turned).map(|at| (at + start) % open.len());
+        }
+        self.cheapest(request, &open)
+    }
+
+    fn send(&mut self, event: &EventId, target: &TargetId, _: Ms, _: Ms) {
+        let Some(key) = key_of(event) else { return };
+        let (Some(request), Some(known)) = (self.requests.get_mut(key), self.targets.get_mut(target)) else {
+            return;
+        };
+        self.holds.remove(key);
+        request.is_out = true;
+        known.load.sent();
+        known.kept.note(&request.chains);
+        self.commands.push(Command::Send {
+            request: key,
+            target: known.id.clone(),
+            address: known.address,
+            deadline: request.deadline,
+            priority: request.priority,
+        });
+    }
+
+    fn dismiss(&mut self, event: &EventId, _: Option<Ms>) -> bool {
+        key_of(event).into_iter().for_each(|key| self.end(key));
+        false
+    }
+
+    fn write_off(&mut self, event: &EventId) -> bool {
+        key_of(event).into_iter().for_each(|key| self.end(key));
+        false
+    }
+
+    fn ping(&mut self, target: &TargetId) {
+        if let Some(known) = self.targets.get(target) {
+            self.commands.push(Command::Ping { target: known.id.clone(), address: known.address });
+        }
+    }
+
+    fn close_idle(&mut self, target: &TargetId) {
+        if let Some(known) = self.targets.get(target) {
+            self.commands.push(Command::CloseIdle { target: known.id.clone() });
+        }
+    }
+
+    fn take_back(&mut self, target: &TargetId) {
+        if let Some(known) = self.targets.get(target) {
+            self.commands.push(Command::TakeBack { target: known.id.clone() });
+        }
+    }
+
+    fn note_cold(&mut self, _: &TargetId, _: Ms, _: f64) {}
+
+    fn wake_after(&mut self, pause: Ms) {
+        *self.wake_at = Some(self.now + pause + ROUNDING);
+    }
+}
+
+/// A number from 0 to 1, the same sequence for the same start.
+pub(crate) fn draw(state: &mut u64) -> f64 {
+    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    (*state >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/tier/dispatch/src/dispatcher.rs
@@ -0,0 +1,219 @@
+//! The dispatcher: what the proxy hands in is gathered, and one round of the decision module makes commands
+//! of it.
+
+use std::convert::Infallible;
+
+use plankhill::decide::Forwarder;
+use plankhill::interface::{Fate, Ms, OrderKey};
+use plankhill_protocol::ids::InstanceId;
+use plankhill_protocol::tables::Target;
+
+use crate::admission::{self, HeldFor};
+use crate::bridge::Bridge;
+use crate::holds::Holds;
+use crate::inputs::Input;
+use crate::interface::{Command, DispatchSettings, Ended, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
+use crate::module_terms;
+use crate::requests::{Request, Requests};
+use crate::settle::SettleTime;
+use crate::targets::{target_id, Targets};
+
+/// Decides which request goes next to which target.
+///
+/// Every request ends by one of: a call that was delivered, [`Command::Refuse`], [`Command::Fail`], or the
+/// proxy's own [`Dispatcher::withdrawn`]. Every [`Command::Send`] has to be answered by one
+/// [`Dispatcher::ended`], also after a withdrawal.
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    module: Forwarder,
+    inputs: Vec<Input>,
+    requests: Requests,
+    targets: Targets,
+    holds: Holds,
+    settle: SettleTime,
+    draws: u64,
+    /// Requests whose end was decided outside the module's round.
+    given_up: Vec<RequestKey>,
+    /// When the module asked for its next round.
+    wake_at: Option<Ms>,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows no target yet.
+    pub fn new(settings: DispatchSettings, now: Ms) -> Self {
+        let settle = SettleTime::default();
+        let module = Forwarder::start(module_terms::terms(&settings, settle.value()), now);
+        let draws = settings.seed;
+        Dispatcher {
+            settings,
+            module,
+            inputs: Vec::new(),
+            requests: Requests::default(),
+            targets: Targets::default(),
+            holds: Holds::default(),
+            settle,
+            draws,
+            given_up: Vec::new(),
+            wake_at: None,
+        }
+    }
+
+    /// Takes over the tables' targets. Draining ones get nothing new, those not named any more neither; a new
+    /// id at an old address inherits nothing.
+    pub fn tables_changed(&mut self, targets: &[Target]) {
+        let changes = self.targets.replace(&self.settings.zone, targets);
+        self.inputs.extend(changes.into_iter().map(Input::Relisted));
+    }
+
+    /// Takes in a request.
+    pub fn request(&mut self, now: Ms, new: NewRequest) {
+        let key = new.key;
+        if self.requests.get(key).is_some() {
+            return;
+        }
+        let priority = admission::priority(new.priority, new.finish_left, new.objective);
+        let service = self.targets.service(&new.service);
+        let behind = new.session.is_some_and(|session| self.requests.has_session(session));
+        let held_for = if behind { HeldFor::Session } else { HeldFor::FirstSend };
+        self.holds.set(key, admission::hold_until(now, held_for, new.objective, new.deadline));
+        self.requests.insert(key, Request::new(&new, service, priority));
+        self.inputs.push(Input::Taken {
+            key,
+            service,
+            traffic: module_terms::traffic_of(new.repeats, priority),
+            deadline: new.deadline,
+            session: new.session.map(OrderKey),
+        });
+    }
+
+    /// The client has left, or has its answer by other means: the request is not sent any more. A call that
+    /// is out is the proxy's to end.
+    pub fn withdrawn(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        request.is_over = true;
+        self.holds.remove(key);
+        self.requests.forget_if_done(key);
+        self.inputs.push(Input::Withdrawn(key));
+    }
+
+    /// A target told its load, in the head of an answer.
+    pub fn load_seen(&mut self, now: Ms, target: &InstanceId, load: UpstreamLoad) {
+        if let Some(known) = self.targets.get_mut(&target_id(target)) {
+            known.load.reported(now, load);
+        }
+    }
+
+    /// A call ended. Ignored if none was out.
+    pub fn ended(&mut self, now: Ms, key: RequestKey, target: &InstanceId, ended: Ended) {
+        let Some(request) = self.requests.get_mut(key).filter(|request| request.is_out) else { return };
+        request.is_out = false;
+        request.attempts.count(ended.fate);
+        let wait = self.note_end(now, target, &ended);
+        let over = self.decide_next(now, key, ended.fate);
+        let told = plankhill::interface::Ended {
+            took: ended.took,
+            over,
+            wait,
+            ..plankhill::interface::Ended::plain(ended.fate)
+        };
+        self.inputs.push(Input::SendEnded(key, told));
+        self.requests.forget_if_done(key);
+    }
+
+    /// What the end says of the target; returns the wait that holds it.
+    fn note_end(&mut self, now: Ms, target: &InstanceId, ended: &Ended) -> Ms {
+        let settled = ended.longest_pause.and_then(|pause| self.settle.seen(pause));
+        settled.into_iter().for_each(|rest| self.retune(rest));
+        let Some(known) = self.targets.get_mut(&target_id(target)) else { return 0.0 };
+        known.load.ended();
+        if let Some(load) = ended.load {
+            known.load.reported(now, load);
+        }
+        match ended.fate {
+            Fate::Delivered => known.load.answered(ended.took),
+            Fate::Full => {
+                let wait = ended.retry_after.unwrap_or_else(|| known.load.wait_after_refusal(now));
+                known.closed_until = now + wait;
+                return wait;
+            }
+            Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => known.load.failed(now),
+            Fate::Cancelled | Fate::NotSent => (),
+        }
+        0.0
+    }
+
+    /// Whether the request is over by this end; if it is not, it is held for its next call.
+    fn decide_next(&mut self, now: Ms, key: RequestKey, fate: Fate) -> bool {
+        let Some(request) = self.requests.get_mut(key) else { return true };
+        if fate == Fate::Delivered {
+            request.is_over = true;
+        }
+        if request.is_over {
+            return true;
+        }
+        if !request.attempts.allow_another(request.repeats, request.max_attempts) {
+            self.given_up.push(key);
+            return true;
+        }
+        let until = admission::hold_until(now, HeldFor::NextSend, request.objective, request.deadline);
+        self.holds.set(key, until);
+        false
+    }
+
+    /// Changes the rest of a session after a call that may still run.
+    fn retune(&mut self, rest: Ms) {
+        let module = std::mem::take(&mut self.module);
+        self.module = module.resumed(module_terms::terms(&self.settings, rest));
+    }
+
+    /// A health check was answered, or was not.
+    pub fn pinged(&mut self, target: &InstanceId, answer: PingAnswer) {
+        let id = target_id(target);
+        let fate = match answer {
+            PingAnswer::Healthy => Fate::Delivered,
+            PingAnswer::Unhealthy => Fate::Error,
+        };
+        self.inputs.push(Input::PingEnded(id, fate));
+    }
+
+    /// Runs one round of the decision module and returns what is to be done. To be called after anything was
+    /// handed in, and at the time of the last [`Command::WakeAt`].
+    pub fn commands(&mut self, now: Ms) -> Vec<Command> {
+        let mut commands = Vec::new();
+        self.wake_at.take_if(|at| *at <= now);
+        let (inputs, given_up) = (std::mem::take(&mut self.inputs), std::mem::take(&mut self.given_up));
+        let mut bridge = Bridge {
+            now,
+            requests: &mut self.requests,
+            targets: &mut self.targets,
+            holds: &mut self.holds,
+            commands: &mut commands,
+            draws: &mut self.draws,
+            wake_at: &mut self.wake_at,
+        };
+        given_up.into_iter().for_each(|key| bridge.end(key));
+        let hand_over = |module: &mut Forwarder, bridge: &mut Bridge| -> Result<(), Infallible> {
+            inputs.into_iter().for_each(|input| input.hand_over(module));
+            while let Some(key) = bridge.holds.pop_over(bridge.now) {
+                bridge.end(key);
+                Input::Withdrawn(key).hand_over(module);
+            }
+            Ok(())
+        };
+        let Ok(()) = self.module.round(now, hand_over, &mut bridge);
+        self.targets.forget_gone();
+        let wake_at = self.wake_at.into_iter().chain(self.holds.next()).reduce(f64::min);
+        commands.extend(wake_at.map(Command::WakeAt));
+        commands
+    }
+
+    /// Requests that are held or out.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether nothing is held or out.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/tier/dispatch/src/interface.rs
+++ b/tier/dispatch/src/interface.rs
@@ -163,6 +163,7 @@
         /// Which target.
         target: InstanceId,
     },
-    /// `Dispatcher::commands` is to be called then, if nothing else calls for it earlier.
+    /// `Dispatcher::commands` is to be called then, if nothing else calls for it earlier. Replaces any earlier
+    /// one; a round without it needs no wake-up.
     WakeAt(Ms),
 }
--- a/tier/dispatch/src/lib.rs
+++ b/tier/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod bridge;
 mod dispatcher;
 mod holds;
+mod inputs;
 mod interface;
 pub mod load;
 mod module_terms;
--- a/tier/dispatch/src/requests.rs
+++ b/tier/dispatch/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use plankhill::interface::{EventId, Fate, Ms};
+use plankhill::interface::{DestinationId, EventId, Fate, Ms};
 
 use crate::affinity::Chains;
 use crate::interface::{NewRequest, Repeats, RequestKey};
@@ -11,6 +11,7 @@
 /// One request, until it is over and its last call has ended.
 #[derive(Debug)]
 pub(crate) struct Request {
+    pub(crate) service: DestinationId,
     pub(crate) session: Option<u64>,
     pub(crate) repeats: Repeats,
     pub(crate) deadline: Ms,
@@ -26,8 +27,9 @@
 }
 
 impl Request {
-    pub(crate) fn new(new: &NewRequest, priority: u8) -> Self {
+    pub(crate) fn new(new: &NewRequest, service: DestinationId, priority: u8) -> Self {
         Request {
+            service,
             session: new.session,
             repeats: new.repeats,
             deadline: new.deadline,
