--- /dev/null
+++ b/tier/dispatch/tests/attempts.rs
@@ -0,0 +1,110 @@
+//! What goes again after which end, and how a request ends that does not.
+
+mod common;
+
+use common::*;
+use plankhill_dispatch::retry::{Attempts, Verdict};
+use plankhill_dispatch::*;
+
+const FATES: [Fate; 8] = [
+    Fate::Delivered,
+    Fate::Error,
+    Fate::Full,
+    Fate::TimedOut,
+    Fate::NoConnection,
+    Fate::Reset,
+    Fate::Cancelled,
+    Fate::NotSent,
+];
+
+#[test]
+fn only_what_was_refused_or_never_left_surely_did_not_run() {
+    let not_run: Vec<Fate> = FATES.into_iter().filter(|fate| Verdict::of(*fate) == Verdict::NotRun).collect();
+    assert_eq!(not_run, [Fate::Full, Fate::NoConnection, Fate::NotSent]);
+}
+
+#[test]
+fn what_may_not_be_repeated_goes_again_only_after_what_did_not_run() {
+    for fate in FATES {
+        let mut attempts = Attempts::default();
+        attempts.count(fate);
+        let again = attempts.allow_another(Repeats::Forbidden, 3);
+        assert_eq!(again, Verdict::of(fate) == Verdict::NotRun, "{fate:?}");
+    }
+}
+
+#[test]
+fn a_request_that_may_have_run_and_may_not_be_repeated_fails_at_once() {
+    for fate in [Fate::Error, Fate::TimedOut, Fate::Reset, Fate::Cancelled] {
+        let mut proxy = Proxy::with(&["a", "b"]);
+        let target = proxy.takes(1.0, once(1, 1.0)).expect("sent");
+        let commands = proxy.ends(10.0, 1, &target, fate);
+        assert_eq!(commands, [Command::Fail { request: RequestKey(1), last: fate }], "{fate:?}");
+        assert!(proxy.until(6_000.0).is_empty());
+        assert!(proxy.dispatcher.is_empty());
+    }
+}
+
+#[test]
+fn a_refused_request_goes_to_another_target_soon() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    let first = proxy.takes(1.0, once(1, 1.0)).expect("sent");
+    proxy.ends(2.0, 1, &first, Fate::Full);
+    let again = sent_to(&proxy.until(12.0)).expect("within some milliseconds");
+    assert_ne!(again, first);
+}
+
+#[test]
+fn an_idempotent_request_goes_to_another_target_after_a_pause() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    let first = proxy.takes(1.0, request(1, 1.0)).expect("sent");
+    assert!(sends(&proxy.ends(2.0, 1, &first, Fate::Reset)).is_empty());
+    let again = sent_to(&proxy.until(60.0)).expect("after a pause");
+    assert_ne!(again, first, "the one that failed is avoided");
+}
+
+#[test]
+fn attempts_that_may_have_run_are_bounded() {
+    let mut proxy = Proxy::with(&["a", "b", "c"]);
+    let first = proxy.takes(1.0, request(1, 1.0)).expect("sent");
+    proxy.ends(2.0, 1, &first, Fate::Reset);
+    let second = sent_to(&proxy.until(60.0)).expect("again");
+    let commands = proxy.ends(61.0, 1, &second, Fate::Reset);
+    assert_eq!(commands, [Command::Fail { request: RequestKey(1), last: Fate::Reset }]);
+}
+
+#[test]
+fn a_request_that_no_target_takes_is_refused_long_before_its_deadline() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    let mut commands = proxy.at(1.0, |dispatcher| dispatcher.request(1.0, once(1, 1.0)));
+    let mut now = 1.0;
+    while let Some((_, target)) = sends(&commands).into_iter().next() {
+        now += 1.0;
+        commands = proxy.ends(now, 1, &target, Fate::Full);
+        while commands.is_empty() {
+            now = proxy.wake_at.expect("held requests have an end").max(now);
+            commands = proxy.at(now, |_| ());
+        }
+    }
+    assert!(is_refused(&commands, 1));
+    assert!(now < 1_000.0, "refused at {now}");
+}
+
+#[test]
+fn without_a_target_a_request_is_refused_within_a_quarter_of_its_objective() {
+    let mut proxy = Proxy::with(&[]);
+    assert!(proxy.at(1.0, |dispatcher| dispatcher.request(1.0, request(1, 1.0))).is_empty());
+    let commands = proxy.until(1.0 + 0.25 * 500.0);
+    let [Command::Refuse { retry_after, .. }] = commands[..] else { panic!("{commands:?}") };
+    assert!((1.0..=1_000.0).contains(&retry_after));
+}
+
+#[test]
+fn a_told_wait_holds_the_target() {
+    let mut proxy = Proxy::with(&["a"]);
+    proxy.takes(1.0, request(1, 1.0));
+    let full = Ended { retry_after: Some(100.0), ..Ended::plain(Fate::Full) };
+    proxy.ends_with(2.0, 1, "a", full);
+    assert!(sends(&proxy.until(101.0)).is_empty());
+    assert_eq!(sends(&proxy.until(110.0)), [(1, "a".to_owned())]);
+}
--- /dev/null
+++ b/tier/dispatch/tests/properties.rs
@@ -0,0 +1,235 @@
+//! What holds whatever requests come and however their calls end.
+
+mod common;
+
+use std::collections::HashMap;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use common::*;
+use plankhill_dispatch::retry::Verdict;
+use plankhill_dispatch::*;
+use plankhill_protocol::tables::{Target, TargetState};
+
+const TARGETS: [&str; 4] = ["a", "b", "c", "d"];
+const FATES: [Fate; 8] = [
+    Fate::Delivered,
+    Fate::Error,
+    Fate::Full,
+    Fate::TimedOut,
+    Fate::NoConnection,
+    Fate::Reset,
+    Fate::Cancelled,
+    Fate::NotSent,
+];
+
+/// What the proxy knows of a request, kept apart from the dispatcher.
+struct Seen {
+    new: NewRequest,
+    out: Option<String>,
+    run: u32,
+    may_have_run: bool,
+    ends: u32,
+    withdrawn: bool,
+}
+
+struct World {
+    proxy: Proxy,
+    listed: Vec<Target>,
+    seen: HashMap<u64, Seen>,
+    keys: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let listed = TARGETS.iter().map(|id| healthy(id)).collect();
+        World { proxy: Proxy::with(&TARGETS), listed, seen: HashMap::new(), keys: 0 }
+    }
+
+    fn step(&mut self, u: &mut Unstructured) -> Result<()> {
+        let now = self.proxy.now + f64::from(u.int_in_range(0..=40u32)?);
+        let woken = self.proxy.until(now);
+        self.check(&woken);
+        let commands = match u.int_in_range(0..=9u32)? {
+            0..=3 => {
+                let new = self.draw_request(u)?;
+                self.proxy.at(now, |dispatcher| dispatcher.request(now, new))
+            }
+            4..=7 => {
+                let Some((key, target)) = self.draw_call(u)? else { return Ok(()) };
+                let fate = *u.choose(&FATES)?;
+                self.note_end(key, fate);
+                self.proxy.ends(now, key, &target, fate)
+            }
+            8 => {
+                let Some(key) = self.draw_live(u)? else { return Ok(()) };
+                self.seen.get_mut(&key).expect("live").withdrawn = true;
+                self.proxy.at(now, |dispatcher| dispatcher.withdrawn(RequestKey(key)))
+            }
+            _ => {
+                self.relist(u)?;
+                let listed = self.listed.clone();
+                self.proxy.at(now, |dispatcher| dispatcher.tables_changed(&listed))
+            }
+        };
+        self.check(&commands);
+        Ok(())
+    }
+
+    fn draw_request(&mut self, u: &mut Unstructured) -> Result<NewRequest> {
+        self.keys += 1;
+        let now = self.proxy.now;
+        let mut new = request(self.keys, now);
+        new.session = if u.arbitrary()? { Some(u.int_in_range(0..=2)?) } else { None };
+        new.repeats = if u.arbitrary()? { Repeats::Allowed } else { Repeats::Forbidden };
+        new.max_attempts = u.int_in_range(0..=3)?;
+        new.deadline = now + f64::from(u.int_in_range(50..=2_000u32)?);
+        new.objective = f64::from(u.int_in_range(0..=500u32)?);
+        let seen =
+            Seen { new: new.clone(), out: None, run: 0, may_have_run: false, ends: 0, withdrawn: false };
+        self.seen.insert(self.keys, seen);
+        Ok(new)
+    }
+
+    fn draw_call(&self, u: &mut Unstructured) -> Result<Option<(u64, String)>> {
+        let mut out: Vec<(u64, String)> =
+            self.seen.iter().filter_map(|(key, seen)| Some((*key, seen.out.clone()?))).collect();
+        out.sort();
+        if out.is_empty() {
+            return Ok(None);
+        }
+        Ok(Some(u.choose(&out)?.clone()))
+    }
+
+    fn draw_live(&self, u: &mut Unstructured) -> Result<Option<u64>> {
+        let live = self.seen.iter().filter(|(_, seen)| !seen.withdrawn && seen.ends == 0);
+        let mut live: Vec<u64> = live.map(|(key, _)| *key).collect();
+        live.sort();
+        if live.is_empty() {
+            return Ok(None);
+        }
+        Ok(Some(*u.choose(&live)?))
+    }
+
+    fn relist(&mut self, u: &mut Unstructured) -> Result<()> {
+        self.listed.clear();
+        for id in TARGETS {
+            match u.int_in_range(0..=4u32)? {
+                0 => (),
+                1 => self.listed.push(draining(id)),
+                _ => self.listed.push(healthy(id)),
+            }
+        }
+        Ok(())
+    }
+
+    fn note_end(&mut self, key: u64, fate: Fate) {
+        let seen = self.seen.get_mut(&key).expect("seen");
+        seen.out = None;
+        seen.ends += u32::from(fate == Fate::Delivered);
+        if Verdict::of(fate) != Verdict::NotRun {
+            seen.run += 1;
+            seen.may_have_run = true;
+        }
+    }
+
+    fn check(&mut self, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Send { request, target, deadline, .. } => {
+                    self.check_send(request.0, target.as_str(), *deadline);
+                }
+                Command::Refuse { request, retry_after } => {
+                    let seen = self.end(request.0);
+                    assert!(!seen.may_have_run, "a refusal promises that it has not run");
+                    assert!(*retry_after > 0.0);
+                }
+                Command::Fail { request, .. } => {
+                    let seen = self.end(request.0);
+                    assert!(seen.may_have_run, "what has surely not run is refused");
+                }
+                Command::Ping { .. }
+                | Command::CloseIdle { .. }
+                | Command::TakeBack { .. }
+                | Command::WakeAt(_) => (),
+            }
+        }
+    }
+
+    fn check_send(&mut self, key: u64, target: &str, deadline: Ms) {
+        let listed = self.listed.iter().find(|listed| listed.id.as_str() == target);
+        let state = listed.expect("not gone").state;
+        assert_eq!(state, TargetState::Healthy, "nothing to draining targets");
+        let seen = &self.seen[&key];
+        assert_eq!((seen.ends, seen.withdrawn), (0, false), "not after its end");
+        assert!(seen.out.is_none(), "one call at a time");
+        assert_eq!(deadline, seen.new.deadline);
+        assert!(self.proxy.now < deadline);
+        assert!(seen.run < seen.new.max_attempts.max(1), "attempts are bounded");
+        assert!(seen.new.repeats == Repeats::Allowed || !seen.may_have_run, "at most one run");
+        if let Some(session) = seen.new.session {
+            let earlier = self.seen.iter().filter(|(other, seen)| {
+                **other != key && seen.new.session == Some(session) && (**other < key || seen.out.is_some())
+            });
+            for (_, earlier) in earlier {
+                assert!(earlier.out.is_none(), "one turn of a session is out");
+                assert!(earlier.ends > 0 || earlier.withdrawn, "in the order of arrival");
+            }
+        }
+        self.seen.get_mut(&key).expect("seen").out = Some(target.to_owned());
+    }
+
+    fn end(&mut self, key: u64) -> &Seen {
+        let now = self.proxy.now;
+        let seen = self.seen.get_mut(&key).expect("seen");
+        assert!(seen.out.is_none(), "no end while a call is out");
+        assert!(!seen.withdrawn, "nobody waits for it");
+        seen.ends += 1;
+        assert_eq!(seen.ends, 1, "one end");
+        assert!(now <= seen.new.deadline + 0.1, "an end by its deadline: {now} {}", seen.new.deadline);
+        seen
+    }
+
+    /// Time passes; calls that are out end at their deadline.
+    fn finish(&mut self) {
+        for _ in 0..10_000 {
+            let calls = self.seen.iter().filter_map(|(key, seen)| {
+                seen.out.as_ref().map(|target| (seen.new.deadline, *key, target.clone()))
+            });
+            let first = calls.min_by(|one, other| one.0.total_cmp(&other.0));
+            let wake_at = self.proxy.wake_at.unwrap_or(f64::INFINITY);
+            let commands = match first {
+                Some((deadline, key, target)) if deadline <= wake_at => {
+                    let now = deadline.max(self.proxy.now);
+                    self.note_end(key, Fate::TimedOut);
+                    self.proxy.ends(now, key, &target, Fate::TimedOut)
+                }
+                _ if wake_at.is_finite() => {
+                    let now = wake_at.max(self.proxy.now);
+                    self.proxy.at(now, |_| ())
+                }
+                _ => break,
+            };
+            self.check(&commands);
+        }
+        for (key, seen) in &self.seen {
+            assert!(seen.ends == 1 || seen.withdrawn, "request {key} has no end");
+        }
+        assert!(self.proxy.dispatcher.is_empty());
+    }
+}
+
+#[test]
+fn every_request_has_one_end_and_no_call_that_it_may_not_have() {
+    arbtest(|u| {
+        let mut world = World::new();
+        for _ in 0..60 {
+            world.step(u)?;
+        }
+        world.finish();
+        Ok(())
+    })
+    .size_min(400)
+    .size_max(4_000)
+    .budget_ms(4_000);
+}
