--- a/tier/dispatch/tests/properties.rs
+++ b/tier/dispatch/tests/properties.rs
@@ -48,8 +48,7 @@
 
     fn step(&mut self, u: &mut Unstructured) -> Result<()> {
         let now = self.proxy.now + f64::from(u.int_in_range(0..=40u32)?);
-        let woken = self.proxy.until(now);
-        self.check(&woken);
+        self.pass(now);
         let commands = match u.int_in_range(0..=9u32)? {
             0..=3 => {
                 let new = self.draw_request(u)?;
@@ -190,21 +189,21 @@
         seen
     }
 
-    /// Time passes; calls that are out end at their deadline.
-    fn finish(&mut self) {
-        for _ in 0..10_000 {
+    /// Time passes until then; calls that are out end at their deadline.
+    fn pass(&mut self, until: Ms) {
+        loop {
             let calls = self.seen.iter().filter_map(|(key, seen)| {
                 seen.out.as_ref().map(|target| (seen.new.deadline, *key, target.clone()))
             });
             let first = calls.min_by(|one, other| one.0.total_cmp(&other.0));
             let wake_at = self.proxy.wake_at.unwrap_or(f64::INFINITY);
             let commands = match first {
-                Some((deadline, key, target)) if deadline <= wake_at => {
+                Some((deadline, key, target)) if deadline <= wake_at.min(until) => {
                     let now = deadline.max(self.proxy.now);
                     self.note_end(key, Fate::TimedOut);
                     self.proxy.ends(now, key, &target, Fate::TimedOut)
                 }
-                _ if wake_at.is_finite() => {
+                _ if wake_at <= until && wake_at.is_finite() => {
                     let now = wake_at.max(self.proxy.now);
                     self.proxy.at(now, |_| ())
                 }
@@ -212,6 +211,14 @@
             };
             self.check(&commands);
         }
+        if until.is_finite() {
+            let commands = self.proxy.at(until, |_| ());
+            self.check(&commands);
+        }
+    }
+
+    fn finish(&mut self) {
+        self.pass(f64::INFINITY);
         for (key, seen) in &self.seen {
             assert!(seen.ends == 1 || seen.withdrawn, "request {key} has no end");
         }
