--- a/tier/settings/src/settings.rs
+++ b/tier/settings/src/settings.rs
@@ -124,15 +124,10 @@
 
 impl PortRange {
     /// Number of ports in the range.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         usize::from(self.last).saturating_sub(usize::from(self.first)) + 1
     }
 
-    /// False: a checked range holds at least one port.
-    pub fn is_empty(&self) -> bool {
-        self.first > self.last
-    }
-
     /// The port `offset` places after the first, if the range holds it.
     pub fn port(&self, offset: u16) -> Option<u16> {
         self.first.checked_add(offset).filter(|port| *port <= self.last)
