--- /dev/null
+++ b/tier/agent/src/identity.rs
@@ -0,0 +1,24 @@
+//! How this process is known to the others.
+
+use std::hash::{BuildHasher, Hasher, RandomState};
+
+use plankhill_protocol::ids::{Incarnation, NodeId, ZoneName};
+use plankhill_protocol::tables::Edge;
+use plankhill_settings::Settings;
+
+use crate::controllers::ports;
+
+/// This life of this machine's agent. The machine has no disk: each start is a new life.
+pub(crate) fn edge(settings: &Settings) -> Edge {
+    Edge {
+        node: node(settings),
+        incarnation: Incarnation(RandomState::new().build_hasher().finish()),
+        address: ports(settings).agent(settings.ip),
+        zone: ZoneName::from(settings.zone.as_str()),
+    }
+}
+
+/// The machine's name.
+pub(crate) fn node(settings: &Settings) -> NodeId {
+    NodeId::from(settings.node_id.as_str())
+}
--- /dev/null
+++ b/tier/agent/src/run.rs
@@ -0,0 +1,82 @@
+//! Starts the agent's parts and runs them until the platform ends the process.
+
+use std::io;
+use std::net::SocketAddr;
+
+use plankhill_protocol::feed::Subscriber;
+use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
+use plankhill_protocol::transport::{listen, Channel, Hello};
+use plankhill_settings::Settings;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::controllers::{controllers, ports};
+use crate::end::end;
+use crate::feeder::{serve, Source};
+use crate::identity::{edge, node};
+use crate::signals::{Request, Signals};
+
+/// Why the agent could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The runtime or its signals.
+    #[error("runtime: {0}")]
+    Runtime(#[source] io::Error),
+    /// A port of the range is taken.
+    #[error("cannot listen at {address}: {source}")]
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the agent until SIGTERM.
+///
+/// # Errors
+/// [`RunError`] if it cannot start.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
+    LocalSet::new().block_on(&runtime, run_local(settings))
+}
+
+async fn run_local(mut settings: Settings) -> Result<(), RunError> {
+    let mut signals = Signals::listen().map_err(RunError::Runtime)?;
+    let loopback = listen_at(ports(&settings).agent_loopback())?;
+    let (candidates, watched) = watch::channel(controllers(&settings));
+    let subscription = Subscription::start(SubscriptionOptions {
+        hello: Hello::new(Channel::Feed, node(&settings)),
+        subscriber: Subscriber::Edge(edge(&settings)),
+        candidates: watched,
+        silence: CONTROLLER_SILENCE,
+    });
+    let source = Source { tables: subscription.tables(), standing: subscription.standing() };
+    let (connected, proxies) = watch::channel(0);
+    let hello = Hello::new(Channel::Feed, node(&settings));
+    tokio::task::spawn_local(serve(loopback, hello, source, connected));
+    tracing::info!(node = %settings.node_id, "agent started");
+    while let Request::Reload = signals.next().await {
+        reload(&mut settings, &candidates);
+    }
+    end(&subscription, proxies, settings.bounds.grace()).await;
+    Ok(())
+}
+
+/// Takes over what may change while the process runs: the seeds and the bounds.
+fn reload(settings: &mut Settings, candidates: &watch::Sender<Vec<SocketAddr>>) {
+    match Settings::load() {
+        Ok(newest) => {
+            *settings = newest;
+            candidates.send_replace(controllers(settings));
+            tracing::info!("settings read again");
+        }
+        Err(error) => tracing::warn!(%error, "settings stay as they were"),
+    }
+}
+
+fn listen_at(address: SocketAddr) -> Result<TcpListener, RunError> {
+    listen(address).map_err(|source| RunError::Listen { address, source })
+}
--- /dev/null
+++ b/tier/protocol/src/feeder.rs
@@ -0,0 +1,37 @@
+//! What a feeder sends to one subscriber: decisions without I/O.
+
+use std::sync::Arc;
+
+use crate::ids::Revision;
+use crate::tables::{Tables, TablesUpdate};
+
+/// What a subscriber holds.
+#[derive(Clone, Debug)]
+pub enum Held {
+    /// It said that it holds this revision; its contents are not known here.
+    Revision(Revision),
+    /// It was sent exactly these tables.
+    Tables(Arc<Tables>),
+    /// It asked for a snapshot.
+    Nothing,
+}
+
+impl Held {
+    /// What brings the subscriber to `newest`, which it is taken to hold afterwards; None if it needs nothing,
+    /// or holds a later revision.
+    pub fn advance(&mut self, newest: &Arc<Tables>) -> Option<TablesUpdate> {
+        let update = match self {
+            Held::Revision(held) if *held > newest.revision => return None,
+            Held::Revision(held) if *held == newest.revision => None,
+            Held::Revision(_) | Held::Nothing => Some(TablesUpdate::Snapshot(Tables::clone(newest))),
+            Held::Tables(held) if held.revision >= newest.revision => return None,
+            Held::Tables(held) => Some(TablesUpdate::Changes {
+                from: held.revision,
+                to: newest.revision,
+                changes: newest.changes_since(held),
+            }),
+        };
+        *self = Held::Tables(newest.clone());
+        update
+    }
+}
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! from the transport, so that the packages without I/O can use the former alone.
 
 pub mod feed;
+pub mod feeder;
 pub mod ids;
 pub mod ports;
 pub mod subscription;
--- a/tier/protocol/src/subscription/link.rs
+++ b/tier/protocol/src/subscription/link.rs
@@ -8,7 +8,8 @@
 use tokio::time::timeout;
 
 use super::{LinkStanding, Outgoing, Progress, Rotation, Step, SubscriptionOptions};
-use crate::feed::{FromSubscriber, ToSubscriber};
+use crate::feed::{FromSubscriber, Subscriber, ToSubscriber};
+use crate::ids::Revision;
 use crate::tables::Tables;
 use crate::transport::{dial, Connection, FrameReader, FrameWriter, TransportError};
 
@@ -152,9 +153,9 @@
             }
             Step::Confirmed => {
                 self.stand(true, Some(address));
-                Some(FromSubscriber::Applied(revision))
+                self.alive(revision)
             }
-            Step::Unconfirmed => Some(FromSubscriber::Applied(revision)),
+            Step::Unconfirmed => self.alive(revision),
             Step::WantsSnapshot => Some(FromSubscriber::WantsSnapshot),
             Step::Feeders(mut addresses) => {
                 addresses.truncate(MOST_FEEDERS);
@@ -163,11 +164,19 @@
             }
             Step::Leave => {
                 self.stand(false, Some(address));
-                Some(FromSubscriber::Applied(revision))
+                self.alive(revision)
             }
         }
     }
 
+    /// The answer to a heartbeat. The agent of the same machine needs none: it would only wake both processes.
+    fn alive(&self, revision: Revision) -> Option<FromSubscriber> {
+        match self.options.subscriber {
+            Subscriber::Proxy => None,
+            Subscriber::Edge(_) | Subscriber::Store(_) => Some(FromSubscriber::Applied(revision)),
+        }
+    }
+
     fn stand(&self, current: bool, address: Option<SocketAddr>) {
         self.standing.send_if_modified(|standing| {
             let now = Instant::now();
--- a/tier/protocol/src/tables.rs
+++ b/tier/protocol/src/tables.rs
@@ -170,6 +170,34 @@
         }
     }
 
+    /// The changes that lead from `older` to these tables.
+    pub fn changes_since(&self, older: &Tables) -> Vec<TablesChange> {
+        let mut changes = Vec::new();
+        // Removals come first: a target that moved to another service is removed from its old place, then set.
+        let gone = differences(&older.targets, &self.targets, target_order);
+        changes.extend(
+            gone.filter(|one| !same_place(&self.targets, one, target_order))
+                .map(|target| TablesChange::TargetRemoved(target.id.clone())),
+        );
+        let set = differences(&self.targets, &older.targets, target_order);
+        changes.extend(set.cloned().map(TablesChange::TargetSet));
+        let gone = differences(&older.edges, &self.edges, edge_order);
+        changes.extend(
+            gone.filter(|one| !same_place(&self.edges, one, edge_order))
+                .map(|edge| TablesChange::EdgeRemoved(edge.node.clone())),
+        );
+        let set = differences(&self.edges, &older.edges, edge_order);
+        changes.extend(set.cloned().map(TablesChange::EdgeSet));
+        if self.stores != older.stores {
+            changes.push(TablesChange::Stores(self.stores.clone()));
+        }
+        if let Some(text) = self.configuration.as_ref().filter(|_| self.configuration != older.configuration)
+        {
+            changes.push(TablesChange::Configuration(text.clone()));
+        }
+        changes
+    }
+
     fn change(&mut self, change: TablesChange) {
         match change {
             TablesChange::TargetSet(target) => {
@@ -193,6 +221,27 @@
     (&one.service, &one.id).cmp(&(&other.service, &other.id))
 }
 
+/// The order of [`Tables::edges`].
+pub fn edge_order(one: &Edge, other: &Edge) -> std::cmp::Ordering {
+    one.node.cmp(&other.node)
+}
+
+/// What stands in `list` and not, just so, in `other`; both in `order`.
+fn differences<'a, T: PartialEq>(
+    list: &'a [T],
+    other: &'a [T],
+    order: fn(&T, &T) -> std::cmp::Ordering,
+) -> impl Iterator<Item = &'a T> {
+    list.iter().filter(move |one| match other.binary_search_by(|held| order(held, one)) {
+        Ok(at) => other[at] != **one,
+        Err(_) => true,
+    })
+}
+
+fn same_place<T>(list: &[T], one: &T, order: fn(&T, &T) -> std::cmp::Ordering) -> bool {
+    list.binary_search_by(|held| order(held, one)).is_ok()
+}
+
 fn replace_at<T>(list: &mut Vec<T>, place: Result<usize, usize>, value: T) {
     match place {
         Ok(at) => list[at] = value,
