Command plankhill-tier: roles, check, status, help, logs and exit codes

Cause: one binary starts each role and serves operators. Change: lexopt command line, tracing logs as text or JSON, check settings|configuration with every fault named by its key, status of a controller for people or raw. Roles controller, proxy and store report that this build does not hold them until their run exists.

--- /dev/null
+++ b/tier/command/src/arguments.rs
@@ -0,0 +1,176 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use lexopt::{Arg, Parser, ValueExt};
+use thiserror::Error;
+
+/// What the command line asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+    /// Run a role until it is stopped.
+    Run {
+        /// The role to run.
+        role: Role,
+        /// Form of the log lines.
+        log_format: LogFormat,
+    },
+    /// Check a settings file.
+    CheckSettings {
+        /// The file to check.
+        file: PathBuf,
+    },
+    /// Check a configuration of the operator.
+    CheckConfiguration {
+        /// The file to check.
+        file: PathBuf,
+    },
+    /// Ask a controller for its status.
+    Status {
+        /// Address of the controller, as `IP:PORT`.
+        address: String,
+        /// Print the answer as received.
+        json: bool,
+    },
+}
+
+/// A role of the serving tier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Holds the control state.
+    Controller,
+    /// Links one machine's proxy to the control plane.
+    Agent,
+    /// Carries requests from clients to targets.
+    Proxy,
+    /// Keeps turns and budgets.
+    Store,
+}
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text each.
+    #[default]
+    Text,
+    /// One JSON object each.
+    Json,
+}
+
+/// Why a command line is not understood.
+#[derive(Debug, Error)]
+pub enum UsageError {
+    /// An option is unknown, misses its value or has one too many.
+    #[error("{0}")]
+    Option(#[from] lexopt::Error),
+    /// No command is given.
+    #[error("no command is given")]
+    NoCommand,
+    /// The command is unknown.
+    #[error("there is no command {0:?}")]
+    UnknownCommand(String),
+    /// The command needs another argument.
+    #[error("{command} needs {what}")]
+    Missing {
+        /// The command.
+        command: &'static str,
+        /// The argument that is missing.
+        what: &'static str,
+    },
+    /// `check` can't check this.
+    #[error("check knows settings and configuration, not {0:?}")]
+    UnknownKind(String),
+    /// The form of log lines is unknown.
+    #[error("--log-format is text or json, not {0:?}")]
+    UnknownLogFormat(String),
+}
+
+impl Command {
+    /// Parses the arguments after the program's name.
+    ///
+    /// # Errors
+    /// If they don't form a command.
+    pub fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Command, UsageError> {
+        let mut parser = Parser::from_args(arguments);
+        let name = match parser.next()? {
+            None => return Err(UsageError::NoCommand),
+            Some(Arg::Short('h') | Arg::Long("help")) => return Ok(Command::Help),
+            Some(Arg::Short('V') | Arg::Long("version")) => return Ok(Command::Version),
+            Some(Arg::Value(name)) => name.string()?,
+            Some(other) => return Err(other.unexpected().into()),
+        };
+        match name.as_str() {
+            "controller" => parse_role(parser, Role::Controller),
+            "agent" => parse_role(parser, Role::Agent),
+            "proxy" => parse_role(parser, Role::Proxy),
+            "store" => parse_role(parser, Role::Store),
+            "check" => parse_check(parser),
+            "status" => parse_status(parser),
+            _ => Err(UsageError::UnknownCommand(name)),
+        }
+    }
+}
+
+fn parse_role(mut parser: Parser, role: Role) -> Result<Command, UsageError> {
+    let mut log_format = LogFormat::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("log-format") => log_format = parse_log_format(parser.value()?.string()?)?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Command::Run { role, log_format })
+}
+
+fn parse_log_format(name: String) -> Result<LogFormat, UsageError> {
+    match name.as_str() {
+        "text" => Ok(LogFormat::Text),
+        "json" => Ok(LogFormat::Json),
+        _ => Err(UsageError::UnknownLogFormat(name)),
+    }
+}
+
+fn parse_check(mut parser: Parser) -> Result<Command, UsageError> {
+    let mut values = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Value(value) if values.len() < 2 => values.push(value),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let mut values = values.into_iter();
+    let kind = values.next().ok_or(missing("check", "settings or configuration"))?.string()?;
+    let file = values.next().map(PathBuf::from);
+    let file = || file.ok_or(missing("check", "a file"));
+    match kind.as_str() {
+        "settings" => Ok(Command::CheckSettings { file: file()? }),
+        "configuration" => Ok(Command::CheckConfiguration { file: file()? }),
+        _ => Err(UsageError::UnknownKind(kind)),
+    }
+}
+
+fn parse_status(mut parser: Parser) -> Result<Command, UsageError> {
+    let mut address = None;
+    let mut json = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("json") => json = true,
+            Arg::Value(value) if address.is_none() => address = Some(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let address = address.ok_or(missing("status", "the address of a controller"))?;
+    Ok(Command::Status { address, json })
+}
+
+fn missing(command: &'static str, what: &'static str) -> UsageError {
+    UsageError::Missing { command, what }
+}
--- /dev/null
+++ b/tier/command/src/check.rs
@@ -0,0 +1,51 @@
+//! Checks files and prints each fault with its key.
+
+use std::path::Path;
+
+use plankhill_configuration::{Configuration, Faults};
+use plankhill_settings::{Settings, SettingsError};
+
+use crate::{print, print_error, ExitStatus};
+
+/// Checks a settings file.
+pub(crate) fn settings(file: &Path) -> ExitStatus {
+    match Settings::read(file) {
+        Ok(_) => print(&format!("{}: settings are valid", file.display())),
+        Err(SettingsError::Invalid(faults)) => report(file, &faults),
+        Err(error @ SettingsError::Read { .. }) => unreadable(&error.to_string()),
+    }
+}
+
+/// Checks a configuration of the operator.
+pub(crate) fn configuration(file: &Path) -> ExitStatus {
+    let bytes = match std::fs::read(file) {
+        Ok(bytes) => bytes,
+        Err(error) => return unreadable(&format!("cannot read {}: {error}", file.display())),
+    };
+    let checked = Configuration::parse(&bytes).and_then(|configuration| {
+        configuration.check(0)?;
+        Ok(configuration)
+    });
+    match checked {
+        Ok(configuration) => print(&format!(
+            "{}: configuration is valid (version {}, {} routes, {} services)",
+            file.display(),
+            configuration.version,
+            configuration.routes.len(),
+            configuration.services.len()
+        )),
+        Err(error) => report(file, &error.faults()),
+    }
+}
+
+fn report(file: &Path, faults: &Faults) -> ExitStatus {
+    for fault in faults.iter() {
+        print(&format!("{}: {fault}", file.display()));
+    }
+    ExitStatus::Failure
+}
+
+fn unreadable(message: &str) -> ExitStatus {
+    print_error(message);
+    ExitStatus::Usage
+}
--- /dev/null
+++ b/tier/command/src/lib.rs
@@ -0,0 +1,50 @@
+//! The command plankhill-tier: starts each role of the serving tier, checks settings, shows status.
+
+mod arguments;
+mod check;
+mod exit;
+mod logging;
+mod render;
+mod role;
+mod status;
+mod status_call;
+mod usage;
+
+use std::ffi::OsString;
+use std::io::Write;
+
+pub use arguments::{Command, LogFormat, Role, UsageError};
+pub use exit::ExitStatus;
+pub use render::render;
+
+/// Parses the arguments after the program's name and does what they ask for.
+pub fn run_command(arguments: impl IntoIterator<Item = OsString>) -> ExitStatus {
+    match Command::parse(arguments) {
+        Ok(command) => execute(command),
+        Err(error) => {
+            print_error(&format!("plankhill-tier: {error}\nTry: plankhill-tier --help"));
+            ExitStatus::Usage
+        }
+    }
+}
+
+fn execute(command: Command) -> ExitStatus {
+    match command {
+        Command::Help => print(usage::HELP),
+        Command::Version => print(&format!("plankhill-tier {}", env!("CARGO_PKG_VERSION"))),
+        Command::Run { role, log_format } => role::start(role, log_format),
+        Command::CheckSettings { file } => check::settings(&file),
+        Command::CheckConfiguration { file } => check::configuration(&file),
+        Command::Status { address, json } => status::show(&address, json),
+    }
+}
+
+/// Prints a line; a reader that is gone is no failure of the command.
+fn print(text: &str) -> ExitStatus {
+    let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
+    ExitStatus::Success
+}
+
+fn print_error(text: &str) {
+    let _ = writeln!(std::io::stderr(), "{text}");
+}
--- /dev/null
+++ b/tier/command/src/logging.rs
@@ -0,0 +1,34 @@
+//! Log lines on standard output.
+
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{fmt, Layer, Registry};
+
+use crate::LogFormat;
+
+/// The environment variable that holds the level, also by package.
+const LEVEL_VARIABLE: &str = "PLANKHILL_LOG";
+
+/// Starts the log of this process; a level that is not understood is replaced by `info`.
+pub(crate) fn start(format: LogFormat) {
+    let wanted = std::env::var(LEVEL_VARIABLE).unwrap_or_default();
+    let parsed = wanted.parse::<Targets>();
+    let not_understood = parsed.is_err();
+    let levels = match parsed {
+        Ok(levels) if !wanted.trim().is_empty() => levels,
+        _ => Targets::new().with_default(LevelFilter::INFO),
+    };
+    tracing_subscriber::registry().with(lines(format).with_filter(levels)).init();
+    if not_understood {
+        tracing::warn!(variable = LEVEL_VARIABLE, value = wanted, "level is not understood, using info");
+    }
+}
+
+fn lines(format: LogFormat) -> Box<dyn Layer<Registry> + Send + Sync> {
+    let layer = fmt::layer().with_ansi(false).with_writer(std::io::stdout);
+    match format {
+        LogFormat::Text => Box::new(layer),
+        LogFormat::Json => Box::new(layer.json().flatten_event(true)),
+    }
+}
--- a/tier/command/src/main.rs
+++ b/tier/command/src/main.rs
@@ -1,3 +1,7 @@
-//! The command plankhill-tier: starts each role of the serving tier, checks settings, shows status.
+//! The command `plankhill-tier`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    plankhill_tier::run_command(std::env::args_os().skip(1)).into()
+}
--- /dev/null
+++ b/tier/command/src/role.rs
@@ -0,0 +1,38 @@
+//! Runs one role of the serving tier.
+
+use plankhill_settings::{Settings, SettingsError};
+use thiserror::Error;
+
+use crate::{logging, ExitStatus, LogFormat, Role};
+
+/// Why a role ended.
+#[derive(Debug, Error)]
+enum RoleError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Agent(#[from] plankhill_agent::RunError),
+    #[error("this build does not hold the role")]
+    NotBuilt,
+}
+
+/// Runs `role` until it is stopped.
+pub(crate) fn start(role: Role, log_format: LogFormat) -> ExitStatus {
+    logging::start(log_format);
+    match run(role) {
+        Ok(()) => ExitStatus::Success,
+        Err(error) => {
+            tracing::error!(?role, %error, "role ended");
+            ExitStatus::Failure
+        }
+    }
+}
+
+fn run(role: Role) -> Result<(), RoleError> {
+    let settings = Settings::load()?;
+    match role {
+        Role::Agent => plankhill_agent::run(settings)?,
+        Role::Controller | Role::Proxy | Role::Store => return Err(RoleError::NotBuilt),
+    }
+    Ok(())
+}
