Transport tests; a call that times out no longer ends those beside it

One call that timed out closed the connection, and with it every call under way to the same peer. It is now closed only if nothing at all has come since that call began. Frames are read from any stream, so that the contract runs over memory and TCP.

--- a/tier/protocol/src/transport/caller.rs
+++ b/tier/protocol/src/transport/caller.rs
@@ -65,6 +65,8 @@
 
 struct Link<Request> {
     number: u64,
+    /// When the last answer came; at first, when the connection came up.
+    heard: Instant,
     writes: mpsc::Sender<Envelope<Request>>,
     tasks: [JoinHandle<()>; 2],
 }
@@ -97,7 +99,8 @@
     /// # Errors
     /// [`CallError`] when there is no answer within `timeout`.
     pub async fn call(&self, request: Request, timeout: Duration) -> Result<Reply, CallError> {
-        let ends = Instant::now() + timeout;
+        let begun = Instant::now();
+        let ends = begun + timeout;
         let connected = tokio::time::timeout(timeout, self.connected());
         let (number, writes) = connected.await.map_err(|_| CallError::NotSent)??;
         let (answer, answered) = oneshot::channel();
@@ -116,7 +119,7 @@
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(CallError::NoAnswer),
             Err(_) => {
-                self.shared.suspect(number);
+                self.shared.suspect_if_silent(number, begun);
                 Err(CallError::NoAnswer)
             }
         }
@@ -159,7 +162,8 @@
         let reading = tokio::task::spawn_local(read(Rc::downgrade(&self), reader, number));
         let writing = tokio::task::spawn_local(write(queue, writer));
         state.failed_at = None;
-        state.link = Some(Link { number, writes: writes.clone(), tasks: [reading, writing] });
+        let (heard, tasks) = (Instant::now(), [reading, writing]);
+        state.link = Some(Link { number, heard, writes: writes.clone(), tasks });
         (number, writes)
     }
 
@@ -170,7 +174,25 @@
         state.waiting.clear();
     }
 
-    /// A call timed out: the connection may be dead. Later calls use a new one, those under way get no answer.
+    /// An answer came; who waits for it, if anyone still does.
+    fn heard(&self, number: u64, call: u64) -> Option<oneshot::Sender<Reply>> {
+        let mut state = self.state.borrow_mut();
+        if let Some(link) = state.link.as_mut().filter(|link| link.number == number) {
+            link.heard = Instant::now();
+        }
+        state.waiting.remove(&call)
+    }
+
+    /// A call that began at `begun` timed out. If nothing at all has come since, the connection may be dead;
+    /// otherwise the peer is only slow with this one call, and the others go on.
+    fn suspect_if_silent(&self, number: u64, begun: Instant) {
+        let silent = self.state.borrow().link.as_ref().is_some_and(|link| link.heard <= begun);
+        if silent {
+            self.suspect(number);
+        }
+    }
+
+    /// This connection is dead: later calls use a new one, those under way get no answer.
     fn suspect(&self, number: u64) {
         let held = self.state.borrow().link.as_ref().map(|link| link.number);
         if held == Some(number) {
@@ -186,7 +208,7 @@
 ) {
     while let Ok(envelope) = reader.next::<Envelope<Reply>>().await {
         let Some(shared) = shared.upgrade() else { return };
-        let waiting = shared.state.borrow_mut().waiting.remove(&envelope.call);
+        let waiting = shared.heard(number, envelope.call);
         if let Some(answer) = waiting {
             // The caller may have stopped waiting.
             let _ = answer.send(envelope.body);
--- a/tier/protocol/src/transport/frame.rs
+++ b/tier/protocol/src/transport/frame.rs
@@ -2,7 +2,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use super::{TransportError, MAX_FRAME};
@@ -14,14 +14,14 @@
 const KEPT_BUFFER: usize = 64 * 1024;
 
 /// The incoming half of a connection.
-pub struct FrameReader {
-    stream: BufReader<OwnedReadHalf>,
+pub struct FrameReader<R = OwnedReadHalf> {
+    stream: BufReader<R>,
     buffer: Vec<u8>,
 }
 
-impl FrameReader {
+impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Reads frames from this half.
-    pub fn new(stream: OwnedReadHalf) -> Self {
+    pub fn new(stream: R) -> Self {
         FrameReader { stream: BufReader::with_capacity(READ_BUFFER, stream), buffer: Vec::new() }
     }
 
@@ -48,13 +48,13 @@
 }
 
 /// The outgoing half of a connection.
-pub struct FrameWriter {
-    stream: OwnedWriteHalf,
+pub struct FrameWriter<W = OwnedWriteHalf> {
+    stream: W,
 }
 
-impl FrameWriter {
+impl<W: AsyncWrite + Unpin> FrameWriter<W> {
     /// Writes frames to this half.
-    pub fn new(stream: OwnedWriteHalf) -> Self {
+    pub fn new(stream: W) -> Self {
         FrameWriter { stream }
     }
 
--- /dev/null
+++ b/tier/protocol/tests/calls.rs
@@ -0,0 +1,156 @@
+//! The contract of calls with answers.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{any_port, run};
+use plankhill_protocol::ids::NodeId;
+use plankhill_protocol::transport::{listen, serve_calls, CallError, Caller, Channel, Hello};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// Far beyond anything that a test waits for.
+const PATIENT: Duration = Duration::from_secs(60);
+const SHORT: Duration = Duration::from_millis(20);
+/// A call that is answered only when the test says so.
+const HELD: u64 = 0;
+
+fn hello() -> Hello {
+    Hello::new(Channel::Store, NodeId::from("one"))
+}
+
+/// A server that answers with the double; [`HELD`] only after `release`.
+fn serve(address: SocketAddr, release: Rc<Notify>) -> (SocketAddr, JoinHandle<()>) {
+    let listener = listen(address).unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = move |_: Hello, call: u64| {
+        let release = release.clone();
+        async move {
+            if call == HELD {
+                release.notified().await;
+            }
+            2 * call
+        }
+    };
+    (address, tokio::task::spawn_local(serve_calls(listener, hello(), answer)))
+}
+
+#[test]
+fn each_call_gets_its_own_answer() {
+    run(async {
+        let (address, _server) = serve(any_port(), Rc::default());
+        let caller = Caller::<u64, u64>::new(address, hello());
+        let calls: Vec<_> = (1..=100)
+            .map(|call| {
+                let caller = caller.clone();
+                tokio::task::spawn_local(async move { (call, caller.call(call, PATIENT).await) })
+            })
+            .collect();
+        for call in calls {
+            let (call, answer) = call.await.unwrap();
+            assert_eq!(answer, Ok(2 * call));
+        }
+    });
+}
+
+#[test]
+fn answers_may_overtake_each_other() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let (address, _server) = serve(any_port(), release.clone());
+        let caller = Caller::<u64, u64>::new(address, hello());
+        let held = tokio::task::spawn_local({
+            let caller = caller.clone();
+            async move { caller.call(HELD, PATIENT).await }
+        });
+        assert_eq!(caller.call(4, PATIENT).await, Ok(8));
+        release.notify_one();
+        assert_eq!(held.await.unwrap(), Ok(0));
+    });
+}
+
+#[test]
+fn a_call_without_an_answer_times_out_and_its_late_answer_goes_to_nobody() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let (address, _server) = serve(any_port(), release.clone());
+        let caller = Caller::<u64, u64>::new(address, hello());
+        assert_eq!(caller.call(HELD, SHORT).await, Err(CallError::NoAnswer));
+        release.notify_one();
+        assert_eq!(caller.call(5, PATIENT).await, Ok(10));
+    });
+}
+
+/// One slow call is no reason to give up those beside it, while the peer answers others.
+#[test]
+fn a_slow_call_does_not_end_the_others() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let (address, _server) = serve(any_port(), release.clone());
+        let caller = Caller::<u64, u64>::new(address, hello());
+        let patient = tokio::task::spawn_local({
+            let caller = caller.clone();
+            async move { caller.call(HELD, PATIENT).await }
+        });
+        // Answers go on coming until the short call has ended.
+        let ended = Rc::new(Cell::new(false));
+        let short = async {
+            let answer = caller.call(HELD, SHORT).await;
+            ended.set(true);
+            answer
+        };
+        let others = async {
+            while !ended.get() {
+                assert_eq!(caller.call(3, PATIENT).await, Ok(6));
+            }
+        };
+        assert_eq!(tokio::join!(short, others).0, Err(CallError::NoAnswer));
+        release.notify_one();
+        release.notify_one();
+        release.notify_waiters();
+        assert_eq!(patient.await.unwrap(), Ok(0));
+    });
+}
+
+#[test]
+fn a_peer_that_is_not_there_has_surely_not_seen_the_call() {
+    run(async {
+        let gone = listen(any_port()).unwrap().local_addr().unwrap();
+        let caller = Caller::<u64, u64>::new(gone, hello());
+        assert_eq!(caller.call(1, PATIENT).await, Err(CallError::NotSent));
+    });
+}
+
+#[test]
+fn a_peer_that_dies_may_have_seen_the_call() {
+    run(async {
+        let listener = listen(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let caller = Caller::<u64, u64>::new(address, hello());
+        let dying = async {
+            let (stream, address) = listener.accept().await.unwrap();
+            let mut connection =
+                plankhill_protocol::transport::accept(stream, address, &hello()).await.unwrap();
+            let _call: (u64, u64) = connection.reader.next().await.unwrap();
+        };
+        assert_eq!(tokio::join!(caller.call(1, PATIENT), dying).0, Err(CallError::NoAnswer));
+    });
+}
+
+#[test]
+fn a_restarted_peer_is_reached_again() {
+    run(async {
+        let (address, server) = serve(any_port(), Rc::default());
+        let caller = Caller::<u64, u64>::new(address, hello());
+        assert_eq!(caller.call(1, PATIENT).await, Ok(2));
+        server.abort();
+        assert!(server.await.unwrap_err().is_cancelled());
+        let (again, _server) = serve(address, Rc::default());
+        assert_eq!(again, address);
+        assert_eq!(caller.call(2, PATIENT).await, Ok(4));
+    });
+}
--- /dev/null
+++ b/tier/protocol/tests/subscription.rs
@@ -0,0 +1,144 @@
+//! The subscribing client against feeders that the test plays.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{any_port, edge, run, tables};
+use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
+use plankhill_protocol::ids::{NodeId, Revision};
+use plankhill_protocol::subscription::{Subscription, SubscriptionOptions};
+use plankhill_protocol::tables::TablesUpdate;
+use plankhill_protocol::transport::{accept, listen, Channel, Connection, Hello};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Far beyond anything that a test waits for.
+const PATIENT: Duration = Duration::from_secs(60);
+
+fn hello() -> Hello {
+    Hello::new(Channel::Feed, NodeId::from("edge-1"))
+}
+
+fn subscribe(feeders: &[&TcpListener], silence: Duration) -> Subscription {
+    let addresses: Vec<SocketAddr> = feeders.iter().map(|one| one.local_addr().unwrap()).collect();
+    let (_, candidates) = watch::channel(addresses);
+    let subscriber = Subscriber::Edge(edge(1, 1));
+    Subscription::start(SubscriptionOptions { hello: hello(), subscriber, candidates, silence })
+}
+
+/// Waits until the subscriber comes to one of two feeders; the connection and what it holds.
+async fn welcome(one: &TcpListener, other: &TcpListener) -> (Connection, Revision) {
+    let ((stream, address), _) = visit(one, other).await;
+    let mut connection = accept(stream, address, &hello()).await.unwrap();
+    match connection.reader.next().await.unwrap() {
+        FromSubscriber::Subscribe { held, .. } => (connection, held),
+        other => panic!("{other:?} came first"),
+    }
+}
+
+/// Waits until the subscriber connects to one of two feeders; whether it is the second.
+async fn visit(one: &TcpListener, other: &TcpListener) -> ((TcpStream, SocketAddr), bool) {
+    tokio::select! {
+        accepted = one.accept() => (accepted.unwrap(), false),
+        accepted = other.accept() => (accepted.unwrap(), true),
+    }
+}
+
+fn snapshot(revision: u64) -> ToSubscriber {
+    ToSubscriber::Update(TablesUpdate::Snapshot(tables(revision)))
+}
+
+fn heartbeat(revision: u64, current: bool) -> ToSubscriber {
+    ToSubscriber::Heartbeat { revision: Revision(revision), current }
+}
+
+async fn expect(connection: &mut Connection, message: FromSubscriber) {
+    assert_eq!(connection.reader.next::<FromSubscriber>().await.unwrap(), message);
+}
+
+#[test]
+fn tables_and_standing_are_published() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let subscription = subscribe(&[&one, &other], PATIENT);
+        let (mut feeder, held) = welcome(&one, &other).await;
+        assert_eq!(held, Revision(0));
+        feeder.writer.send(&snapshot(3)).await.unwrap();
+        expect(&mut feeder, FromSubscriber::Applied(Revision(3))).await;
+        assert_eq!(**subscription.tables().borrow(), tables(3));
+        assert!(!subscription.standing().borrow().current);
+        feeder.writer.send(&heartbeat(3, true)).await.unwrap();
+        subscription.standing().wait_for(|standing| standing.current).await.unwrap();
+    });
+}
+
+#[test]
+fn a_feeder_that_closes_is_left_and_nothing_goes_back() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let subscription = subscribe(&[&one, &other], PATIENT);
+        let (mut feeder, _) = welcome(&one, &other).await;
+        feeder.writer.send(&snapshot(3)).await.unwrap();
+        expect(&mut feeder, FromSubscriber::Applied(Revision(3))).await;
+        drop(feeder);
+        let (mut feeder, held) = welcome(&one, &other).await;
+        assert_eq!(held, Revision(3));
+        feeder.writer.send(&snapshot(2)).await.unwrap();
+        expect(&mut feeder, FromSubscriber::Applied(Revision(3))).await;
+        assert_eq!(**subscription.tables().borrow(), tables(3));
+    });
+}
+
+#[test]
+fn a_feeder_that_is_not_current_is_left_for_another() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let _subscription = subscribe(&[&one, &other], PATIENT);
+        let ((stream, address), first) = visit(&one, &other).await;
+        let mut feeder = accept(stream, address, &hello()).await.unwrap();
+        feeder.writer.send(&heartbeat(0, false)).await.unwrap();
+        let (_, second) = visit(&one, &other).await;
+        assert_ne!(first, second);
+    });
+}
+
+#[test]
+fn a_silent_feeder_is_left() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let _subscription = subscribe(&[&one, &other], Duration::from_millis(20));
+        let (_silent, _) = welcome(&one, &other).await;
+        let (_next, _) = welcome(&one, &other).await;
+    });
+}
+
+#[test]
+fn feeders_that_a_feeder_names_are_tried_too() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let _subscription = subscribe(&[&one], PATIENT);
+        let (mut feeder, _) = welcome(&one, &other).await;
+        let learnt = ToSubscriber::Controllers(vec![other.local_addr().unwrap()]);
+        feeder.writer.send(&learnt).await.unwrap();
+        feeder.writer.send(&heartbeat(0, true)).await.unwrap();
+        expect(&mut feeder, FromSubscriber::Applied(Revision(0))).await;
+        drop((feeder, one));
+        let (stream, address) = other.accept().await.unwrap();
+        accept(stream, address, &hello()).await.unwrap();
+    });
+}
+
+#[test]
+fn messages_of_the_owner_reach_the_feeder_and_the_end_of_the_owner_closes() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let subscription = subscribe(&[&one, &other], PATIENT);
+        let (mut feeder, _) = welcome(&one, &other).await;
+        assert!(subscription.send_written(FromSubscriber::Leaving, PATIENT).await);
+        expect(&mut feeder, FromSubscriber::Leaving).await;
+        drop(subscription);
+        assert!(feeder.reader.next::<FromSubscriber>().await.is_err());
+    });
+}
--- /dev/null
+++ b/tier/protocol/tests/tables.rs
@@ -0,0 +1,106 @@
+//! Changes between tables.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{any_tables, tables};
+use plankhill_protocol::feed::ToSubscriber;
+use plankhill_protocol::feeder::Held;
+use plankhill_protocol::ids::Revision;
+use plankhill_protocol::subscription::{Progress, Step};
+use plankhill_protocol::tables::{Tables, TablesUpdate};
+
+#[test]
+fn changes_lead_from_any_tables_to_any_later_ones() {
+    arbtest::arbtest(|draw| {
+        let (older, newer) = (any_tables(draw, 3)?, any_tables(draw, 4)?);
+        let mut held = older.clone();
+        let changes = newer.changes_since(&older);
+        assert!(held.apply(TablesUpdate::Changes { from: Revision(3), to: Revision(4), changes }));
+        assert_eq!(held, newer);
+        Ok(())
+    });
+}
+
+#[test]
+fn equal_tables_need_no_changes() {
+    arbtest::arbtest(|draw| {
+        let one = any_tables(draw, 3)?;
+        assert_eq!(one.changes_since(&one), Vec::new());
+        Ok(())
+    });
+}
+
+/// A subscriber that follows feeders, each at some revision of one history, over connections that break at any
+/// message: it holds exactly what the history says, and never goes back.
+#[test]
+fn a_subscriber_never_goes_back_and_ends_at_the_newest() {
+    arbtest::arbtest(|draw| {
+        let mut history = vec![Arc::new(Tables::default())];
+        for revision in 1..=8 {
+            history.push(Arc::new(any_tables(draw, revision)?));
+        }
+        let mut held = Arc::new(Tables::default());
+        for _ in 0..draw.int_in_range(0..=6)? {
+            let mut feeder = draw.int_in_range(0..=history.len() - 1)?;
+            let mut position = Held::Revision(held.revision);
+            let mut progress = Progress::default();
+            while feeder < history.len() && draw.ratio(3, 4)? {
+                let before = held.revision;
+                deliver(&mut position, &mut progress, &history[feeder], &mut held);
+                assert!(held.revision >= before);
+                assert_eq!(held, history[held.revision.0 as usize]);
+                feeder += draw.int_in_range(1..=3)?;
+            }
+        }
+        let (mut position, mut progress) = (Held::Revision(held.revision), Progress::default());
+        deliver(&mut position, &mut progress, &history[8], &mut held);
+        assert_eq!(held, history[8]);
+        Ok(())
+    });
+}
+
+fn deliver(position: &mut Held, progress: &mut Progress, newest: &Arc<Tables>, held: &mut Arc<Tables>) {
+    if let Some(update) = position.advance(newest) {
+        assert_ne!(progress.take(ToSubscriber::Update(update), held), Step::WantsSnapshot);
+    }
+}
+
+#[test]
+fn a_gap_leads_to_one_request_for_a_snapshot() {
+    let mut held = Arc::new(tables(3));
+    let mut progress = Progress::default();
+    let gap = TablesUpdate::Changes { from: Revision(4), to: Revision(5), changes: Vec::new() };
+    let step = progress.take(ToSubscriber::Update(gap.clone()), &mut held);
+    assert_eq!(step, Step::WantsSnapshot);
+    assert_eq!(progress.take(ToSubscriber::Update(gap), &mut held), Step::Unconfirmed);
+    let snapshot = ToSubscriber::Update(TablesUpdate::Snapshot(tables(5)));
+    assert_eq!(progress.take(snapshot, &mut held), Step::Changed);
+    assert_eq!(held.revision, Revision(5));
+}
+
+#[test]
+fn a_heartbeat_ahead_of_the_tables_leads_to_a_snapshot() {
+    let mut held = Arc::new(tables(3));
+    let ahead = ToSubscriber::Heartbeat { revision: Revision(4), current: true };
+    assert_eq!(Progress::default().take(ahead, &mut held), Step::WantsSnapshot);
+}
+
+#[test]
+fn only_equal_and_current_confirms() {
+    let mut held = Arc::new(tables(3));
+    let mut progress = Progress::default();
+    let beat = |revision, current| ToSubscriber::Heartbeat { revision: Revision(revision), current };
+    assert_eq!(progress.take(beat(3, true), &mut held), Step::Confirmed);
+    assert_eq!(progress.take(beat(3, false), &mut held), Step::Leave);
+}
+
+#[test]
+fn a_feeder_that_stays_behind_is_left() {
+    let mut held = Arc::new(tables(3));
+    let mut progress = Progress::default();
+    let behind = ToSubscriber::Heartbeat { revision: Revision(2), current: true };
+    assert_eq!(progress.take(behind.clone(), &mut held), Step::Unconfirmed);
+    assert_eq!(progress.take(behind, &mut held), Step::Leave);
+}
