--- /dev/null
+++ b/tier/membership/tests/rendezvous.rs
@@ -0,0 +1,86 @@
+//! Rendezvous hashing, monitored peers, and homes.
+
+use std::collections::BTreeMap;
+
+use plankhill_membership::homes::home_of;
+use plankhill_membership::peers::{monitored, MONITORED};
+use plankhill_membership::rendezvous::{first, top};
+use plankhill_protocol::ids::{Incarnation, NodeId, ServiceName, ZoneName};
+use plankhill_protocol::tables::Edge;
+
+fn nodes(count: usize) -> Vec<NodeId> {
+    (0..count).map(|number| NodeId::from(format!("edge-{number}").as_str())).collect()
+}
+
+fn edge(number: usize, zone: &str) -> Edge {
+    Edge {
+        node: NodeId::from(format!("edge-{number}").as_str()),
+        incarnation: Incarnation(1),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: ZoneName::from(zone),
+    }
+}
+
+#[test]
+fn order_of_members_does_not_matter() {
+    arbtest::arbtest(|draw| {
+        let members = nodes(draw.int_in_range(0..=9)?);
+        let (key, count) = (draw.arbitrary::<String>()?, draw.int_in_range(0..=4)?);
+        let forward = top(&key, members.iter(), count);
+        assert_eq!(forward, top(&key, members.iter().rev(), count));
+        assert_eq!(forward.len(), count.min(members.len()));
+        assert_eq!(forward.first().copied(), first(&key, members.iter()).filter(|_| count > 0));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_member_that_goes_moves_only_what_it_had() {
+    arbtest::arbtest(|draw| {
+        let members = nodes(draw.int_in_range(2..=9)?);
+        let key: String = draw.arbitrary()?;
+        let gone = draw.choose(&members)?;
+        let before = top(&key, members.iter(), members.len());
+        let after = top(&key, members.iter().filter(|member| *member != gone), members.len());
+        let left: Vec<_> = before.into_iter().filter(|member| *member != gone).collect();
+        assert_eq!(left, after);
+        Ok(())
+    });
+}
+
+#[test]
+fn keys_are_spread() {
+    let members = nodes(4);
+    let mut taken: BTreeMap<&NodeId, u32> = BTreeMap::new();
+    for key in 0..4_000 {
+        *taken.entry(first(&format!("key-{key}"), members.iter()).unwrap()).or_default() += 1;
+    }
+    assert!(taken.values().all(|count| (900..1_100).contains(count)), "{taken:?}");
+}
+
+#[test]
+fn everyone_is_monitored_by_some_and_nobody_by_itself() {
+    let members = nodes(30);
+    let mut by: BTreeMap<&NodeId, usize> = BTreeMap::new();
+    for member in &members {
+        let peers = monitored(member, members.iter());
+        assert_eq!(peers.len(), MONITORED);
+        assert!(!peers.contains(&member));
+        peers.into_iter().for_each(|peer| *by.entry(peer).or_default() += 1);
+    }
+    // By chance a few have no monitor; controllers hear of their end by the silence of their subscriptions.
+    assert!(by.len() > members.len() * 8 / 10, "{by:?}");
+}
+
+#[test]
+fn a_home_is_in_its_zone_and_the_next_takes_over() {
+    let edges: Vec<Edge> = (0..6).map(|number| edge(number, ["west", "east"][number % 2])).collect();
+    let (service, zone) = (ServiceName::from("models"), ZoneName::from("west"));
+    let home = home_of(&service, &zone, &edges).unwrap().clone();
+    assert_eq!(home.zone, zone);
+    let left: Vec<Edge> = edges.into_iter().filter(|edge| *edge != home).collect();
+    let next = home_of(&service, &zone, &left).unwrap();
+    assert_eq!(next.zone, zone);
+    assert_ne!(next.node, home.node);
+    assert_eq!(home_of(&service, &ZoneName::from("north"), &left), None);
+}
