--- a/tier/agent/src/lib.rs
+++ b/tier/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod end;
 mod feeder;
 mod identity;
+mod peers;
 mod run;
 mod signals;
 
--- a/tier/agent/src/run.rs
+++ b/tier/agent/src/run.rs
@@ -2,12 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use plankhill_protocol::feed::Subscriber;
 use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
 use plankhill_protocol::transport::{listen, Channel, Hello};
 use plankhill_settings::Settings;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -15,6 +16,7 @@
 use crate::end::end;
 use crate::feeder::{serve, Source};
 use crate::identity::{edge, node};
+use crate::peers::monitor_peers;
 use crate::signals::{Request, Signals};
 
 /// Why the agent could not run.
@@ -46,17 +48,19 @@
 async fn run_local(mut settings: Settings) -> Result<(), RunError> {
     let mut signals = Signals::listen().map_err(RunError::Runtime)?;
     let loopback = listen_at(ports(&settings).agent_loopback())?;
+    let datagrams = bind_datagrams(ports(&settings).agent(settings.ip)).await?;
     let (candidates, watched) = watch::channel(controllers(&settings));
-    let subscription = Subscription::start(SubscriptionOptions {
+    let subscription = Rc::new(Subscription::start(SubscriptionOptions {
         hello: Hello::new(Channel::Feed, node(&settings)),
         subscriber: Subscriber::Edge(edge(&settings)),
         candidates: watched,
         silence: CONTROLLER_SILENCE,
-    });
+    }));
     let source = Source { tables: subscription.tables(), standing: subscription.standing() };
     let (connected, proxies) = watch::channel(0);
     let hello = Hello::new(Channel::Feed, node(&settings));
     tokio::task::spawn_local(serve(loopback, hello, source, connected));
+    tokio::task::spawn_local(monitor_peers(datagrams, node(&settings), subscription.clone()));
     tracing::info!(node = %settings.node_id, "agent started");
     while let Request::Reload = signals.next().await {
         reload(&mut settings, &candidates);
@@ -80,3 +84,7 @@
 fn listen_at(address: SocketAddr) -> Result<TcpListener, RunError> {
     listen(address).map_err(|source| RunError::Listen { address, source })
 }
+
+async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, RunError> {
+    UdpSocket::bind(address).await.map_err(|source| RunError::Listen { address, source })
+}
