--- /dev/null
+++ b/tier/control/src/configuration.rs
@@ -0,0 +1,82 @@
+//! The operator's configuration, and which ones were taken before.
+
+use std::collections::VecDeque;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use plankhill_protocol::tables::ConfigurationText;
+use serde::{Deserialize, Serialize};
+use siphasher::sip128::{Hasher128, SipHasher24};
+
+use crate::operation::Outcome;
+
+/// Configurations that are remembered as taken. A long day has hundreds of changes, and at most eight orders
+/// are under way at once, so that a repeated order is far younger than this.
+const TAKEN_KEPT: usize = 1_024;
+
+/// The current configuration and digests of those taken before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationHistory {
+    current: Option<ConfigurationText>,
+    /// In the order in which they were taken, the current one last.
+    taken: VecDeque<Taken>,
+}
+
+/// A configuration that was in force once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Taken {
+    version: u64,
+    digest: u128,
+}
+
+impl ConfigurationHistory {
+    /// The current configuration; `None` before the first.
+    pub fn current(&self) -> Option<&ConfigurationText> {
+        self.current.as_ref()
+    }
+
+    /// The current version; 0 before the first.
+    pub fn current_version(&self) -> u64 {
+        self.current.as_ref().map_or(0, |current| current.version)
+    }
+
+    /// Whether exactly this document was taken under this version, now or before.
+    pub fn has_taken(&self, version: u64, document: &[u8]) -> bool {
+        let of_version = self.taken.iter().rev().find(|taken| taken.version == version);
+        of_version.is_some_and(|taken| taken.digest == digest(document))
+    }
+
+    /// What [`ConfigurationHistory::put`] would answer.
+    pub fn judge(&self, expected: u64, version: u64, document: &[u8]) -> Outcome {
+        let current = self.current_version();
+        if self.has_taken(version, document) {
+            Outcome::Repeated
+        } else if expected != current {
+            Outcome::Conflict { current }
+        } else if version <= current {
+            Outcome::NotAbove { current }
+        } else {
+            Outcome::Applied
+        }
+    }
+
+    /// Takes a configuration if it builds on the current one.
+    pub(crate) fn put(&mut self, expected: u64, version: u64, document: &Arc<[u8]>) -> Outcome {
+        let outcome = self.judge(expected, version, document);
+        if outcome.changed() {
+            self.taken.push_back(Taken { version, digest: digest(document) });
+            if self.taken.len() > TAKEN_KEPT {
+                self.taken.pop_front();
+            }
+            self.current = Some(ConfigurationText { version, document: document.clone() });
+        }
+        outcome
+    }
+}
+
+/// Tells documents apart; the same on every controller and in every build.
+fn digest(document: &[u8]) -> u128 {
+    let mut hasher = SipHasher24::new();
+    hasher.write(document);
+    hasher.finish128().as_u128()
+}
