--- a/tier/control/src/configuration.rs
+++ b/tier/control/src/configuration.rs
@@ -40,16 +40,16 @@
         self.current.as_ref().map_or(0, |current| current.version)
     }
 
-    /// Whether exactly this document was taken under this version, now or before.
-    pub fn has_taken(&self, version: u64, document: &[u8]) -> bool {
-        let of_version = self.taken.iter().rev().find(|taken| taken.version == version);
-        of_version.is_some_and(|taken| taken.digest == digest(document))
+    /// Whether exactly this document was taken, now or before; then the version under which it was.
+    pub fn taken_as(&self, document: &[u8]) -> Option<u64> {
+        let digest = digest(document);
+        self.taken.iter().rev().find(|taken| taken.digest == digest).map(|taken| taken.version)
     }
 
     /// What [`ConfigurationHistory::put`] would answer.
     pub fn judge(&self, expected: u64, version: u64, document: &[u8]) -> Outcome {
         let current = self.current_version();
-        if self.has_taken(version, document) {
+        if self.taken_as(document) == Some(version) {
             Outcome::Repeated
         } else if expected != current {
             Outcome::Conflict { current }
--- a/tier/protocol/src/transport/mod.rs
+++ b/tier/protocol/src/transport/mod.rs
@@ -39,6 +39,8 @@
     Store,
     /// Between agents.
     Peer,
+    /// From a controller to the head of the chain: whom it has heard.
+    Liveness,
 }
 
 /// The first frame on each side of a connection.
--- /dev/null
+++ b/tier/replica/src/control.rs
@@ -0,0 +1,15 @@
+//! The control state of the tier as the replicated state.
+
+use plankhill_control::{ControlState, Operation, Outcome};
+use plankhill_protocol::ids::Revision;
+
+use crate::state::ReplicatedState;
+
+impl ReplicatedState for ControlState {
+    type Operation = Operation;
+    type Outcome = Outcome;
+
+    fn apply(&mut self, revision: Revision, operation: &Operation) -> Outcome {
+        ControlState::apply(self, revision, operation)
+    }
+}
--- a/tier/replica/src/lib.rs
+++ b/tier/replica/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`Log`] is the handle that the rest of the process uses; the member itself runs as one task.
 
+mod control;
 pub mod handle;
 pub mod state;
 
