--- /dev/null
+++ b/tier/control/tests/common/mod.rs
@@ -0,0 +1,79 @@
+//! Values that several tests use.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use plankhill_control::{ControlState, Duty, Operation, Outcome};
+use plankhill_protocol::ids::{Incarnation, InstanceId, NodeId, Revision, ServiceName, StoreEpoch, ZoneName};
+use plankhill_protocol::tables::{Edge, StoreMember, Target, TargetState};
+
+pub fn target(id: &str, port: u16, sequence: u64) -> Target {
+    Target {
+        id: InstanceId::from(id),
+        service: ServiceName::from("models"),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::from("a"),
+        capacity: 4,
+        state: TargetState::Healthy,
+        sequence,
+        cold_remaining_ms: 0,
+        models: Vec::new(),
+    }
+}
+
+pub fn draining(id: &str, port: u16, sequence: u64) -> Target {
+    Target { state: TargetState::Draining, ..target(id, port, sequence) }
+}
+
+pub fn edge(node: &str, incarnation: u64) -> Edge {
+    Edge {
+        node: NodeId::from(node),
+        incarnation: Incarnation(incarnation),
+        address: ([10, 0, 0, 2], 7000).into(),
+        zone: ZoneName::from("a"),
+    }
+}
+
+pub fn store(node: &str, incarnation: u64) -> StoreMember {
+    StoreMember {
+        node: NodeId::from(node),
+        incarnation: Incarnation(incarnation),
+        address: ([10, 0, 0, 3], 7001).into(),
+        zone: ZoneName::from("a"),
+    }
+}
+
+pub fn register(member: &StoreMember) -> Operation {
+    Operation::RegisterStore { member: member.clone(), faults: 1 }
+}
+
+pub fn synced(member: &StoreMember, epoch: u64) -> Operation {
+    Operation::StoreSynced {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        epoch: StoreEpoch(epoch),
+    }
+}
+
+pub fn drop_store(member: &StoreMember) -> Operation {
+    let duty = Duty::DropStore { node: member.node.clone(), incarnation: member.incarnation };
+    Operation::Duty { view: 1, duty }
+}
+
+pub fn put(expected: u64, version: u64, document: &str) -> Operation {
+    Operation::PutConfiguration { expected, version, document: Arc::from(document.as_bytes()) }
+}
+
+pub fn apply(state: &mut ControlState, operation: &Operation) -> Outcome {
+    state.apply(Revision(1), operation)
+}
+
+/// Three stores that serve, at epoch 1.
+pub fn three_stores() -> (ControlState, [StoreMember; 3]) {
+    let members = [store("s1", 1), store("s2", 2), store("s3", 3)];
+    let mut state = ControlState::default();
+    for member in &members {
+        assert_eq!(apply(&mut state, &register(member)), Outcome::Applied);
+    }
+    (state, members)
+}
