--- /dev/null
+++ b/tier/membership/src/rendezvous.rs
@@ -0,0 +1,32 @@
+//! Rendezvous hashing: every process picks the same members for a key, and a change of membership moves few
+//! keys.
+
+use std::hash::Hasher;
+
+use plankhill_protocol::ids::NodeId;
+use siphasher::sip::SipHasher13;
+
+/// The same in all processes of a deployment; any other constant would do.
+const KEYS: (u64, u64) = (0x706c_616e_6b68_696c, 0x6c2d_7469_6572_2031);
+
+/// The `count` members that score highest for this key, best first; all of them if there are fewer.
+pub fn top<'a>(key: &str, members: impl Iterator<Item = &'a NodeId>, count: usize) -> Vec<&'a NodeId> {
+    let mut scored: Vec<(u64, &NodeId)> = members.map(|member| (score(key, member), member)).collect();
+    scored.sort_unstable_by(|one, other| other.cmp(one));
+    scored.truncate(count);
+    scored.into_iter().map(|(_, member)| member).collect()
+}
+
+/// The member that scores highest for this key; None if there are no members.
+pub fn first<'a>(key: &str, members: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
+    members.max_by_key(|member| (score(key, member), *member))
+}
+
+/// How high a member scores for a key.
+fn score(key: &str, member: &NodeId) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(KEYS.0, KEYS.1);
+    hasher.write(key.as_bytes());
+    hasher.write_u8(0xff);
+    hasher.write(member.as_str().as_bytes());
+    hasher.finish()
+}
