--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -4,8 +4,10 @@
 //! from the transport, so that the packages without I/O can use the former alone.
 
 pub mod feed;
+pub mod feeder;
 pub mod ids;
 pub mod ports;
+pub mod subscription;
 pub mod tables;
 pub mod transport;
 pub mod turns;
