Store process: quorum writes, reservations, chains, hints, copies for a new set, on fjall

Everything of the mechanism in a first version: coordinator and replica over a disk and a peer trait, loading after a restart, expiry, repair by hints, copying for the next set behind the epoch fence, link to the controllers.

--- /dev/null
+++ b/tier/store/src/disk/mod.rs
@@ -0,0 +1,43 @@
+//! Where a store keeps its rows. Every implementation passes the contract in `tests/disk_contract.rs`.
+
+mod fjall;
+mod folder;
+mod memory;
+
+use std::future::Future;
+
+use plankhill_turns::rows::{RowChange, Table};
+
+pub use fjall::FjallDisk;
+pub use folder::{open_folder, OpenedFolder};
+pub use memory::MemoryDisk;
+
+/// Why rows could not be written or read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DiskError {
+    /// Too much waits to be written already.
+    #[error("too much waits to be written")]
+    Busy,
+    /// The disk or the database failed; nothing more can be written until the process starts anew.
+    #[error("disk: {0}")]
+    Failed(String),
+}
+
+/// Rows that outlast a loss of power.
+pub trait Disk: 'static {
+    /// Writes the changes, all or none of them, and ends once they are synced. Commits take effect and end in
+    /// the order of their calls; one without changes ends once all earlier ones are synced.
+    fn commit(&self, changes: Vec<RowChange>) -> impl Future<Output = Result<(), DiskError>> + 'static;
+
+    /// A row of a commit that has ended; one of a commit under way may or may not be there yet.
+    ///
+    /// # Errors
+    /// [`DiskError::Failed`].
+    fn read(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, DiskError>;
+
+    /// Shows all rows of a table in the order of their keys.
+    ///
+    /// # Errors
+    /// [`DiskError::Failed`].
+    fn scan(&self, table: Table, visit: &mut dyn FnMut(&[u8], &[u8])) -> Result<(), DiskError>;
+}
--- a/tier/turns/src/peer.rs
+++ b/tier/turns/src/peer.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use plankhill_protocol::ids::{Incarnation, ProgramId, RequestId, StoreEpoch};
-use plankhill_protocol::tables::StoreView;
+use plankhill_protocol::ids::{Incarnation, NodeId, ProgramId, RequestId, StoreEpoch};
+use plankhill_protocol::tables::{StoreMember, StoreView};
 use plankhill_protocol::turns::{TurnPlace, TurnRecord};
 use serde::{Deserialize, Serialize};
 
@@ -53,8 +53,19 @@
     },
     /// Take in what was missed, and sync it.
     Repair(Vec<EndedTurn>),
+    /// Keep in mind that a store has missed what became of a turn. Best effort.
+    KeepHint {
+        /// The store that missed it.
+        node: NodeId,
+        /// The program.
+        program: ProgramId,
+        /// The turn.
+        turn: RequestId,
+    },
     /// List the programs that belong to the caller in the next set, in the order of their names.
     ListPrograms {
+        /// The caller.
+        store: StoreMember,
         /// Where to go on; None to begin.
         after: Option<ProgramId>,
     },
