--- /dev/null
+++ b/tier/store/tests/world/faults.rs
@@ -0,0 +1,125 @@
+//! Troubles that come one after the other, never more at once than the tier bears.
+
+use std::rc::Rc;
+
+use plankhill_protocol::ids::NodeId;
+
+use super::{milliseconds, World};
+
+/// After its return a machine still counts as lost for this time.
+pub const CATCH_UP_MS: u64 = 4_100;
+
+/// What happens to one machine, or to all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    Kill,
+    Wipe,
+    Freeze,
+    CutOff,
+    SlowDisk,
+    Retire,
+    Add,
+    /// All lose power.
+    Power,
+    /// One loses its disk while all others lose power.
+    PowerAndWipe,
+}
+
+const ALL: [Trouble; 9] = [
+    Trouble::Kill,
+    Trouble::Wipe,
+    Trouble::Freeze,
+    Trouble::CutOff,
+    Trouble::SlowDisk,
+    Trouble::Retire,
+    Trouble::Add,
+    Trouble::Power,
+    Trouble::PowerAndWipe,
+];
+
+impl World {
+    /// One trouble after the other.
+    pub async fn run_troubles(self: Rc<Self>, count: u64, kinds: &[Trouble]) {
+        let kinds = if kinds.is_empty() { &ALL } else { kinds };
+        for number in 0..count {
+            tokio::time::sleep(milliseconds(self.within(50..1_500))).await;
+            let kind = kinds[self.within(0..kinds.len() as u64) as usize];
+            self.trouble(kind, 100 + number).await;
+        }
+    }
+
+    async fn trouble(self: &Rc<Self>, kind: Trouble, number: u64) {
+        let nodes = self.nodes();
+        let node = nodes[self.within(0..nodes.len() as u64) as usize].clone();
+        let away = self.within(20..2_500);
+        match kind {
+            Trouble::Kill => {
+                self.kill(&node);
+                self.back_after(&node, away).await;
+            }
+            Trouble::Wipe => {
+                self.wipe(&node);
+                self.back_after(&node, away).await;
+            }
+            Trouble::Freeze => {
+                self.freeze(&node, away);
+                tokio::time::sleep(milliseconds(away + CATCH_UP_MS)).await;
+            }
+            Trouble::CutOff => {
+                self.network.borrow_mut().cut_off.insert(node.clone());
+                tokio::time::sleep(milliseconds(away)).await;
+                self.network.borrow_mut().cut_off.remove(&node);
+                tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+            }
+            Trouble::SlowDisk => self.slow_disk(&node, away).await,
+            Trouble::Retire => self.retire(&node).await,
+            Trouble::Add => {
+                self.add_machine(number);
+                tokio::time::sleep(milliseconds(away)).await;
+            }
+            Trouble::Power | Trouble::PowerAndWipe => self.power(&node, kind, away).await,
+        }
+    }
+
+    async fn slow_disk(&self, node: &NodeId, away: u64) {
+        let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
+        let Some(disk) = disk else { return };
+        disk.set_sync_time(milliseconds(900));
+        tokio::time::sleep(milliseconds(away)).await;
+        disk.set_sync_time(milliseconds(5));
+        tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+    }
+
+    /// Retires a store if enough are left, and loses the disk of another one as soon as it is gone.
+    async fn retire(self: &Rc<Self>, node: &NodeId) {
+        let least = 2 * self.faults as usize + 1;
+        if self.nodes().len() <= least {
+            return;
+        }
+        self.retired.borrow_mut().push(node.clone());
+        while self.nodes().contains(node) && !self.ended.get() {
+            tokio::time::sleep(milliseconds(10)).await;
+        }
+        let nodes = self.nodes();
+        let other = nodes[self.within(0..nodes.len() as u64) as usize].clone();
+        self.wipe(&other);
+        self.back_after(&other, 100).await;
+    }
+
+    async fn power(self: &Rc<Self>, node: &NodeId, kind: Trouble, away: u64) {
+        let nodes = self.nodes();
+        nodes.iter().for_each(|node| self.kill(node));
+        if kind == Trouble::PowerAndWipe {
+            self.wipe(node);
+        }
+        tokio::time::sleep(milliseconds(away.min(1_000))).await;
+        nodes.iter().for_each(|node| self.start(node));
+        tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+    }
+
+    async fn back_after(self: &Rc<Self>, node: &NodeId, away: u64) {
+        tokio::time::sleep(milliseconds(away)).await;
+        self.start(node);
+        tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+    }
+}
--- /dev/null
+++ b/tier/store/tests/world/machine.rs
@@ -0,0 +1,178 @@
+//! The machines that stores run on.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+
+use plankhill_protocol::ids::{Incarnation, NodeId, ZoneName};
+use plankhill_protocol::tables::StoreMember;
+use plankhill_store::clock::Clock;
+use plankhill_store::disk::MemoryDisk;
+use plankhill_store::figures::Figures;
+use plankhill_store::node::{Node, Parts};
+use plankhill_turns::wire::{StoreAnswer, StoreRequest};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, LocalSet};
+use tokio::time::Instant;
+
+use super::network::SimulatedPeers;
+use super::{milliseconds, Plant, World};
+
+pub type StoreNode = Node<SimulatedPeers, MemoryDisk, WorldClock>;
+type LocalWork = Pin<Box<dyn Future<Output = ()>>>;
+type Calls = mpsc::UnboundedSender<(StoreRequest, oneshot::Sender<StoreAnswer>)>;
+
+/// Virtual time as a time of day.
+pub struct WorldClock {
+    started: Instant,
+    speed: u64,
+}
+
+impl Clock for WorldClock {
+    fn now_ms(&self) -> u64 {
+        1_000_000_000 + self.started.elapsed().as_millis() as u64 * self.speed
+    }
+}
+
+pub struct Machine {
+    pub member: StoreMember,
+    pub disk: MemoryDisk,
+    pub frozen_until: Option<Instant>,
+    life: Option<Life>,
+}
+
+/// One life of a store's process.
+struct Life {
+    node: Rc<StoreNode>,
+    calls: Calls,
+    work: mpsc::UnboundedSender<LocalWork>,
+    task: AbortHandle,
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Machine {
+    pub fn queue(&self) -> Option<Calls> {
+        self.life.as_ref().map(|life| life.calls.clone())
+    }
+
+    /// Does something inside the process, which ends with it.
+    pub fn inside(&self, work: impl Future<Output = ()> + 'static) {
+        if let Some(life) = &self.life {
+            // A process that is ending does nothing more.
+            let _ = life.work.send(Box::pin(work));
+        }
+    }
+
+    pub fn node(&self) -> Option<Rc<StoreNode>> {
+        self.life.as_ref().map(|life| life.node.clone())
+    }
+}
+
+impl World {
+    pub fn add_machine(self: &Rc<Self>, number: u64) {
+        let name = format!("store-{number}");
+        let ip = Ipv4Addr::new(10, 0, 0, 1 + number as u8);
+        let member = StoreMember {
+            node: NodeId::from(name.as_str()),
+            incarnation: Incarnation(1_000 * number + 1),
+            address: SocketAddr::from((ip, 7_000)),
+            zone: ZoneName::from(format!("zone-{}", number % 3).as_str()),
+        };
+        let node = member.node.clone();
+        let disk = MemoryDisk::new(milliseconds(self.within(2..10)));
+        disk.set_ignores_syncs(self.plant == Plant::DisksIgnoreSyncs);
+        let machine = Machine { member, disk, frozen_until: None, life: None };
+        self.machines.borrow_mut().insert(node.clone(), machine);
+        self.start(&node);
+    }
+
+    pub fn node_at(&self, address: SocketAddr) -> Option<NodeId> {
+        let machines = self.machines.borrow();
+        let found = machines.iter().find(|(_, machine)| machine.member.address == address);
+        found.map(|(node, _)| node.clone())
+    }
+
+    /// Starts the process of a machine that is there and not running.
+    pub fn start(self: &Rc<Self>, node: &NodeId) {
+        let mut machines = self.machines.borrow_mut();
+        let Some(machine) = machines.get_mut(node).filter(|machine| machine.life.is_none()) else { return };
+        let speed = if self.plant == Plant::FastClocks { 20 } else { 1 };
+        let parts = Parts {
+            me: machine.member.clone(),
+            figures: Figures { slack_ms: 10_000, most_bytes: 50_000_000 },
+            peers: SimulatedPeers { world: Rc::downgrade(self), from: node.clone() },
+            disk: machine.disk.clone(),
+            clock: WorldClock { started: self.started, speed },
+        };
+        let process = LocalSet::new();
+        let started = Node::load(parts).expect("disks in memory can be read");
+        let (calls, queue) = mpsc::unbounded_channel();
+        let (work, tasks) = mpsc::unbounded_channel();
+        process.spawn_local(do_work(tasks));
+        process.spawn_local(started.clone().run());
+        process.spawn_local(answer_calls(started.clone(), queue));
+        let task = tokio::task::spawn_local(process).abort_handle();
+        machine.life = Some(Life { node: started, calls, work, task });
+    }
+
+    /// Ends the process; what its disk has not synced is lost.
+    pub fn kill(&self, node: &NodeId) {
+        if let Some(machine) = self.machines.borrow_mut().get_mut(node) {
+            machine.life = None;
+            machine.disk.lose_power();
+        }
+    }
+
+    /// Ends the process; its disk is empty afterwards.
+    pub fn wipe(&self, node: &NodeId) {
+        self.kill(node);
+        if let Some(machine) = self.machines.borrow_mut().get_mut(node) {
+            machine.disk.wipe();
+            if self.plant != Plant::SameIncarnation {
+                machine.member.incarnation.0 += 1;
+            }
+        }
+    }
+
+    pub fn freeze(&self, node: &NodeId, milliseconds_long: u64) {
+        if let Some(machine) = self.machines.borrow_mut().get_mut(node) {
+            machine.frozen_until = Some(Instant::now() + milliseconds(milliseconds_long));
+        }
+    }
+
+    /// Takes the machine away with its disk.
+    pub fn remove(&self, node: &NodeId) {
+        self.kill(node);
+        self.machines.borrow_mut().remove(node);
+    }
+
+    /// The machines that are there.
+    pub fn nodes(&self) -> Vec<NodeId> {
+        self.machines.borrow().keys().cloned().collect()
+    }
+}
+
+async fn answer_calls(
+    node: Rc<StoreNode>,
+    mut queue: mpsc::UnboundedReceiver<(StoreRequest, oneshot::Sender<StoreAnswer>)>,
+) {
+    while let Some((request, answer)) = queue.recv().await {
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            // The caller may have stopped waiting.
+            let _ = answer.send(node.answer(request).await);
+        });
+    }
+}
+
+async fn do_work(mut tasks: mpsc::UnboundedReceiver<LocalWork>) {
+    while let Some(work) = tasks.recv().await {
+        tokio::task::spawn_local(work);
+    }
+}
--- /dev/null
+++ b/tier/store/tests/world/network.rs
@@ -0,0 +1,136 @@
+//! Calls between machines: they take time, are cut, lost, held up by frozen machines.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use plankhill_protocol::ids::NodeId;
+use plankhill_protocol::transport::CallError;
+use plankhill_store::peers::Peers;
+use plankhill_turns::account::Account;
+use plankhill_turns::peer::{PeerCall, PeerReply, PeerRequest, PeerResponse};
+use plankhill_turns::wire::{StoreAnswer, StoreRequest};
+use tokio::sync::oneshot;
+
+use super::{milliseconds, Plant, World};
+
+#[derive(Default)]
+pub struct Network {
+    /// Machines that reach nobody; "control" and proxies are never cut off themselves.
+    pub cut_off: BTreeSet<NodeId>,
+    /// Lost messages in a hundred.
+    pub loss: u64,
+}
+
+impl World {
+    /// One call from a machine (None: a proxy).
+    pub async fn call(
+        self: &Rc<Self>,
+        from: Option<NodeId>,
+        to: SocketAddr,
+        request: StoreRequest,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, CallError> {
+        let (answer, answered) = oneshot::channel();
+        let world = self.clone();
+        // A message under way arrives even if its sender has stopped waiting.
+        tokio::task::spawn_local(async move {
+            // The sender may have stopped waiting.
+            let _ = answer.send(world.deliver(from, to, request).await);
+        });
+        match tokio::time::timeout(timeout, answered).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => Err(CallError::NoAnswer),
+        }
+    }
+
+    async fn deliver(
+        self: Rc<Self>,
+        from: Option<NodeId>,
+        to: SocketAddr,
+        request: StoreRequest,
+    ) -> Result<StoreAnswer, CallError> {
+        let to = self.node_at(to).ok_or(CallError::NotSent)?;
+        self.pass(from.as_ref(), Some(&to)).await;
+        let request = self.harmed_request(&to, request);
+        let queue = self.machines.borrow().get(&to).and_then(|machine| machine.queue());
+        let (answer, answered) = oneshot::channel();
+        queue.ok_or(CallError::NotSent)?.send((request, answer)).map_err(|_| CallError::NotSent)?;
+        let answer = answered.await.map_err(|_| CallError::NoAnswer)?;
+        self.pass(Some(&to), from.as_ref()).await;
+        Ok(self.harmed_answer(answer))
+    }
+
+    /// One way; does not end for a message that is lost.
+    async fn pass(&self, from: Option<&NodeId>, to: Option<&NodeId>) {
+        self.thawed(from).await;
+        tokio::time::sleep(milliseconds(self.within(1..5))).await;
+        let lost = {
+            let network = self.network.borrow();
+            let cut = [from, to].into_iter().flatten().any(|node| network.cut_off.contains(node));
+            cut || self.chance(network.loss)
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        self.thawed(to).await;
+    }
+
+    async fn thawed(&self, node: Option<&NodeId>) {
+        let Some(node) = node else { return };
+        let until = self.machines.borrow().get(node).and_then(|machine| machine.frozen_until);
+        if let Some(until) = until {
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
+    fn harmed_request(&self, to: &NodeId, mut request: StoreRequest) -> StoreRequest {
+        if let StoreRequest::Peer(call) = &mut request {
+            if self.plant == Plant::NoFence {
+                let machines = self.machines.borrow();
+                if let Some(node) = machines.get(to).and_then(|machine| machine.node()) {
+                    call.epoch = node.view().epoch;
+                }
+            }
+            if let (Plant::NoRepairs, PeerRequest::Repair(missed)) = (self.plant, &mut call.body) {
+                missed.clear();
+            }
+        }
+        request
+    }
+
+    fn harmed_answer(&self, mut answer: StoreAnswer) -> StoreAnswer {
+        if let (Plant::AccountsUntold, StoreAnswer::Peer(PeerReply { body, .. })) = (self.plant, &mut answer) {
+            if let PeerResponse::Account(account) = body {
+                *account = Account::default();
+            }
+        }
+        answer
+    }
+}
+
+/// The network as one store sees it.
+pub struct SimulatedPeers {
+    pub world: Weak<World>,
+    pub from: NodeId,
+}
+
+impl Peers for SimulatedPeers {
+    fn call(
+        &self,
+        address: SocketAddr,
+        call: PeerCall,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<PeerReply, CallError>> + 'static {
+        let (world, from) = (self.world.upgrade(), self.from.clone());
+        async move {
+            let world = world.ok_or(CallError::NotSent)?;
+            match world.call(Some(from), address, StoreRequest::Peer(call), timeout).await? {
+                StoreAnswer::Peer(reply) => Ok(reply),
+                StoreAnswer::Proxy(_) => Err(CallError::NoAnswer),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tier/store/tests/world/programs.rs
@@ -0,0 +1,88 @@
+//! What clients have seen, and what must hold of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use plankhill_protocol::ids::{ProgramId, RequestId};
+use tokio::time::Instant;
+
+/// How long turns are kept in this world.
+pub const RETENTION: Duration = Duration::from_secs(60);
+
+/// What clients know of a turn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Turn {
+    pub most: u64,
+    /// Tokens handed to the client so far.
+    pub handed: u64,
+    /// Whether the client knows that it is settled.
+    pub settled: bool,
+}
+
+/// A turn that was answered whole.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    pub turn: RequestId,
+    pub program: ProgramId,
+    pub history: Vec<u8>,
+    pub at: Instant,
+}
+
+#[derive(Default)]
+pub struct Programs {
+    pub budgets: BTreeMap<ProgramId, u64>,
+    pub turns: BTreeMap<ProgramId, BTreeMap<RequestId, Turn>>,
+    pub answered: Vec<Answered>,
+    pub begun: u64,
+    pub spent: u64,
+    pub unsure: u64,
+}
+
+impl Programs {
+    pub fn budget(&self, program: &ProgramId) -> u64 {
+        self.budgets.get(program).copied().unwrap_or(0)
+    }
+
+    pub fn turn(&mut self, program: &ProgramId, turn: &RequestId) -> &mut Turn {
+        let turns = self.turns.entry(program.clone()).or_default();
+        turns.entry(turn.clone()).or_insert(Turn { most: 0, handed: 0, settled: false })
+    }
+
+    /// Tokens are handed to a client.
+    pub fn hand(&mut self, program: &ProgramId, turn: &RequestId, tokens: u64) {
+        self.turn(program, turn).handed += tokens;
+        let handed: u64 = self.turns[program].values().map(|turn| turn.handed).sum();
+        let budget = self.budget(program);
+        assert!(handed <= budget, "BUDGET: {program} was handed {handed} of {budget}");
+    }
+
+    /// A turn was refused because the budget is spent.
+    pub fn refused(&mut self, program: &ProgramId, turn: &RequestId, most: u64) {
+        self.spent += 1;
+        let others = self.turns[program].iter().filter(|(other, _)| *other != turn);
+        let counted: u64 =
+            others.map(|(_, turn)| if turn.settled { turn.handed } else { turn.most }).sum();
+        let budget = self.budget(program);
+        assert!(counted + most > budget, "REFUSED: {program} has {counted} of {budget}, one asks {most}");
+    }
+
+    /// No such turn, a store said.
+    pub fn absent(&self, previous: &RequestId) {
+        let known = self.answered.iter().find(|answered| answered.turn == *previous);
+        if let Some(known) = known.filter(|known| known.at.elapsed() < RETENTION) {
+            panic!("LOST: {previous}, answered {:?} ago", known.at.elapsed());
+        }
+    }
+
+    /// A turn began with this history.
+    pub fn began(&mut self, previous: Option<&RequestId>, history: &[u8]) {
+        self.begun += 1;
+        let Some(previous) = previous else {
+            assert!(history.is_empty(), "UNASKED: a history for the first turn");
+            return;
+        };
+        let known = self.answered.iter().find(|answered| answered.turn == *previous);
+        let known = known.unwrap_or_else(|| panic!("UNASKED: {previous} names no turn"));
+        assert!(known.history == history, "UNASKED: another history for {previous}");
+    }
+}
