Homes: an edge gets updates from the home of its zone, checked against the controller's revision

The controller then sends heartbeats only, one at once with each new revision. If the home has not brought that revision within 150 ms, the controller is asked itself, so that nothing rests on the home.

--- a/tier/agent/src/feeder.rs
+++ b/tier/agent/src/feeder.rs
@@ -1,4 +1,4 @@
-//! Feeds the proxy of the same machine over loopback.
+//! Feeds subscribers of this agent: the proxy of the same machine, and other agents of its zone.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,8 +12,21 @@
 use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 
-/// Time between heartbeats to the proxy: each one wakes both processes, and these share a fraction of a core.
-const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Whom a feeder serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Audience {
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Connections at once; further ones are closed, and their subscribers go elsewhere.
+    pub connections: usize,
+}
+
+/// The proxy of the same machine. Each heartbeat wakes both processes, and these share a fraction of a core. A
+/// new connection may come before the end of the old one is seen.
+pub const PROXY: Audience = Audience { heartbeat: Duration::from_millis(500), connections: 4 };
+/// Other agents of the zone. They do not rely on heartbeats: what counts is that updates come as soon as a
+/// controller has announced them.
+pub const PEERS: Audience = Audience { heartbeat: Duration::from_secs(10), connections: 64 };
 /// The tables count as current if a controller confirmed them within this time: five of its heartbeats, and
 /// half of the shortest contact bound.
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(1_500);
@@ -21,23 +34,22 @@
 const WRITE_LIMIT: Duration = Duration::from_millis(2_000);
 /// Pause after a failed accept, so that other connections can end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Connections at once: one proxy, and a new one while the old one's end is not seen yet.
-const CONNECTIONS: usize = 4;
 
 /// What is fed.
 #[derive(Clone)]
-pub(crate) struct Source {
+pub struct Source {
     /// The tables of this machine.
-    pub(crate) tables: watch::Receiver<Arc<Tables>>,
+    pub tables: watch::Receiver<Arc<Tables>>,
     /// How the link to the controllers stands.
-    pub(crate) standing: watch::Receiver<LinkStanding>,
+    pub standing: watch::Receiver<LinkStanding>,
 }
 
 /// Accepts subscribers for ever; `connected` tells how many there are.
-pub(crate) async fn serve(
+pub async fn serve(
     listener: TcpListener,
     hello: Hello,
     source: Source,
+    audience: Audience,
     connected: watch::Sender<usize>,
 ) {
     loop {
@@ -45,15 +57,16 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if *connected.borrow() >= CONNECTIONS {
+        if *connected.borrow() >= audience.connections {
             continue;
         }
         connected.send_modify(|count| *count += 1);
         let (hello, source, connected) = (hello.clone(), source.clone(), connected.clone());
         tokio::task::spawn_local(async move {
             if let Ok(connection) = accept(stream, address, &hello).await {
-                let ended = Feed::new(connection.writer, source).run(connection.reader).await;
-                tracing::info!(reason = ended, "proxy left");
+                let ended =
+                    Feed::new(connection.writer, source, audience.heartbeat).run(connection.reader).await;
+                tracing::info!(node = %connection.peer.node, reason = ended, "subscriber left");
             }
             connected.send_modify(|count| *count -= 1);
         });
@@ -65,12 +78,13 @@
     writer: FrameWriter,
     source: Source,
     held: Held,
+    heartbeat: Duration,
     beat: Instant,
 }
 
 impl Feed {
-    fn new(writer: FrameWriter, source: Source) -> Self {
-        Feed { writer, source, held: Held::Nothing, beat: Instant::now() }
+    fn new(writer: FrameWriter, source: Source, heartbeat: Duration) -> Self {
+        Feed { writer, source, held: Held::Nothing, heartbeat, beat: Instant::now() }
     }
 
     /// Feeds until the connection ends; says why it did.
@@ -103,27 +117,22 @@
         }
     }
 
-    /// Sends what the subscriber lacks, and a heartbeat when one is due.
+    /// Sends what the subscriber lacks, and a heartbeat with it or when one is due.
     async fn send_newest(&mut self) -> bool {
         let tables = self.source.tables.borrow_and_update().clone();
-        if let Some(update) = self.held.advance(&tables) {
-            // A heartbeat follows at once, so that the subscriber knows that it is current.
-            self.beat = Instant::now();
-            if !self.send(ToSubscriber::Update(update)).await {
-                return false;
-            }
-        }
-        if self.beat > Instant::now() {
+        let mut messages = Vec::new();
+        messages.extend(self.held.advance(&tables).map(ToSubscriber::Update));
+        if messages.is_empty() && self.beat > Instant::now() {
             return true;
         }
-        self.beat = Instant::now() + HEARTBEAT;
-        let current =
-            self.source.standing.borrow().confirmed_within(CONFIRMED_WITHIN, std::time::Instant::now());
-        self.send(ToSubscriber::Heartbeat { revision: tables.revision, current }).await
+        self.beat = Instant::now() + self.heartbeat;
+        messages.push(ToSubscriber::Heartbeat { revision: tables.revision, current: self.is_current() });
+        matches!(timeout(WRITE_LIMIT, self.writer.send_all(&messages)).await, Ok(Ok(())))
     }
 
-    async fn send(&mut self, message: ToSubscriber) -> bool {
-        matches!(timeout(WRITE_LIMIT, self.writer.send(&message)).await, Ok(Ok(())))
+    fn is_current(&self) -> bool {
+        let now = std::time::Instant::now();
+        self.source.standing.borrow().confirmed_within(CONFIRMED_WITHIN, now)
     }
 }
 
--- a/tier/agent/src/identity.rs
+++ b/tier/agent/src/identity.rs
@@ -11,14 +11,9 @@
 /// This life of this machine's agent. The machine has no disk: each start is a new life.
 pub(crate) fn edge(settings: &Settings) -> Edge {
     Edge {
-        node: node(settings),
+        node: NodeId::from(settings.node_id.as_str()),
         incarnation: Incarnation(RandomState::new().build_hasher().finish()),
         address: ports(settings).agent(settings.ip),
         zone: ZoneName::from(settings.zone.as_str()),
     }
 }
-
-/// The machine's name.
-pub(crate) fn node(settings: &Settings) -> NodeId {
-    NodeId::from(settings.node_id.as_str())
-}
--- a/tier/agent/src/lib.rs
+++ b/tier/agent/src/lib.rs
@@ -3,9 +3,10 @@
 
 mod controllers;
 mod end;
-mod feeder;
+pub mod feeder;
+pub mod homes;
 mod identity;
-mod peers;
+pub mod peers;
 mod run;
 mod signals;
 
--- a/tier/agent/src/peers.rs
+++ b/tier/agent/src/peers.rs
@@ -22,7 +22,7 @@
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs until the subscription ends.
-pub(crate) async fn monitor_peers(socket: UdpSocket, me: NodeId, subscription: Rc<Subscription>) {
+pub async fn monitor_peers(socket: UdpSocket, me: NodeId, subscription: Rc<Subscription>) {
     let mut tables = subscription.tables();
     let monitor = Monitor::new(me.clone(), Instant::now());
     let mut peers = Peers { socket, me, subscription, monitor, tables: Arc::default() };
--- a/tier/agent/src/run.rs
+++ b/tier/agent/src/run.rs
@@ -6,6 +6,7 @@
 
 use plankhill_protocol::feed::Subscriber;
 use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
+use plankhill_protocol::tables::Edge;
 use plankhill_protocol::transport::{listen, Channel, Hello};
 use plankhill_settings::Settings;
 use tokio::net::{TcpListener, UdpSocket};
@@ -14,8 +15,9 @@
 
 use crate::controllers::{controllers, ports};
 use crate::end::end;
-use crate::feeder::{serve, Source};
-use crate::identity::{edge, node};
+use crate::feeder::{serve, Audience, Source, PEERS, PROXY};
+use crate::homes::follow_homes;
+use crate::identity::edge;
 use crate::peers::monitor_peers;
 use crate::signals::{Request, Signals};
 
@@ -49,18 +51,20 @@
     let mut signals = Signals::listen().map_err(RunError::Runtime)?;
     let loopback = listen_at(ports(&settings).agent_loopback())?;
     let datagrams = bind_datagrams(ports(&settings).agent(settings.ip)).await?;
+    let peers = listen_at(ports(&settings).agent(settings.ip))?;
+    let me = edge(&settings);
     let (candidates, watched) = watch::channel(controllers(&settings));
     let subscription = Rc::new(Subscription::start(SubscriptionOptions {
-        hello: Hello::new(Channel::Feed, node(&settings)),
-        subscriber: Subscriber::Edge(edge(&settings)),
+        hello: Hello::new(Channel::Feed, me.node.clone()),
+        subscriber: Subscriber::Edge(me.clone()),
         candidates: watched,
         silence: CONTROLLER_SILENCE,
     }));
     let source = Source { tables: subscription.tables(), standing: subscription.standing() };
-    let (connected, proxies) = watch::channel(0);
-    let hello = Hello::new(Channel::Feed, node(&settings));
-    tokio::task::spawn_local(serve(loopback, hello, source, connected));
-    tokio::task::spawn_local(monitor_peers(datagrams, node(&settings), subscription.clone()));
+    let proxies = start_feeder(loopback, Channel::Feed, &me, &source, PROXY);
+    start_feeder(peers, Channel::Peer, &me, &source, PEERS);
+    tokio::task::spawn_local(monitor_peers(datagrams, me.node.clone(), subscription.clone()));
+    tokio::task::spawn_local(follow_homes(me, subscription.clone()));
     tracing::info!(node = %settings.node_id, "agent started");
     while let Request::Reload = signals.next().await {
         reload(&mut settings, &candidates);
@@ -69,6 +73,20 @@
     Ok(())
 }
 
+/// Feeds one kind of subscribers; how many are connected.
+fn start_feeder(
+    listener: TcpListener,
+    channel: Channel,
+    me: &Edge,
+    source: &Source,
+    audience: Audience,
+) -> watch::Receiver<usize> {
+    let (connected, count) = watch::channel(0);
+    let hello = Hello::new(channel, me.node.clone());
+    tokio::task::spawn_local(serve(listener, hello, source.clone(), audience, connected));
+    count
+}
+
 /// Takes over what may change while the process runs: the seeds and the bounds.
 fn reload(settings: &mut Settings, candidates: &watch::Sender<Vec<SocketAddr>>) {
     match Settings::load() {
--- a/tier/controller/src/feed/registration.rs
+++ b/tier/controller/src/feed/registration.rs
@@ -5,7 +5,7 @@
 
 use crate::liveness::MachineLife;
 
-/// The life of a subscribed machine; `None` for a proxy, which its agent serves.
+/// The life of a subscribed machine; `None` for those that agents serve.
 pub fn life_of(subscriber: &Subscriber) -> Option<MachineLife> {
     match subscriber {
         Subscriber::Edge(edge) => {
@@ -14,16 +14,16 @@
         Subscriber::Store(member) => {
             Some(MachineLife { node: member.node.clone(), incarnation: member.incarnation })
         }
-        Subscriber::Proxy => None,
+        Subscriber::Proxy | Subscriber::Peer => None,
     }
 }
 
-/// What registers a subscriber; `None` for a proxy.
+/// What registers a subscriber; `None` for those that agents serve.
 pub fn registration_of(subscriber: &Subscriber, faults: u32) -> Option<Operation> {
     match subscriber {
         Subscriber::Edge(edge) => Some(Operation::SetEdge(edge.clone())),
         Subscriber::Store(member) => Some(Operation::RegisterStore { member: member.clone(), faults }),
-        Subscriber::Proxy => None,
+        Subscriber::Proxy | Subscriber::Peer => None,
     }
 }
 
@@ -40,6 +40,6 @@
             let replaced = registered && state.stores().holds_data(&member.node);
             !state.stores().is_known(member) && !state.retirements().contains(&member.node) && !replaced
         }
-        Subscriber::Proxy => false,
+        Subscriber::Proxy | Subscriber::Peer => false,
     }
 }
--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -42,6 +42,7 @@
         life,
         key,
         held,
+        wants_updates: true,
         told: Vec::new(),
         beat: Instant::now(),
         heard: Instant::now(),
@@ -61,6 +62,8 @@
     key: u64,
     /// The revision that the subscriber holds once it has taken all that was sent.
     held: Revision,
+    /// Whether it takes updates from here; otherwise it is only told that the revision rose.
+    wants_updates: bool,
     /// The controllers' addresses that it was told.
     told: Vec<SocketAddr>,
     /// When the next heartbeat is due.
@@ -131,6 +134,8 @@
                 }
                 return true;
             }
+            FromSubscriber::HeartbeatsOnly => self.wants_updates = false,
+            FromSubscriber::Updates { held } => (self.wants_updates, self.held) = (true, held),
             // Only the first message of a connection may be one.
             FromSubscriber::Subscribe { .. } => return true,
         }
@@ -140,12 +145,14 @@
     /// Sends what the subscriber lacks and, after an update or when one is due, a heartbeat.
     async fn send_due(&mut self) -> bool {
         let mut messages = Vec::new();
-        if let Some(update) = self.controller.changes.borrow().update_since(self.held) {
+        let update = self.controller.changes.borrow().update_since(self.held);
+        let now = Instant::now();
+        if let Some(update) = update {
             self.held = end_of(&update);
-            messages.push(ToSubscriber::Update(update));
+            self.beat = now;
+            messages.extend(self.wants_updates.then_some(ToSubscriber::Update(update)));
         }
-        let now = Instant::now();
-        if !messages.is_empty() || now >= self.beat {
+        if now >= self.beat {
             let current = self.controller.log.is_current();
             messages.push(ToSubscriber::Heartbeat { revision: self.held_or_newest(), current });
             self.tell_controllers(&mut messages);
--- a/tier/membership/tests/rendezvous.rs
+++ b/tier/membership/tests/rendezvous.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use plankhill_membership::homes::home_of;
+use plankhill_membership::homes::{home_of, home_to_follow};
 use plankhill_membership::peers::{monitored, MONITORED};
 use plankhill_membership::rendezvous::{first, top};
-use plankhill_protocol::ids::{Incarnation, NodeId, ServiceName, ZoneName};
+use plankhill_protocol::ids::{Incarnation, NodeId, ZoneName};
 use plankhill_protocol::tables::Edge;
 
 fn nodes(count: usize) -> Vec<NodeId> {
@@ -75,12 +75,21 @@
 #[test]
 fn a_home_is_in_its_zone_and_the_next_takes_over() {
     let edges: Vec<Edge> = (0..6).map(|number| edge(number, ["west", "east"][number % 2])).collect();
-    let (service, zone) = (ServiceName::from("models"), ZoneName::from("west"));
-    let home = home_of(&service, &zone, &edges).unwrap().clone();
+    let zone = ZoneName::from("west");
+    let home = home_of(&zone, &edges).unwrap().clone();
     assert_eq!(home.zone, zone);
     let left: Vec<Edge> = edges.into_iter().filter(|edge| *edge != home).collect();
-    let next = home_of(&service, &zone, &left).unwrap();
+    let next = home_of(&zone, &left).unwrap();
     assert_eq!(next.zone, zone);
     assert_ne!(next.node, home.node);
-    assert_eq!(home_of(&service, &ZoneName::from("north"), &left), None);
+    assert_eq!(home_of(&ZoneName::from("north"), &left), None);
+}
+
+#[test]
+fn all_but_the_home_follow_it() {
+    let edges: Vec<Edge> = (0..4).map(|number| edge(number, "west")).collect();
+    let home = home_of(&ZoneName::from("west"), &edges).unwrap();
+    for me in &edges {
+        assert_eq!(home_to_follow(me, &edges), Some(home).filter(|home| *home != me));
+    }
 }
--- a/tier/protocol/src/feed.rs
+++ b/tier/protocol/src/feed.rs
@@ -17,6 +17,8 @@
     Store(StoreMember),
     /// The proxy of the same machine, at its agent.
     Proxy,
+    /// Another agent of the zone, at the zone's home.
+    Peer,
 }
 
 /// From a subscriber.
@@ -39,6 +41,14 @@
     Suspects(NodeId),
     /// An orderly end: the edge is to be forgotten at once.
     Leaving,
+    /// The home of its zone sends it updates from now on. It wants heartbeats only, and one at once whenever the
+    /// feeder's revision rises.
+    HeartbeatsOnly,
+    /// It wants updates again, beginning with this revision that it holds.
+    Updates {
+        /// What it holds.
+        held: Revision,
+    },
 }
 
 /// To a subscriber.
--- a/tier/protocol/src/subscription.rs
+++ b/tier/protocol/src/subscription.rs
@@ -4,6 +4,7 @@
 //! A feeder that falls silent, says that it is not current, or stays behind what is held already is left for
 //! the next one at once. The published revision never goes back within the life of a subscription.
 
+mod exchange;
 mod link;
 mod progress;
 mod rotation;
@@ -14,7 +15,7 @@
 
 use tokio::sync::{mpsc, oneshot, watch};
 
-pub use progress::{Progress, Step};
+pub use progress::{Progress, Step, HOME_LAG};
 pub use rotation::Rotation;
 
 use crate::feed::{FromSubscriber, Subscriber};
@@ -26,8 +27,8 @@
 /// Longest silence of the agent of the same machine: its heartbeats (500 ms) share a fraction of a core with
 /// the proxy, and nothing else could be asked instead.
 pub const AGENT_SILENCE: Duration = Duration::from_millis(2_000);
-/// Messages of the owner that wait while no feeder is reached; further ones are dropped.
-const OUTBOX: usize = 64;
+/// Orders of the owner that wait while no feeder is reached; further ones are dropped.
+const ORDERS: usize = 64;
 
 /// What a subscription needs to know.
 pub struct SubscriptionOptions {
@@ -51,11 +52,18 @@
     pub since: Instant,
     /// The connected feeder; None while there is none.
     pub address: Option<SocketAddr>,
+    /// Whether the feeder sends heartbeats only, and updates come from [`Subscription::offer`].
+    pub by_home: bool,
     /// When the tables were last known to be current. Rises without waking the watchers.
     pub confirmed: Option<Instant>,
 }
 
 impl LinkStanding {
+    /// Not connected since `now`.
+    fn none(now: Instant) -> Self {
+        LinkStanding { current: false, since: now, address: None, by_home: false, confirmed: None }
+    }
+
     /// Whether the tables were known to be current at some moment within `age` before `now`.
     pub fn confirmed_within(&self, age: Duration, now: Instant) -> bool {
         self.confirmed.is_some_and(|at| now.saturating_duration_since(at) <= age)
@@ -66,25 +74,35 @@
 pub struct Subscription {
     tables: watch::Receiver<Arc<Tables>>,
     standing: watch::Receiver<LinkStanding>,
-    outbox: mpsc::Sender<Outgoing>,
+    orders: mpsc::Sender<Order>,
 }
 
-/// A message of the owner.
-struct Outgoing {
-    message: FromSubscriber,
-    written: Option<oneshot::Sender<()>>,
+/// What the owner wants.
+enum Order {
+    /// A message to be sent; the owner may wait until it has been handed to the operating system.
+    Send { message: FromSubscriber, written: Option<oneshot::Sender<()>> },
+    /// Updates come by offers from now on, until the feeder's heartbeats show that these lag.
+    ByHome,
+    /// Updates come from the feeder again.
+    Direct,
+    /// Tables from elsewhere.
+    Offer(Arc<Tables>),
 }
 
 impl Subscription {
     /// Starts a subscription on the current `LocalSet`, holding nothing.
     pub fn start(options: SubscriptionOptions) -> Self {
-        let (publish_tables, tables) = watch::channel(Arc::new(Tables::default()));
-        let nothing = LinkStanding { current: false, since: Instant::now(), address: None, confirmed: None };
-        let (publish_standing, standing) = watch::channel(nothing);
-        let (outbox, queue) = mpsc::channel(OUTBOX);
+        Subscription::start_holding(options, Arc::default())
+    }
+
+    /// Starts a subscription on the current `LocalSet`, holding these tables.
+    pub fn start_holding(options: SubscriptionOptions, held: Arc<Tables>) -> Self {
+        let (publish_tables, tables) = watch::channel(held);
+        let (publish_standing, standing) = watch::channel(LinkStanding::none(Instant::now()));
+        let (orders, queue) = mpsc::channel(ORDERS);
         let link = link::Link::new(options, publish_tables, publish_standing, queue);
         tokio::task::spawn_local(link.run());
-        Subscription { tables, standing, outbox }
+        Subscription { tables, standing, orders }
     }
 
     /// The tables, replaced whole with every change.
@@ -100,15 +118,33 @@
     /// Sends a message to the feeder, once. It may be lost with the connection: what has to arrive is to be
     /// sent again whenever [`LinkStanding::address`] changes. False if the queue is full.
     pub fn send(&self, message: FromSubscriber) -> bool {
-        self.outbox.try_send(Outgoing { message, written: None }).is_ok()
+        self.orders.try_send(Order::Send { message, written: None }).is_ok()
     }
 
     /// Sends a message and waits until it has been handed to the operating system; false after `timeout`.
     pub async fn send_written(&self, message: FromSubscriber, timeout: Duration) -> bool {
         let (written, done) = oneshot::channel();
-        if self.outbox.try_send(Outgoing { message, written: Some(written) }).is_err() {
+        if self.orders.try_send(Order::Send { message, written: Some(written) }).is_err() {
             return false;
         }
         matches!(tokio::time::timeout(timeout, done).await, Ok(Ok(())))
     }
+
+    /// From now on, updates come by [`Subscription::offer`]; the feeder sends heartbeats only. As soon as offers
+    /// lag behind the feeder's revision by [`HOME_LAG`], and on every new connection, the feeder is asked for
+    /// updates again. False if the queue is full.
+    pub fn by_home(&self) -> bool {
+        self.orders.try_send(Order::ByHome).is_ok()
+    }
+
+    /// Updates are to come from the feeder again. False if the queue is full.
+    pub fn direct(&self) -> bool {
+        self.orders.try_send(Order::Direct).is_ok()
+    }
+
+    /// Tables from elsewhere. They are published if they are newer than what is held, and updates do not come
+    /// from the feeder. False if the queue is full.
+    pub fn offer(&self, tables: Arc<Tables>) -> bool {
+        self.orders.try_send(Order::Offer(tables)).is_ok()
+    }
 }
--- /dev/null
+++ b/tier/protocol/src/subscription/exchange.rs
@@ -0,0 +1,192 @@
+//! What passes over one connection of a subscription.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::time::timeout;
+
+use super::link::Link;
+use super::{Order, Progress, Step};
+use crate::feed::{FromSubscriber, Subscriber, ToSubscriber};
+use crate::ids::Revision;
+use crate::tables::Tables;
+use crate::transport::{FrameReader, FrameWriter, TransportError};
+
+/// Why a connection ended.
+pub(super) enum Ended {
+    /// The owner dropped the subscription.
+    Owner,
+    /// The feeder is of no more use; `useful` if it was current at some time.
+    Feeder { useful: bool },
+}
+
+/// Why a connection is to be ended.
+struct Stop;
+
+/// One connection.
+pub(super) struct Exchange<'a> {
+    link: &'a mut Link,
+    writer: FrameWriter,
+    address: SocketAddr,
+    others: bool,
+    progress: Progress,
+    current: bool,
+    useful: bool,
+    heard: Instant,
+}
+
+impl<'a> Exchange<'a> {
+    /// A connection to `address`; `others` if there are other feeders to go to.
+    pub(super) fn new(link: &'a mut Link, writer: FrameWriter, address: SocketAddr, others: bool) -> Self {
+        let (progress, heard) = (Progress::default(), Instant::now());
+        Exchange { link, writer, address, others, progress, current: false, useful: false, heard }
+    }
+
+    /// Runs until the connection is of no more use.
+    pub(super) async fn run(mut self, reader: FrameReader) -> Ended {
+        let mut reading = Box::pin(receive(reader));
+        loop {
+            self.stand();
+            let wake = self.silent_at();
+            let wake = self.progress.home_is_overdue_at().map_or(wake, |overdue| overdue.min(wake));
+            let done = tokio::select! {
+                biased;
+                (reader, message) = &mut reading => match message {
+                    Ok(message) => {
+                        reading = Box::pin(receive(reader));
+                        self.take(message).await
+                    }
+                    Err(_) => Err(Stop),
+                },
+                order = self.link.orders.recv() => match order {
+                    Some(order) => self.obey(order).await,
+                    None => return Ended::Owner,
+                },
+                () = tokio::time::sleep_until(wake.into()) => self.wake().await,
+            };
+            if done.is_err() {
+                return Ended::Feeder { useful: self.useful };
+            }
+        }
+    }
+
+    fn stand(&self) {
+        self.link.stand(self.current, self.progress.is_by_home(), Some(self.address));
+    }
+
+    fn silent_at(&self) -> Instant {
+        self.heard + self.link.options.silence
+    }
+
+    /// A message of the feeder.
+    async fn take(&mut self, message: ToSubscriber) -> Result<(), Stop> {
+        let now = Instant::now();
+        // This process stood still: what waited in the socket is old.
+        if now > self.silent_at() + self.link.options.silence {
+            return Err(Stop);
+        }
+        self.heard = now;
+        let mut tables = self.link.tables.borrow().clone();
+        let revision = tables.revision;
+        match self.progress.take(message, &mut tables, now) {
+            Step::Changed => self.publish(tables).await,
+            Step::Confirmed => {
+                (self.current, self.useful) = (true, true);
+                self.link.confirm();
+                self.alive(revision).await
+            }
+            Step::Unconfirmed => self.alive(revision).await,
+            Step::WantsSnapshot => self.send(&FromSubscriber::WantsSnapshot).await,
+            Step::Feeders(feeders) => {
+                self.link.learn(feeders);
+                Ok(())
+            }
+            Step::Leave => self.not_current(revision).await,
+        }
+    }
+
+    async fn publish(&mut self, tables: Arc<Tables>) -> Result<(), Stop> {
+        let revision = tables.revision;
+        self.link.tables.send_replace(tables);
+        self.alive(revision).await
+    }
+
+    /// Another feeder is asked, if there is one.
+    async fn not_current(&mut self, held: Revision) -> Result<(), Stop> {
+        tracing::debug!(address = %self.address, "feeder is not current");
+        self.current = false;
+        if self.others {
+            return Err(Stop);
+        }
+        self.alive(held).await
+    }
+
+    /// The answer to an update or a heartbeat. Agents need none: it would only wake two processes.
+    async fn alive(&mut self, held: Revision) -> Result<(), Stop> {
+        match self.link.options.subscriber {
+            Subscriber::Proxy | Subscriber::Peer => Ok(()),
+            Subscriber::Edge(_) | Subscriber::Store(_) => self.send(&FromSubscriber::Applied(held)).await,
+        }
+    }
+
+    async fn obey(&mut self, order: Order) -> Result<(), Stop> {
+        match order {
+            Order::Send { message, written } => {
+                self.send(&message).await?;
+                // The owner may have stopped waiting, or never waited.
+                let _ = written.map(|written| written.send(()));
+                Ok(())
+            }
+            Order::ByHome if self.progress.is_by_home() => Ok(()),
+            Order::ByHome => {
+                self.progress.begin_by_home();
+                self.send(&FromSubscriber::HeartbeatsOnly).await
+            }
+            Order::Direct => self.direct().await,
+            Order::Offer(offered) => self.offered(offered).await,
+        }
+    }
+
+    async fn offered(&mut self, offered: Arc<Tables>) -> Result<(), Stop> {
+        let mut tables = self.link.tables.borrow().clone();
+        match self.progress.offered(offered, &mut tables) {
+            Step::Changed => self.publish(tables).await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn direct(&mut self) -> Result<(), Stop> {
+        let held = self.link.tables.borrow().revision;
+        match self.progress.end_by_home(held) {
+            Some(message) => self.send(&message).await,
+            None => Ok(()),
+        }
+    }
+
+    /// The feeder is silent, or the home lags.
+    async fn wake(&mut self) -> Result<(), Stop> {
+        if Instant::now() >= self.silent_at() {
+            tracing::info!(address = %self.address, "feeder is silent");
+            return Err(Stop);
+        }
+        if self.progress.home_is_overdue_at().is_some_and(|overdue| Instant::now() >= overdue) {
+            tracing::info!(address = %self.address, "home lags; updates come from the feeder");
+            return self.direct().await;
+        }
+        Ok(())
+    }
+
+    async fn send(&mut self, message: &FromSubscriber) -> Result<(), Stop> {
+        match timeout(self.link.options.silence, self.writer.send(message)).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Stop),
+        }
+    }
+}
+
+/// One message; the reader comes back with it, so that waiting can go on over several turns of a loop.
+async fn receive(mut reader: FrameReader) -> (FrameReader, Result<ToSubscriber, TransportError>) {
+    let message = reader.next().await;
+    (reader, message)
+}
--- a/tier/protocol/src/subscription/progress.rs
+++ b/tier/protocol/src/subscription/progress.rs
@@ -2,14 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use crate::feed::ToSubscriber;
+use crate::feed::{FromSubscriber, ToSubscriber};
 use crate::ids::Revision;
 use crate::tables::{Tables, TablesUpdate};
 
 /// Heartbeats in a row by which a feeder may be behind what is held: one may just have overtaken the change.
 const BEHIND_HEARTBEATS: u32 = 2;
 
+/// How long a home may lag behind the revision that the feeder has announced: some ten times the way over one
+/// more machine, and a small part of the time within which a change must have spread.
+pub const HOME_LAG: Duration = Duration::from_millis(150);
+
 /// What follows from one message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -27,25 +32,75 @@
     Leave,
 }
 
+/// Where updates come from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Source {
+    /// The feeder itself.
+    #[default]
+    Feeder,
+    /// The home of the zone, which lags since this moment, if it does.
+    Home { lags_since: Option<Instant> },
+}
+
 /// Progress over one connection.
 #[derive(Debug, Default)]
 pub struct Progress {
     asked: bool,
     behind: u32,
+    source: Source,
+    announced: Revision,
 }
 
 impl Progress {
-    /// Takes a message; applies an update to `tables`.
-    pub fn take(&mut self, message: ToSubscriber, tables: &mut Arc<Tables>) -> Step {
+    /// Takes a message that came at `now`; applies an update to `tables`.
+    pub fn take(&mut self, message: ToSubscriber, tables: &mut Arc<Tables>, now: Instant) -> Step {
         match message {
             ToSubscriber::Update(update) => self.update(update, tables),
             ToSubscriber::Heartbeat { revision, current } => {
-                self.heartbeat(revision, current, tables.revision)
+                self.heartbeat(revision, current, tables.revision, now)
             }
             ToSubscriber::Controllers(addresses) => Step::Feeders(addresses),
         }
     }
 
+    /// Updates come from the home from now on.
+    pub fn begin_by_home(&mut self) {
+        self.source = Source::Home { lags_since: None };
+    }
+
+    /// Whether updates come from the home.
+    pub fn is_by_home(&self) -> bool {
+        self.source != Source::Feeder
+    }
+
+    /// Takes tables that the home sent.
+    pub fn offered(&mut self, offered: Arc<Tables>, tables: &mut Arc<Tables>) -> Step {
+        if !self.is_by_home() || offered.revision <= tables.revision {
+            return Step::Unconfirmed;
+        }
+        *tables = offered;
+        if tables.revision >= self.announced {
+            self.begin_by_home();
+        }
+        Step::Changed
+    }
+
+    /// When the feeder is to be asked for updates again, unless offers have caught up by then.
+    pub fn home_is_overdue_at(&self) -> Option<Instant> {
+        match self.source {
+            Source::Feeder => None,
+            Source::Home { lags_since } => lags_since.map(|since| since + HOME_LAG),
+        }
+    }
+
+    /// Updates come from the feeder from now on, which is told by the answer; None if they already do.
+    pub fn end_by_home(&mut self, held: Revision) -> Option<FromSubscriber> {
+        let was_by_home = self.is_by_home();
+        self.source = Source::Feeder;
+        self.asked = was_by_home;
+        was_by_home.then_some(FromSubscriber::Updates { held })
+    }
+
     fn update(&mut self, update: TablesUpdate, tables: &mut Arc<Tables>) -> Step {
         let before = tables.revision;
         if !Arc::make_mut(tables).apply(update) {
@@ -59,12 +114,13 @@
         }
     }
 
-    fn heartbeat(&mut self, revision: Revision, current: bool, held: Revision) -> Step {
+    fn heartbeat(&mut self, revision: Revision, current: bool, held: Revision, now: Instant) -> Step {
+        self.announced = self.announced.max(revision);
         if !current {
             return Step::Leave;
         }
         if revision > held {
-            return self.snapshot_once();
+            return self.behind_the_feeder(now);
         }
         if revision == held {
             self.behind = 0;
@@ -78,6 +134,16 @@
         }
     }
 
+    fn behind_the_feeder(&mut self, now: Instant) -> Step {
+        match &mut self.source {
+            Source::Feeder => self.snapshot_once(),
+            Source::Home { lags_since } => {
+                lags_since.get_or_insert(now);
+                Step::Unconfirmed
+            }
+        }
+    }
+
     fn snapshot_once(&mut self) -> Step {
         if std::mem::replace(&mut self.asked, true) {
             Step::Unconfirmed
--- a/tier/protocol/tests/tables.rs
+++ b/tier/protocol/tests/tables.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use common::{any_tables, tables};
 use plankhill_protocol::feed::ToSubscriber;
@@ -63,7 +64,7 @@
 
 fn deliver(position: &mut Held, progress: &mut Progress, newest: &Arc<Tables>, held: &mut Arc<Tables>) {
     if let Some(update) = position.advance(newest) {
-        assert_ne!(progress.take(ToSubscriber::Update(update), held), Step::WantsSnapshot);
+        assert_ne!(progress.take(ToSubscriber::Update(update), held, Instant::now()), Step::WantsSnapshot);
     }
 }
 
@@ -72,11 +73,11 @@
     let mut held = Arc::new(tables(3));
     let mut progress = Progress::default();
     let gap = TablesUpdate::Changes { from: Revision(4), to: Revision(5), changes: Vec::new() };
-    let step = progress.take(ToSubscriber::Update(gap.clone()), &mut held);
+    let step = progress.take(ToSubscriber::Update(gap.clone()), &mut held, Instant::now());
     assert_eq!(step, Step::WantsSnapshot);
-    assert_eq!(progress.take(ToSubscriber::Update(gap), &mut held), Step::Unconfirmed);
+    assert_eq!(progress.take(ToSubscriber::Update(gap), &mut held, Instant::now()), Step::Unconfirmed);
     let snapshot = ToSubscriber::Update(TablesUpdate::Snapshot(tables(5)));
-    assert_eq!(progress.take(snapshot, &mut held), Step::Changed);
+    assert_eq!(progress.take(snapshot, &mut held, Instant::now()), Step::Changed);
     assert_eq!(held.revision, Revision(5));
 }
 
@@ -84,7 +85,7 @@
 fn a_heartbeat_ahead_of_the_tables_leads_to_a_snapshot() {
     let mut held = Arc::new(tables(3));
     let ahead = ToSubscriber::Heartbeat { revision: Revision(4), current: true };
-    assert_eq!(Progress::default().take(ahead, &mut held), Step::WantsSnapshot);
+    assert_eq!(Progress::default().take(ahead, &mut held, Instant::now()), Step::WantsSnapshot);
 }
 
 #[test]
@@ -92,8 +93,8 @@
     let mut held = Arc::new(tables(3));
     let mut progress = Progress::default();
     let beat = |revision, current| ToSubscriber::Heartbeat { revision: Revision(revision), current };
-    assert_eq!(progress.take(beat(3, true), &mut held), Step::Confirmed);
-    assert_eq!(progress.take(beat(3, false), &mut held), Step::Leave);
+    assert_eq!(progress.take(beat(3, true), &mut held, Instant::now()), Step::Confirmed);
+    assert_eq!(progress.take(beat(3, false), &mut held, Instant::now()), Step::Leave);
 }
 
 #[test]
@@ -101,6 +102,6 @@
     let mut held = Arc::new(tables(3));
     let mut progress = Progress::default();
     let behind = ToSubscriber::Heartbeat { revision: Revision(2), current: true };
-    assert_eq!(progress.take(behind.clone(), &mut held), Step::Unconfirmed);
-    assert_eq!(progress.take(behind, &mut held), Step::Leave);
+    assert_eq!(progress.take(behind.clone(), &mut held, Instant::now()), Step::Unconfirmed);
+    assert_eq!(progress.take(behind, &mut held, Instant::now()), Step::Leave);
 }
