--- a/tier/command/src/logging.rs
+++ b/tier/command/src/logging.rs
@@ -13,18 +13,30 @@
 /// Starts the log of this process; a level that is not understood is replaced by `info`.
 pub(crate) fn start(format: LogFormat) {
     let wanted = std::env::var(LEVEL_VARIABLE).unwrap_or_default();
-    let parsed = wanted.parse::<Targets>();
-    let not_understood = parsed.is_err();
-    let levels = match parsed {
-        Ok(levels) if !wanted.trim().is_empty() => levels,
-        _ => Targets::new().with_default(LevelFilter::INFO),
-    };
+    let parsed = parse_levels(&wanted);
+    let not_understood = parsed.is_none();
+    let levels = parsed.unwrap_or_else(default_levels);
     tracing_subscriber::registry().with(lines(format).with_filter(levels)).init();
     if not_understood {
         tracing::warn!(variable = LEVEL_VARIABLE, value = wanted, "level is not understood, using info");
     }
 }
 
+/// Parses a list such as `info,plankhill_proxy=debug`; `None` if a part is not understood.
+fn parse_levels(text: &str) -> Option<Targets> {
+    let text = text.trim();
+    if text.is_empty() {
+        return Some(default_levels());
+    }
+    // `Targets` takes any bare word for the name of a package, which would silence all others.
+    let understood = |part: &str| part.contains('=') || part.trim().parse::<LevelFilter>().is_ok();
+    text.split(',').all(understood).then(|| text.parse().ok()).flatten()
+}
+
+fn default_levels() -> Targets {
+    Targets::new().with_default(LevelFilter::INFO)
+}
+
 fn lines(format: LogFormat) -> Box<dyn Layer<Registry> + Send + Sync> {
     let layer = fmt::layer().with_ansi(false).with_writer(std::io::stdout);
     match format {
--- /dev/null
+++ b/tier/command/tests/arguments.rs
@@ -0,0 +1,85 @@
+//! The command line.
+
+use std::ffi::OsString;
+
+use plankhill_tier::{Command, LogFormat, Role, UsageError};
+
+fn parse(line: &str) -> Result<Command, UsageError> {
+    Command::parse(line.split_whitespace().map(OsString::from))
+}
+
+fn understood(line: &str) -> Command {
+    parse(line).unwrap_or_else(|error| panic!("{line}: {error}"))
+}
+
+#[test]
+fn each_role_is_started_by_its_name() {
+    let roles = [
+        ("controller", Role::Controller),
+        ("agent", Role::Agent),
+        ("proxy", Role::Proxy),
+        ("store", Role::Store),
+    ];
+    for (name, role) in roles {
+        assert_eq!(understood(name), Command::Run { role, log_format: LogFormat::Text });
+    }
+}
+
+#[test]
+fn the_form_of_log_lines_is_chosen() {
+    for line in ["proxy --log-format json", "proxy --log-format=json"] {
+        assert_eq!(understood(line), Command::Run { role: Role::Proxy, log_format: LogFormat::Json });
+    }
+    let text = understood("proxy --log-format text");
+    assert_eq!(text, Command::Run { role: Role::Proxy, log_format: LogFormat::Text });
+}
+
+#[test]
+fn files_are_checked_by_kind() {
+    assert_eq!(understood("check settings a.toml"), Command::CheckSettings { file: "a.toml".into() });
+    let configuration = understood("check configuration a.json");
+    assert_eq!(configuration, Command::CheckConfiguration { file: "a.json".into() });
+}
+
+#[test]
+fn status_takes_an_address_and_maybe_json() {
+    let address = "127.0.0.1:9001".to_owned();
+    assert_eq!(
+        understood("status 127.0.0.1:9001"),
+        Command::Status { address: address.clone(), json: false }
+    );
+    assert_eq!(understood("status --json 127.0.0.1:9001"), Command::Status { address, json: true });
+}
+
+#[test]
+fn help_and_version_are_known_everywhere() {
+    for line in ["--help", "-h", "proxy --help", "check -h", "status --help"] {
+        assert_eq!(understood(line), Command::Help, "{line}");
+    }
+    for line in ["--version", "-V"] {
+        assert_eq!(understood(line), Command::Version, "{line}");
+    }
+}
+
+#[test]
+fn what_is_not_understood_is_named() {
+    let cases = [
+        ("", "no command"),
+        ("serve", "serve"),
+        ("proxy now", "now"),
+        ("proxy --colour", "--colour"),
+        ("proxy --log-format", "--log-format"),
+        ("proxy --log-format xml", "xml"),
+        ("check", "settings or configuration"),
+        ("check settings", "a file"),
+        ("check everything a.toml", "everything"),
+        ("check settings a.toml b.toml", "b.toml"),
+        ("status", "address"),
+        ("status 127.0.0.1:1 127.0.0.1:2", "127.0.0.1:2"),
+        ("--quick", "--quick"),
+    ];
+    for (line, named) in cases {
+        let message = parse(line).expect_err(line).to_string();
+        assert!(message.contains(named), "{line}: {message}");
+    }
+}
