--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -12,6 +12,8 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Agent(#[from] plankhill_agent::RunError),
+    #[error(transparent)]
+    Store(#[from] plankhill_store::RunError),
     #[error("this build does not hold the role")]
     NotBuilt,
 }
@@ -32,7 +34,8 @@
     let settings = Settings::load()?;
     match role {
         Role::Agent => plankhill_agent::run(settings)?,
-        Role::Controller | Role::Proxy | Role::Store => return Err(RoleError::NotBuilt),
+        Role::Store => plankhill_store::run(settings)?,
+        Role::Controller | Role::Proxy => return Err(RoleError::NotBuilt),
     }
     Ok(())
 }
