--- /dev/null
+++ b/tier/dispatch/examples/round_cost.rs
@@ -0,0 +1,78 @@
+//! Prints what a request costs the dispatcher in processor time: 20 targets, 50 requests out, two rounds a
+//! request.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use plankhill_dispatch::{
+    Command, DispatchSettings, Dispatcher, Ended, Fate, NewRequest, PrefixPart, Repeats, RequestKey,
+};
+use plankhill_protocol::ids::InstanceId;
+use plankhill_protocol::tables::{Target, TargetState};
+
+const TARGETS: usize = 20;
+const OUT: usize = 50;
+const REQUESTS: u64 = 100_000;
+
+fn main() {
+    for parts in [0, 3] {
+        println!("{parts} prefix parts: {:.2} us a request", microseconds_per_request(parts));
+    }
+}
+
+fn microseconds_per_request(parts: u64) -> f64 {
+    let settings = DispatchSettings { seed: 1, zone: "near".into(), most_requests: 1_000 };
+    let mut dispatcher = Dispatcher::new(settings, 0.0);
+    dispatcher.tables_changed(&(0..TARGETS).map(target).collect::<Vec<_>>());
+    let mut out: VecDeque<(RequestKey, InstanceId)> = VecDeque::new();
+    let start = Instant::now();
+    for number in 0..REQUESTS {
+        let now = number as f64;
+        dispatcher.request(now, request(number, now, parts));
+        out.extend(dispatcher.commands(now).into_iter().filter_map(sent));
+        if out.len() >= OUT {
+            let (key, target) = out.pop_front().expect("some are out");
+            let ended = Ended { took: 50.0, ..Ended::plain(Fate::Delivered) };
+            dispatcher.ended(now, key, &target, ended);
+            out.extend(dispatcher.commands(now).into_iter().filter_map(sent));
+        }
+    }
+    start.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64
+}
+
+fn sent(command: Command) -> Option<(RequestKey, InstanceId)> {
+    match command {
+        Command::Send { request, target, .. } => Some((request, target)),
+        _ => None,
+    }
+}
+
+fn target(number: usize) -> Target {
+    Target {
+        id: InstanceId::from(format!("i-{number:08x}").as_str()),
+        service: "models".into(),
+        address: "127.0.0.1:8080".parse().expect("an address"),
+        zone: "near".into(),
+        capacity: 32,
+        state: TargetState::Healthy,
+        sequence: 1,
+        cold_remaining_ms: 0,
+        models: Vec::new(),
+    }
+}
+
+fn request(number: u64, now: f64, parts: u64) -> NewRequest {
+    let part = |at| PrefixPart { id: if at + 1 == parts { number / 4 } else { at }, tokens: 1_000 };
+    NewRequest {
+        key: RequestKey(number),
+        service: "models".into(),
+        repeats: Repeats::Allowed,
+        session: (parts > 0).then_some(number / 4),
+        deadline: now + 1e9,
+        objective: 1e9,
+        max_attempts: 2,
+        priority: 1,
+        finish_left: Some(3_000.0),
+        prefix: (0..parts).map(part).collect(),
+    }
+}
--- /dev/null
+++ b/tier/dispatch/tests/admission.rs
@@ -0,0 +1,71 @@
+//! Urgency, holds and the advice when to come back.
+
+use arbtest::arbtest;
+use plankhill_dispatch::admission::{hold_until, priority, retry_after, HeldFor, LAST_PRIORITY};
+use plankhill_dispatch::settle::SettleTime;
+
+const REASONS: [HeldFor; 3] = [HeldFor::FirstSend, HeldFor::NextSend, HeldFor::Session];
+
+#[test]
+fn no_hold_outlasts_the_deadline() {
+    arbtest(|u| {
+        let now = f64::from(u.arbitrary::<u32>()?);
+        let objective = f64::from(u.arbitrary::<u32>()?);
+        let deadline = now + f64::from(u.arbitrary::<u32>()?);
+        let held_for = *u.choose(&REASONS)?;
+        let until = hold_until(now, held_for, objective, deadline);
+        assert!((now..=deadline).contains(&until));
+        Ok(())
+    })
+    .budget_ms(500);
+}
+
+#[test]
+fn a_request_never_sent_is_refused_within_a_quarter_of_its_objective() {
+    assert!(hold_until(0.0, HeldFor::FirstSend, 250.0, 5_000.0) < 62.5);
+}
+
+#[test]
+fn routes_of_higher_rank_are_more_urgent() {
+    assert!(priority(0, None, 250.0) < priority(1, None, 250.0));
+    assert!(priority(1, None, 250.0) < priority(2, None, 250.0));
+}
+
+#[test]
+fn a_program_near_its_end_is_more_urgent_and_a_late_one_less() {
+    let on_time = priority(1, Some(60_000.0), 250.0);
+    assert!(priority(1, Some(500.0), 250.0) < on_time);
+    assert!(priority(1, Some(-1.0), 250.0) > on_time);
+}
+
+#[test]
+fn priorities_and_advice_stay_in_their_bounds() {
+    arbtest(|u| {
+        let left = u.arbitrary::<Option<i32>>()?.map(f64::from);
+        assert!(priority(u.arbitrary()?, left, f64::from(u.arbitrary::<u16>()?)) <= LAST_PRIORITY);
+        let opens_at = u.arbitrary::<Option<i32>>()?.map(f64::from);
+        let advice = retry_after(0.0, opens_at, f64::from(u.arbitrary::<u32>()?), 0.5);
+        assert!((1.0..=1_000.0).contains(&advice));
+        Ok(())
+    })
+    .budget_ms(500);
+}
+
+#[test]
+fn the_settle_time_follows_the_pauses_within_answers() {
+    let mut settle = SettleTime::default();
+    let before = settle.value();
+    (0..100).for_each(|_| {
+        settle.seen(15.0);
+    });
+    assert!(settle.value() < before);
+    (0..100).for_each(|_| {
+        settle.seen(300.0);
+    });
+    assert!(settle.value() > 300.0);
+    assert_eq!(settle.seen(f64::NAN), None);
+    (0..100).for_each(|_| {
+        settle.seen(1e9);
+    });
+    assert_eq!(settle.value(), 1_000.0);
+}
--- /dev/null
+++ b/tier/dispatch/tests/affinity.rs
@@ -0,0 +1,145 @@
+//! Prompts go where their parts are kept, within a bound on load, and all proxies agree on where new ones go.
+
+mod common;
+
+use std::collections::HashSet;
+
+use arbtest::arbtest;
+use common::*;
+use plankhill_dispatch::affinity::{rank_costs, target_hash, Chains, Kept};
+use plankhill_dispatch::*;
+use plankhill_protocol::ids::InstanceId;
+
+fn parts(parts: &[(u64, u32)]) -> Vec<PrefixPart> {
+    parts.iter().map(|&(id, tokens)| PrefixPart { id, tokens }).collect()
+}
+
+fn chains(list: &[(u64, u32)]) -> Chains {
+    Chains::of(&parts(list))
+}
+
+fn prompt(key: u64, now: Ms, session: u64, list: &[(u64, u32)]) -> NewRequest {
+    NewRequest { prefix: parts(list), ..turn(key, now, session) }
+}
+
+#[test]
+fn a_part_is_kept_only_behind_all_parts_before_it() {
+    let mut kept = Kept::default();
+    kept.note(&chains(&[(1, 100), (2, 10)]));
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 10)])), 0);
+    assert_eq!(kept.missing(&chains(&[(1, 100), (3, 10)])), 10);
+    assert_eq!(kept.missing(&chains(&[(3, 100), (2, 10)])), 110);
+}
+
+#[test]
+fn of_a_part_that_has_grown_only_the_growth_is_missing() {
+    let mut kept = Kept::default();
+    kept.note(&chains(&[(1, 100), (2, 10)]));
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 25)])), 15);
+}
+
+#[test]
+fn parts_unused_longest_are_forgotten_first() {
+    let mut kept = Kept::default();
+    let shared = (1, 1_000);
+    for session in 10..5_000 {
+        kept.note(&chains(&[shared, (session, 10)]));
+    }
+    assert_eq!(kept.missing(&chains(&[shared, (4_999, 10)])), 0);
+    assert_eq!(kept.missing(&chains(&[shared, (10, 10)])), 10, "the shared part was used ever since");
+}
+
+#[test]
+fn the_turns_of_a_session_go_to_the_target_of_the_first() {
+    let mut proxy = Proxy::with(&["a", "b", "c", "d"]);
+    let mut now = 0.0;
+    for session in 0..20u64 {
+        let mut targets = HashSet::new();
+        for turn in 0..4 {
+            let (key, tokens) = (10 * session + turn, 500 + 100 * turn as u32);
+            now += 10.0;
+            let target = proxy.takes(now, prompt(key, now, session, &[(session, tokens)])).expect("sent");
+            now += 10.0;
+            proxy.ends(now, key, &target, Fate::Delivered);
+            targets.insert(target);
+        }
+        assert_eq!(targets.len(), 1);
+    }
+}
+
+#[test]
+fn proxies_that_know_nothing_agree() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    for subject in 0..50 {
+        let chosen: HashSet<String> = (0..6)
+            .map(|seed| {
+                let mut proxy = Proxy::with(&[]);
+                let settings = DispatchSettings { seed, ..settings() };
+                proxy.dispatcher = Dispatcher::new(settings, 0.0);
+                let listed: Vec<_> = names.iter().map(|id| healthy(id)).collect();
+                proxy.dispatcher.tables_changed(&listed);
+                let new = prompt(1, 1.0, 1, &[(subject, 2_000), (seed, 100)]);
+                proxy.takes(1.0, new).expect("sent")
+            })
+            .collect();
+        assert_eq!(chosen.len(), 1);
+    }
+}
+
+#[test]
+fn a_popular_prompt_does_not_overload_its_target() {
+    let mut proxy = Proxy::with(&["a", "b", "c", "d"]);
+    let mut calls = std::collections::HashMap::<String, usize>::new();
+    for key in 0..40 {
+        let target = proxy.takes(1.0, prompt(key, 1.0, key, &[(7, 4_000), (key + 100, 10)])).expect("sent");
+        *calls.entry(target).or_default() += 1;
+    }
+    let (most, least) = (calls.values().max().copied(), calls.values().min().copied());
+    assert_eq!(calls.len(), 4);
+    let bound = least.map(|least| 1.25 * least as f64 + 7.0);
+    assert!(most.map(|most| most as f64) <= bound, "{calls:?}");
+}
+
+#[test]
+fn a_target_that_is_new_at_the_place_of_another_holds_nothing() {
+    let mut proxy = Proxy::with(&["a"]);
+    proxy.takes(1.0, prompt(1, 1.0, 1, &[(7, 4_000), (8, 10)]));
+    proxy.ends(2.0, 1, "a", Fate::Delivered);
+    proxy.dispatcher.tables_changed(&[healthy("a2")]);
+    assert_eq!(proxy.takes(3.0, prompt(2, 3.0, 1, &[(7, 4_000), (8, 20)])).as_deref(), Some("a2"));
+}
+
+#[test]
+fn ranks_are_a_permutation_whatever_the_order_of_the_targets() {
+    arbtest(|u| {
+        let count: usize = u.int_in_range(1..=12)?;
+        let names: Vec<String> = (0..count).map(|at| format!("i-{at}")).collect();
+        let hashes: Vec<u64> =
+            names.iter().map(|name| target_hash(&InstanceId::from(name.as_str()))).collect();
+        let prompt = chains(&[(u.arbitrary()?, 10), (u.arbitrary()?, 10)]);
+        let costs = rank_costs(&prompt, &hashes);
+        let turned: Vec<u64> = hashes.iter().rev().copied().collect();
+        let mut turned_costs = rank_costs(&prompt, &turned);
+        turned_costs.reverse();
+        assert_eq!(costs, turned_costs);
+        assert_eq!(costs.iter().filter(|cost| **cost == 0.0).count(), 1);
+        Ok(())
+    })
+    .budget_ms(500);
+}
+
+#[test]
+fn missing_tokens_never_exceed_the_prompt() {
+    arbtest(|u| {
+        let mut kept = Kept::default();
+        for _ in 0..u.int_in_range(0..=20)? {
+            let list: Vec<(u64, u32)> = u.arbitrary()?;
+            let prompt = chains(&list);
+            let all = list.iter().take(64).fold(0u32, |sum, part| sum.saturating_add(part.1));
+            assert!(kept.missing(&prompt) <= all);
+            kept.note(&prompt);
+        }
+        Ok(())
+    })
+    .budget_ms(500);
+}
--- /dev/null
+++ b/tier/dispatch/tests/load.rs
@@ -0,0 +1,83 @@
+//! Calls go where few are, by the proxy's own count and by what targets report.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::*;
+use plankhill_dispatch::load::TargetLoad;
+use plankhill_dispatch::*;
+use plankhill_protocol::ids::InstanceId;
+use plankhill_protocol::tables::TargetState;
+
+fn report(running: u32, waiting: u32) -> UpstreamLoad {
+    UpstreamLoad { running, waiting, slots: 4 }
+}
+
+#[test]
+fn calls_spread_evenly() {
+    let mut proxy = Proxy::with(&["a", "b", "c", "d"]);
+    let mut calls = HashMap::<String, usize>::new();
+    for key in 0..40 {
+        *calls.entry(proxy.takes(1.0, request(key, 1.0)).expect("sent")).or_default() += 1;
+    }
+    assert!(calls.values().all(|count| (9..=11).contains(count)), "{calls:?}");
+}
+
+#[test]
+fn a_target_that_reports_many_gets_none_while_others_report_few() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    proxy.dispatcher.load_seen(1.0, &InstanceId::from("a"), report(4, 10));
+    for key in 0..6 {
+        assert_eq!(proxy.takes(2.0, request(key, 2.0)).as_deref(), Some("b"));
+    }
+}
+
+#[test]
+fn own_calls_are_not_counted_twice_and_reports_fade() {
+    let mut load = TargetLoad::new(4);
+    load.sent();
+    load.sent();
+    load.reported(0.0, report(3, 0));
+    assert_eq!(load.estimate(0.0), 3.0);
+    assert!(load.estimate(5_000.0) < 2.1);
+    load.ended();
+    load.ended();
+    load.ended();
+    assert_eq!(load.out(), 0);
+}
+
+#[test]
+fn a_queue_costs_more_than_free_slots() {
+    let cost = |running, waiting| {
+        let mut load = TargetLoad::new(4);
+        load.answered(100.0);
+        load.reported(0.0, report(running, waiting));
+        load.cost(0.0)
+    };
+    assert!(cost(0, 0) < cost(1, 0));
+    assert!(cost(1, 0) < cost(4, 0));
+    assert!(cost(4, 0) < cost(4, 1));
+    assert!(cost(4, 1) < cost(4, 8));
+}
+
+#[test]
+fn the_wait_after_a_refusal_is_bounded() {
+    for took in [0.0, 1.0, 100.0, 1e9] {
+        for waiting in [0, 24, u32::MAX] {
+            let mut load = TargetLoad::new(4);
+            load.answered(took);
+            load.reported(0.0, report(4, waiting));
+            assert!((1.0..=1_000.0).contains(&load.wait_after_refusal(0.0)));
+        }
+    }
+}
+
+#[test]
+fn the_own_zone_goes_first_until_it_is_fuller() {
+    let mut proxy = Proxy::with(&[]);
+    let far = target("far", "far", TargetState::Healthy);
+    proxy.dispatcher.tables_changed(&[healthy("near"), far]);
+    assert_eq!(proxy.takes(1.0, request(1, 1.0)).as_deref(), Some("near"));
+    assert_eq!(proxy.takes(1.0, request(2, 1.0)).as_deref(), Some("far"), "one of four slots costs more");
+}
