--- a/tier/replica/tests/common/mod.rs
+++ b/tier/replica/tests/common/mod.rs
@@ -106,8 +106,8 @@
     pub async fn until(&self, wanted: impl FnMut(&Standing) -> bool) -> Standing {
         let mut standing = self.log().standing_changes();
         let found = tokio::time::timeout(PATIENCE, standing.wait_for(wanted)).await;
-        let standing = found.expect("in time").unwrap().clone();
-        standing
+        assert!(found.expect("in time").is_ok(), "the member has ended");
+        self.log().standing()
     }
 
     /// Waits until the member knows that it is current.
