--- a/tier/replica/src/lib.rs
+++ b/tier/replica/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use handle::{Log, Standing, Unavailable};
 pub use start::{start, ReplicaSettings, StartError};
-pub use state::{AppliedOperation, CommittedState, ReplicatedState};
+pub use state::{CommittedState, ReplicatedState};
--- a/tier/replica/src/machine.rs
+++ b/tier/replica/src/machine.rs
@@ -1,31 +1,25 @@
 //! The typed state as the chain's state machine.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use plankhill_chain::{BadSnapshot, StateMachine, ViewNumber};
 use plankhill_protocol::ids::Revision;
 
-use crate::state::{AppliedOperation, CommittedState, ReplicatedState};
+use crate::state::{CommittedState, ReplicatedState};
 
-/// Operations kept for subscribers that lag a little.
-const RECENT: usize = 256;
-
-/// The typed state, and the operations that it took last.
+/// The typed state.
 pub(crate) struct TypedMachine<S: ReplicatedState> {
     state: Arc<S>,
-    recent: VecDeque<AppliedOperation<S::Operation>>,
 }
 
 impl<S: ReplicatedState> TypedMachine<S> {
     pub(crate) fn new() -> Self {
-        Self { state: Arc::new(S::default()), recent: VecDeque::new() }
+        Self { state: Arc::new(S::default()) }
     }
 
     /// What others get to see.
     pub(crate) fn publish(&self, revision: Revision, view: ViewNumber) -> CommittedState<S> {
-        let recent = self.recent.iter().cloned().collect();
-        CommittedState { revision, view, state: Arc::clone(&self.state), recent }
+        CommittedState { revision, view, state: Arc::clone(&self.state) }
     }
 }
 
@@ -36,10 +30,6 @@
             return Vec::new();
         };
         let outcome = Arc::make_mut(&mut self.state).apply(revision, &operation);
-        self.recent.push_back(AppliedOperation { revision, operation: Arc::new(operation) });
-        if self.recent.len() > RECENT {
-            self.recent.pop_front();
-        }
         postcard::to_allocvec(&outcome).unwrap_or_default()
     }
 
@@ -48,7 +38,6 @@
     }
 
     fn restore(&mut self, revision: Revision, snapshot: &[u8]) -> Result<(), BadSnapshot> {
-        self.recent.clear();
         self.state = match snapshot {
             [] if revision.0 == 0 => Arc::new(S::default()),
             bytes => Arc::new(postcard::from_bytes(bytes).map_err(|_| BadSnapshot)?),
--- a/tier/replica/src/state.rs
+++ b/tier/replica/src/state.rs
@@ -19,21 +19,6 @@
     fn apply(&mut self, revision: Revision, operation: &Self::Operation) -> Self::Outcome;
 }
 
-/// One committed operation, kept for a while so that subscribers can be sent changes instead of snapshots.
-#[derive(Debug)]
-pub struct AppliedOperation<O> {
-    /// The revision that it made.
-    pub revision: Revision,
-    /// The operation.
-    pub operation: Arc<O>,
-}
-
-impl<O> Clone for AppliedOperation<O> {
-    fn clone(&self) -> Self {
-        Self { revision: self.revision, operation: Arc::clone(&self.operation) }
-    }
-}
-
 /// The newest committed state that this member knows.
 #[derive(Debug)]
 pub struct CommittedState<S: ReplicatedState> {
@@ -43,18 +28,11 @@
     pub view: ViewNumber,
     /// The state.
     pub state: Arc<S>,
-    /// The newest operations, in order, the last one being `revision`; empty after a snapshot was taken over.
-    pub recent: Vec<AppliedOperation<S::Operation>>,
 }
 
 impl<S: ReplicatedState> CommittedState<S> {
     /// The state before the first operation.
     pub fn empty() -> Self {
-        Self {
-            revision: Revision::default(),
-            view: ViewNumber::default(),
-            state: Arc::new(S::default()),
-            recent: Vec::new(),
-        }
+        Self { revision: Revision::default(), view: ViewNumber::default(), state: Arc::new(S::default()) }
     }
 }
