--- a/tier/chain/src/member/mod.rs
+++ b/tier/chain/src/member/mod.rs
@@ -245,8 +245,8 @@
         self.view.place(&self.me.identity).is_some_and(|place| place + 1 == self.view.chain.len())
     }
 
-    /// Links that a chain needs before it may acknowledge, among so many voters.
+    /// Links that a chain needs before it may acknowledge: f+1, or all machines of a core that has fewer.
     fn required_links(&self, voters: usize) -> usize {
-        voters.min(self.tolerated + 1).max(1)
+        voters.max(self.seeds.len()).min(self.tolerated + 1)
     }
 }
--- /dev/null
+++ b/tier/chain/tests/world/mod.rs
@@ -0,0 +1,380 @@
+//! A world in virtual time: machines with disks, links between them, clients, and faults that follow from a seed.
+
+pub mod chance;
+pub mod checker;
+pub mod faults;
+pub mod machine;
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use plankhill_chain::{Effect, Identity, Message, Millis, Ticket};
+use plankhill_protocol::ids::Revision;
+
+use chance::Chance;
+use checker::Book;
+use faults::Planted;
+use machine::{Input, Machine, Start};
+
+/// What a world is like.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub machines: usize,
+    pub seeds: usize,
+    pub tolerated: usize,
+    /// Between operations, in ms.
+    pub pace: u64,
+    pub planted: Option<Planted>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Deliver { to: usize, life: u64, number: u64 },
+    Synced { at: usize, life: u64, ticket: u64 },
+    Tick { at: usize, life: u64 },
+    Operation,
+    Read,
+    Start { at: usize },
+    Thaw { at: usize },
+    Fault,
+}
+
+/// A proposal or a read that waits.
+struct Asked {
+    machine: usize,
+    life: u64,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub machines: Vec<Machine>,
+    pub book: Rc<RefCell<Book>>,
+    pub chance: Chance,
+    pub shape: Shape,
+    /// Ordered pairs between which nothing gets through.
+    pub cuts: Vec<(usize, usize)>,
+    /// When the last fault ended or began.
+    pub disturbed_at: Millis,
+    pub faults_on: bool,
+    queue: BinaryHeap<Reverse<(Millis, u64, Event)>>,
+    sequence: u64,
+    messages: HashMap<u64, (usize, Identity, Message)>,
+    arrivals: BTreeMap<(usize, usize), Millis>,
+    syncing: BTreeMap<usize, u64>,
+    operations: u64,
+    proposals: BTreeMap<u128, (u64, Asked)>,
+    reads: BTreeMap<u64, (u64, Asked)>,
+    incarnations: u64,
+    /// Whether an acknowledgement is followed by a fault at once.
+    pub strike: bool,
+    /// Nobody proposes any more.
+    pub clients_gone: bool,
+}
+
+impl World {
+    pub fn new(seed: u64, shape: Shape) -> Self {
+        let machines = (0..shape.machines).map(Machine::new).collect();
+        let mut world = Self {
+            now: 0,
+            machines,
+            book: Rc::default(),
+            chance: Chance::new(seed),
+            shape,
+            cuts: Vec::new(),
+            disturbed_at: 0,
+            faults_on: false,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            messages: HashMap::new(),
+            arrivals: BTreeMap::new(),
+            syncing: BTreeMap::new(),
+            operations: 0,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            incarnations: 0,
+            strike: false,
+            clients_gone: false,
+        };
+        for machine in 0..world.machines.len() {
+            let delay = world.chance.below(300);
+            world.at(delay, Event::Start { at: machine });
+        }
+        world.at(500, Event::Operation);
+        world.at(700, Event::Read);
+        world
+    }
+
+    fn at(&mut self, delay: Millis, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence, event)));
+    }
+
+    /// Lets time pass; stops early when a rule is broken.
+    pub fn run(&mut self, duration: Millis) {
+        let end = self.now + duration;
+        while let Some(Reverse((time, _, _))) = self.queue.peek() {
+            if *time > end || self.book.borrow().broken.is_some() {
+                break;
+            }
+            let Some(Reverse((time, _, event))) = self.queue.pop() else { break };
+            self.now = time;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.machines[..self.shape.seeds].iter().map(|machine| machine.address).collect()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver { to, life, number } => self.deliver(to, life, number),
+            Event::Synced { at, life, ticket } => self.synced(at, life, ticket),
+            Event::Tick { at, life } => {
+                let machine = &self.machines[at];
+                if machine.life == life && machine.tick_at <= self.now {
+                    self.input(at, Input::Tick);
+                }
+            }
+            Event::Operation => self.next_operation(),
+            Event::Read => self.next_read(),
+            Event::Start { at } => self.start(at),
+            Event::Thaw { at } => self.thaw(at),
+            Event::Fault => self.next_fault(),
+        }
+    }
+
+    fn start(&mut self, at: usize) {
+        if self.machines[at].is_up() || self.machines[at].removed {
+            return;
+        }
+        self.incarnations += 1;
+        let first = self.machines[at].life == 0 && at < self.shape.machines;
+        let keeps_name = self.shape.planted == Some(Planted::IncarnationKept);
+        let incarnation = if keeps_name { at as u64 + 1 } else { 1_000 + self.incarnations };
+        let start = Start {
+            bootstrap: first,
+            incarnation,
+            tolerated: match self.shape.planted {
+                Some(Planted::AnyCopies) => 0,
+                _ => self.shape.tolerated,
+            },
+            seeds: self.seeds(),
+        };
+        self.disturbed_at = self.now;
+        self.machines[at].start(start, &self.book, self.now, &mut self.chance);
+        self.input(at, Input::Tick);
+    }
+
+    pub fn restart_after(&mut self, at: usize, delay: Millis) {
+        self.at(delay, Event::Start { at });
+    }
+
+    pub fn thaw_after(&mut self, at: usize, delay: Millis) {
+        self.at(delay, Event::Thaw { at });
+    }
+
+    pub fn fault_after(&mut self, delay: Millis) {
+        self.at(delay, Event::Fault);
+    }
+
+    pub fn thaw(&mut self, at: usize) {
+        if !self.machines[at].frozen {
+            return;
+        }
+        self.machines[at].frozen = false;
+        self.disturbed_at = self.now;
+        self.input(at, Input::Tick);
+        while let Some(input) = self.machines[at].held_back.pop_front() {
+            self.input(at, input);
+        }
+    }
+
+    /// The process or the power of a machine ends.
+    pub fn stop(&mut self, at: usize) {
+        self.disturbed_at = self.now;
+        self.machines[at].stop(&mut self.chance);
+        self.syncing.remove(&at);
+    }
+
+    fn input(&mut self, at: usize, input: Input) {
+        let now = self.now;
+        let effects = self.machines[at].take(input, now);
+        for effect in effects {
+            self.carry_out(at, effect);
+        }
+        self.look_at(at);
+    }
+
+    fn look_at(&mut self, at: usize) {
+        let machine = &mut self.machines[at];
+        let Some(member) = machine.process.as_ref().filter(|_| !machine.frozen) else { return };
+        if member.view().number.0 > 0 {
+            self.book.borrow_mut().adopted(member.view());
+        }
+        let (tick_at, life) = (member.next_tick().max(self.now + 1), machine.life);
+        if machine.tick_at <= self.now || tick_at < machine.tick_at {
+            machine.tick_at = tick_at;
+            self.at(tick_at - self.now, Event::Tick { at, life });
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.send(at, to, message),
+            Effect::Persist { ticket, writes } => {
+                if self.shape.planted == Some(Planted::DiskLies) {
+                    let life = self.machines[at].life;
+                    self.at(0, Event::Synced { at, life, ticket: ticket.0 });
+                }
+                self.machines[at].disk.waiting.push_back((ticket, writes));
+                self.sync_next(at);
+            }
+            Effect::Proposed { request, outcome } => {
+                let Some((operation, _)) = self.proposals.remove(&request.0) else { return };
+                let revision = u64::from_le_bytes(outcome.as_ref().try_into().unwrap());
+                self.acknowledge(operation, revision);
+            }
+            Effect::ProposalFailed(request) => drop(self.proposals.remove(&request.0)),
+            Effect::ReadReady(read) => {
+                let Some((had_to_hold, _)) = self.reads.remove(&read) else { return };
+                let revision =
+                    self.machines[at].process.as_ref().map_or(Revision(0), |member| member.revision());
+                self.book.borrow_mut().read(had_to_hold, revision.0);
+            }
+            Effect::ReadFailed(read) => drop(self.reads.remove(&read)),
+        }
+    }
+
+    fn acknowledge(&mut self, operation: u64, revision: u64) {
+        self.book.borrow_mut().acknowledged(operation, revision);
+        let copies = self.machines.iter().filter(|machine| machine.disk.holds(revision)).count();
+        if copies <= self.shape.tolerated {
+            let what = format!("revision {revision} was acknowledged with {copies} synced copies");
+            self.book.borrow_mut().fail(what);
+        }
+        if self.strike && self.faults_on && self.chance.one_in(20) {
+            self.next_fault();
+        }
+    }
+
+    /// A sync takes in everything that waits when it begins.
+    fn sync_next(&mut self, at: usize) {
+        if self.syncing.contains_key(&at) {
+            return;
+        }
+        let machine = &self.machines[at];
+        let Some((ticket, _)) = machine.disk.waiting.back() else { return };
+        let (ticket, life) = (ticket.0, machine.life);
+        self.syncing.insert(at, ticket);
+        let takes = self.chance.between(2, 9);
+        self.at(takes, Event::Synced { at, life, ticket });
+    }
+
+    fn synced(&mut self, at: usize, life: u64, ticket: u64) {
+        if self.machines[at].life != life || !self.machines[at].is_up() {
+            return;
+        }
+        let lies = self.shape.planted == Some(Planted::DiskLies);
+        if self.syncing.get(&at) == Some(&ticket) {
+            self.syncing.remove(&at);
+            let disk = &mut self.machines[at].disk;
+            while !lies && disk.waiting.front().is_some_and(|(number, _)| number.0 <= ticket) {
+                let Some((_, writes)) = disk.waiting.pop_front() else { break };
+                writes.iter().for_each(|write| disk.synced.apply(write));
+            }
+        }
+        self.input(at, Input::Persisted(Ticket(ticket)));
+        self.sync_next(at);
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let Some(to) = self.machines.iter().position(|machine| machine.address == to) else { return };
+        let sender = self.machines[from].process.as_ref().map(|member| member.me().identity.clone());
+        let Some(identity) = sender else { return };
+        if self.cuts.contains(&(from, to)) || self.chance.one_in(500) {
+            return;
+        }
+        let Some(message) = self.tamper(from, to, message) else { return };
+        let arrives = (self.now + self.chance.between(1, 4)).max(self.arrival(from, to));
+        self.arrivals.insert((from, to), arrives);
+        self.sequence += 1;
+        self.messages.insert(self.sequence, (from, identity, message));
+        let (life, number) = (self.machines[to].life, self.sequence);
+        self.at(arrives - self.now, Event::Deliver { to, life, number });
+    }
+
+    fn arrival(&self, from: usize, to: usize) -> Millis {
+        self.arrivals.get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    fn deliver(&mut self, to: usize, life: u64, number: u64) {
+        let Some((from, identity, message)) = self.messages.remove(&number) else { return };
+        if self.machines[to].life == life && !self.cuts.contains(&(from, to)) {
+            self.input(to, Input::Message(identity, message));
+        }
+    }
+
+    fn next_operation(&mut self) {
+        if self.clients_gone {
+            return;
+        }
+        let delay = self.chance.between(1, 2 * self.shape.pace);
+        self.at(delay, Event::Operation);
+        self.operations += 1;
+        let (operation, at) = (self.operations, self.chance.below(self.machines.len() as u64) as usize);
+        self.propose(at, operation);
+    }
+
+    /// Proposes an operation at a machine, which need not be able to take it.
+    pub fn propose(&mut self, at: usize, operation: u64) -> u128 {
+        let request = u128::from(self.chance.number()) << 64 | u128::from(operation);
+        if self.machines[at].is_up() {
+            let asked = Asked { machine: at, life: self.machines[at].life };
+            self.proposals.insert(request, (operation, asked));
+            let ends = self.now + 4_000;
+            self.input(at, Input::Propose { request, operation, ends });
+        }
+        request
+    }
+
+    fn next_read(&mut self) {
+        let delay = self.chance.between(1, 4 * self.shape.pace);
+        self.at(delay, Event::Read);
+        let at = self.chance.below(self.machines.len() as u64) as usize;
+        if !self.machines[at].is_up() {
+            return;
+        }
+        let read = self.chance.number();
+        let asked = Asked { machine: at, life: self.machines[at].life };
+        self.reads.insert(read, (self.book.borrow().seen(), asked));
+        let ends = self.now + 4_000;
+        self.input(at, Input::Read { read, ends });
+    }
+
+    /// Forgets what processes that have ended were asked.
+    pub fn forget_asked(&mut self, at: usize) {
+        let life = self.machines[at].life;
+        self.proposals.retain(|_, (_, asked)| asked.machine != at || asked.life != life);
+        self.reads.retain(|_, (_, asked)| asked.machine != at || asked.life != life);
+    }
+
+    pub fn is_proposed(&self, request: u128) -> bool {
+        self.proposals.contains_key(&request)
+    }
+}
+
+impl World {
+    /// Delivers an answer that nobody has given.
+    fn answer(&mut self, to: usize, from: Identity, message: Message) {
+        self.sequence += 1;
+        let number = self.sequence;
+        self.messages.insert(number, (to, from, message));
+        let life = self.machines[to].life;
+        self.at(2, Event::Deliver { to, life, number });
+    }
+}
