--- a/tier/chain/src/member/presence.rs
+++ b/tier/chain/src/member/presence.rs
@@ -91,15 +91,19 @@
     }
 
     fn heartbeat(&self) -> Heartbeat {
-        let confirmed_at = if self.is_tail() { self.confirmed_at() } else { None };
+        // The heartbeat speaks of the view on disk. While a later one is on its way there, this member has left
+        // the former, and what it knows of the later one must not pass for knowledge of the former.
+        let settled = self.durable.0 == self.view.number;
+        let confirmed_at = if settled && self.is_tail() { self.confirmed_at() } else { None };
+        let committed = if settled { self.replicated.revision() } else { Revision(0) };
         Heartbeat {
             member: self.me.clone(),
             sequence: self.presence.sequence,
             echoes: self.peers.echoes(self.now),
             view: self.durable.0,
-            sealed: self.is_sealed(),
+            sealed: !settled || self.is_sealed(),
             position: self.durable.1,
-            committed: self.replicated.revision(),
+            committed,
             leaving: self.presence.leaving,
             founder: self.founders.is_some(),
             confirmed_age: confirmed_at.map(|at| self.now.saturating_sub(at)),
--- a/tier/chain/tests/world/faults.rs
+++ b/tier/chain/tests/world/faults.rs
@@ -15,6 +15,8 @@
     DiskLies,
     /// A lost disk keeps its incarnation, so that its old votes count.
     IncarnationKept,
+    /// Voters answer each attempt as if it were the first.
+    PromisesForgotten,
     /// One copy is enough to acknowledge.
     AnyCopies,
     /// Questions whether a view is still current are always answered with yes.
@@ -23,6 +25,8 @@
     ViewsIgnored,
     /// Repeats of a proposal carry a new name.
     RepeatsUnnamed,
+    /// Some outcomes are told wrong.
+    OutcomesAltered,
     /// Nobody hears of a decision.
     DecisionsLost,
 }
@@ -32,10 +36,18 @@
     pub(super) fn tamper(&mut self, from: usize, to: usize, message: Message) -> Option<Message> {
         match (self.shape.planted, message) {
             (Some(Planted::ViewsIgnored), message) => Some(self.with_view_of(to, message)),
+            (Some(Planted::PromisesForgotten), Message::Decided(_)) if !self.chance.one_in(4) => None,
             (Some(Planted::RepeatsUnnamed), Message::Forward { view, mut entry }) => {
                 entry.request.0 ^= u128::from(self.now) << 32;
                 Some(Message::Forward { view, entry })
             }
+            (Some(Planted::PromisesForgotten), Message::Promise { instance, ballot, position, .. }) => {
+                Some(Message::Promise { instance, ballot, accepted: None, position })
+            }
+            (Some(Planted::OutcomesAltered), Message::Outcome { request, outcome }) => {
+                let told = u64::from_le_bytes(outcome.as_ref().try_into().unwrap()) + self.now % 2;
+                Some(Message::Outcome { request, outcome: told.to_le_bytes().to_vec().into() })
+            }
             (Some(Planted::DecisionsLost), Message::Decided(_)) if self.now > 4_000 => None,
             (Some(Planted::AlwaysConfirmed), Message::Confirm { view, round }) => {
                 let voter = self.machines[to].process.as_ref().map(|member| member.me().identity.clone());
@@ -82,6 +94,13 @@
         if !self.faults_on {
             return;
         }
+        self.strike_now();
+        let soon = self.chance.one_in(3);
+        let delay = if soon { self.chance.below(200) } else { self.chance.between(500, 7_000) };
+        self.fault_after(delay);
+    }
+
+    pub(super) fn strike_now(&mut self) {
         let present: Vec<_> = (0..self.machines.len()).filter(|at| !self.machines[*at].removed).collect();
         let Some(at) = self.chance.pick(&present) else { return };
         let Some(other) = self.chance.pick(&present) else { return };
@@ -97,9 +116,6 @@
             11 => self.cuts.clear(),
             _ => present.iter().for_each(|at| self.freeze(*at)),
         }
-        let soon = self.chance.one_in(3);
-        let delay = if soon { self.chance.below(200) } else { self.chance.between(500, 7_000) };
-        self.fault_after(delay);
     }
 
     pub fn kill(&mut self, at: usize) {
