--- a/tier/chain/tests/planted.rs
+++ b/tier/chain/tests/planted.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn lost_disks_that_keep_their_votes() {
-    finds(Planted::IncarnationKept, Rule::Service);
+    finds(Planted::IncarnationKept, Rule::OneOrder);
 }
 
 #[test]
--- a/tier/chain/tests/world/mod.rs
+++ b/tier/chain/tests/world/mod.rs
@@ -213,7 +213,10 @@
         let now = self.now;
         let effects = self.machines[at].take(input, now);
         for effect in effects {
-            self.carry_out(at, effect);
+            // One effect may bring a fault on that ends the process before the next.
+            if self.machines[at].is_up() {
+                self.carry_out(at, effect);
+            }
         }
         self.look_at(at);
     }
