--- a/tier/control/src/operation.rs
+++ b/tier/control/src/operation.rs
@@ -16,6 +16,7 @@
         /// Its own version.
         version: u64,
         /// The JSON document, byte for byte.
+        #[serde(with = "plankhill_protocol::shared_bytes")]
         document: Arc<[u8]>,
     },
     /// A target registers or reports a change.
--- a/tier/controller/src/admin/answer.rs
+++ b/tier/controller/src/admin/answer.rs
@@ -6,6 +6,8 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
+use super::body::BodyError;
+
 /// When to come back after a 503, in seconds: a change of the chain's view takes about this long.
 const RETRY_AFTER_S: &str = "0.3";
 
@@ -44,6 +46,17 @@
     failure(StatusCode::BAD_REQUEST, error)
 }
 
+/// The answer to a request whose body was not taken.
+pub fn unread(error: BodyError) -> Answer {
+    let status = match error {
+        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+        BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Busy => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    failure(status, &error.to_string())
+}
+
 /// 503: no outcome could be had here.
 pub fn unavailable() -> Answer {
     failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the controllers answered in time")
--- a/tier/controller/src/admin/body.rs
+++ b/tier/controller/src/admin/body.rs
@@ -2,15 +2,21 @@
 
 use std::error::Error;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::time::timeout;
 
 /// Bytes that one unit of the budget stands for.
 const UNIT: usize = 1_024;
 
+/// Time for a body: eight megabytes take under a second on the slowest link described, and callers give up a
+/// little later than that.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The body of a request, from a connection or from a test.
 pub trait ReadableBody: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> {}
 
@@ -25,6 +31,9 @@
     /// The connection ended, or the body was not framed properly.
     #[error("the body could not be read whole")]
     Broken,
+    /// It did not come in time.
+    #[error("the body did not come whole within {} s", BODY_TIMEOUT.as_secs())]
+    Late,
     /// Other bodies take all the memory set aside.
     #[error("too many large bodies at once")]
     Busy,
@@ -66,12 +75,13 @@
 /// Reads a whole body.
 ///
 /// # Errors
-/// If it is too large or breaks off.
+/// If it is too large, breaks off or takes too long.
 pub async fn read_body(body: impl ReadableBody, limit: usize) -> Result<Bytes, BodyError> {
     announced_length(&body, limit)?;
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge(limit)),
-        Err(_) => Err(BodyError::Broken),
+    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge(limit)),
+        Ok(Err(_)) => Err(BodyError::Broken),
+        Err(_) => Err(BodyError::Late),
     }
 }
--- a/tier/controller/src/admin/configuration.rs
+++ b/tier/controller/src/admin/configuration.rs
@@ -7,8 +7,8 @@
 use plankhill_control::{Operation, Outcome};
 use serde::Serialize;
 
-use super::answer::{failure, invalid, ok, ok_text, unavailable, Answer};
-use super::body::{announced_length, read_body, BodyBudget, BodyError, ReadableBody};
+use super::answer::{failure, invalid, ok, ok_text, unavailable, unread, Answer};
+use super::body::{announced_length, read_body, BodyBudget, ReadableBody};
 use super::OUTCOME_TIMEOUT;
 use crate::log::ControlLog;
 use crate::process::Controller;
@@ -35,11 +35,11 @@
     let held = announced_length(&body, MAX_CONFIGURATION_BYTES).and_then(|length| budget.take(length));
     let _held = match held {
         Ok(held) => held,
-        Err(error) => return refuse_body(error),
+        Err(error) => return unread(error),
     };
     match read_body(body, MAX_CONFIGURATION_BYTES).await {
         Ok(document) => judge(controller, expected, document).await,
-        Err(error) => refuse_body(error),
+        Err(error) => unread(error),
     }
 }
 
@@ -49,15 +49,6 @@
     text.trim().trim_matches('"').parse().ok()
 }
 
-fn refuse_body(error: BodyError) -> Answer {
-    let status = match error {
-        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::Broken => StatusCode::BAD_REQUEST,
-        BodyError::Busy => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    failure(status, &error.to_string())
-}
-
 async fn judge<L: ControlLog>(controller: &Controller<L>, expected: u64, document: Bytes) -> Answer {
     if let Some(answer) = answer_from_history(controller, expected, &document) {
         return answer;
--- a/tier/controller/src/admin/instances.rs
+++ b/tier/controller/src/admin/instances.rs
@@ -8,8 +8,8 @@
 use plankhill_protocol::tables::Target;
 use serde::Serialize;
 
-use super::answer::{failure, invalid, ok, unavailable, Answer};
-use super::body::{read_body, BodyError, ReadableBody};
+use super::answer::{failure, invalid, ok, unavailable, unread, Answer};
+use super::body::{read_body, ReadableBody};
 use super::heartbeat::parse_heartbeat;
 use super::OUTCOME_TIMEOUT;
 use crate::log::ControlLog;
@@ -31,10 +31,7 @@
 ) -> Answer {
     let text = match read_body(body, MAX_HEARTBEAT_BYTES).await {
         Ok(text) => text,
-        Err(error @ BodyError::TooLarge(_)) => {
-            return failure(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string())
-        }
-        Err(error) => return invalid(&error.to_string()),
+        Err(error) => return unread(error),
     };
     let report = match parse_heartbeat(id, &text) {
         Ok(report) => report,
--- a/tier/controller/src/admin/retire.rs
+++ b/tier/controller/src/admin/retire.rs
@@ -5,7 +5,7 @@
 use plankhill_protocol::ids::NodeId;
 use serde::{Deserialize, Serialize};
 
-use super::answer::{failure, invalid, ok, unavailable, Answer};
+use super::answer::{failure, invalid, ok, unavailable, unread, Answer};
 use super::body::{read_body, ReadableBody};
 use super::OUTCOME_TIMEOUT;
 use crate::log::ControlLog;
@@ -35,7 +35,7 @@
 ) -> Answer {
     let text = match read_body(body, MAX_ORDER_BYTES).await {
         Ok(text) => text,
-        Err(error) => return invalid(&error.to_string()),
+        Err(error) => return unread(error),
     };
     if !text.is_empty() {
         if let Err(error) = serde_json::from_slice::<Order>(&text) {
--- a/tier/controller/src/admin/server.rs
+++ b/tier/controller/src/admin/server.rs
@@ -22,8 +22,9 @@
 const CONNECTIONS: usize = 1_024;
 /// Pause after a failed accept, so that other connections can end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time for the head of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for the head of a request, counted from the end of the call before: callers that keep a connection send
+/// a heartbeat every second or so.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 16 * 1_024;
 /// Memory for bodies that are being read: an eighth of a small machine's.
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod feeder;
 pub mod ids;
 pub mod ports;
+pub mod shared_bytes;
 pub mod subscription;
 pub mod tables;
 pub mod transport;
--- a/tier/protocol/src/tables.rs
+++ b/tier/protocol/src/tables.rs
@@ -94,6 +94,7 @@
     /// Its version.
     pub version: u64,
     /// The JSON document, byte for byte.
+    #[serde(with = "crate::shared_bytes")]
     pub document: Arc<[u8]>,
 }
 
--- a/tier/protocol/src/turns.rs
+++ b/tier/protocol/src/turns.rs
@@ -25,8 +25,10 @@
     /// The turn that it went on from, with the program under which that one is kept.
     pub previous: Option<TurnPlace>,
     /// The input that the client sent.
+    #[serde(with = "crate::shared_bytes")]
     pub input: Arc<[u8]>,
     /// The data of each of its events with a line feed behind, in order.
+    #[serde(with = "crate::shared_bytes")]
     pub output: Arc<[u8]>,
     /// How long it is kept from its end on, in milliseconds.
     pub retention_ms: u64,
@@ -79,6 +81,7 @@
     /// The turn may run.
     Begun {
         /// For each turn of the chain from the oldest on: its input and then its output, joined.
+        #[serde(with = "crate::shared_bytes")]
         history: Arc<[u8]>,
         /// Where `Previous` is kept, to be named in this turn's record.
         previous: Option<TurnPlace>,
