--- a/tier/controller/src/log.rs
+++ b/tier/controller/src/log.rs
@@ -93,6 +93,6 @@
     }
 
     async fn serve_chain(&self, connection: Connection) {
-        let _ = connection;
+        self.serve(connection).await;
     }
 }
