Proxy: the dispatcher and the stores in place of their stand-ins

Cause: both have their interfaces now. Change: Decisions is implemented by the dispatcher, TurnStore by the stores' client; the command starts the role.

--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -12,6 +12,8 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Agent(#[from] plankhill_agent::RunError),
+    #[error(transparent)]
+    Proxy(#[from] plankhill_proxy::RunError),
     #[error("this build does not hold the role")]
     NotBuilt,
 }
@@ -32,7 +34,8 @@
     let settings = Settings::load()?;
     match role {
         Role::Agent => plankhill_agent::run(settings)?,
-        Role::Controller | Role::Proxy | Role::Store => return Err(RoleError::NotBuilt),
+        Role::Proxy => plankhill_proxy::run(settings)?,
+        Role::Controller | Role::Store => return Err(RoleError::NotBuilt),
     }
     Ok(())
 }
--- a/tier/proxy/src/admission.rs
+++ b/tier/proxy/src/admission.rs
@@ -132,15 +132,13 @@
 
     /// The tables were replaced.
     pub fn tables_changed(&self, snapshot: &Snapshot) {
-        let now = self.clock.now();
-        self.decisions.borrow_mut().tables_changed(now, snapshot);
+        self.decisions.borrow_mut().tables_changed(snapshot);
         self.carry_out();
     }
 
     /// A health check has ended.
     pub fn pinged(&self, target: &InstanceId, answer: PingAnswer) {
-        let now = self.clock.now();
-        self.decisions.borrow_mut().pinged(now, target, answer);
+        self.decisions.borrow_mut().pinged(target, answer);
         self.carry_out();
     }
 
@@ -217,23 +215,23 @@
     }
 
     fn ended(&self, key: RequestKey, ended: Ended) {
-        if let Some(mailbox) = self.mailboxes.borrow_mut().get_mut(&key) {
-            mailbox.out = None;
+        let out = self.mailboxes.borrow_mut().get_mut(&key).and_then(|mailbox| mailbox.out.take());
+        if let Some((target, _)) = out {
+            let now = self.clock.now();
+            self.decisions.borrow_mut().ended(now, key, &target, ended);
+            self.carry_out();
         }
-        let now = self.clock.now();
-        self.decisions.borrow_mut().ended(now, key, ended);
-        self.carry_out();
     }
 
     fn leave(&self, key: RequestKey, place: Place) {
-        self.mailboxes.borrow_mut().remove(&key);
-        let now = self.clock.now();
         match place {
-            Place::Held => self.decisions.borrow_mut().withdrawn(now, key),
-            Place::Out => self.decisions.borrow_mut().ended(now, key, Ended::plain(Fate::Cancelled)),
-            Place::Done => return,
+            Place::Held => self.decisions.borrow_mut().withdrawn(key),
+            Place::Out => self.ended(key, Ended::plain(Fate::Cancelled)),
+            Place::Done => {}
+        }
+        if self.mailboxes.borrow_mut().remove(&key).is_some() {
+            self.carry_out();
         }
-        self.carry_out();
     }
 }
 
@@ -267,9 +265,6 @@
     pub fn ended(&mut self, ended: Ended) {
         self.place = if ended.fate == Fate::Delivered { Place::Done } else { Place::Held };
         self.admission.ended(self.key, ended);
-        if self.place == Place::Done {
-            self.admission.mailboxes.borrow_mut().remove(&self.key);
-        }
     }
 }
 
--- a/tier/proxy/src/decisions.rs
+++ b/tier/proxy/src/decisions.rs
@@ -1,6 +1,6 @@
 //! The dispatcher as the proxy uses it, so that tests can put another in its place.
 
-use plankhill_dispatch::{Command, Ended, Ms, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
+use plankhill_dispatch::{Command, Dispatcher, Ended, Ms, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
 use plankhill_protocol::ids::InstanceId;
 
 use crate::snapshot::Snapshot;
@@ -8,17 +8,47 @@
 /// Decides which request goes to which target and when.
 pub trait Decisions {
     /// The tables were replaced.
-    fn tables_changed(&mut self, now: Ms, snapshot: &Snapshot);
+    fn tables_changed(&mut self, snapshot: &Snapshot);
     /// A request was read whole.
     fn request(&mut self, now: Ms, request: NewRequest);
     /// The client of a request that is held, not out, went away.
-    fn withdrawn(&mut self, now: Ms, request: RequestKey);
-    /// A call of a request ended.
-    fn ended(&mut self, now: Ms, request: RequestKey, ended: Ended);
+    fn withdrawn(&mut self, request: RequestKey);
+    /// A call of a request to this target ended.
+    fn ended(&mut self, now: Ms, request: RequestKey, target: &InstanceId, ended: Ended);
     /// A health check was answered, or not.
-    fn pinged(&mut self, now: Ms, target: &InstanceId, answer: PingAnswer);
+    fn pinged(&mut self, target: &InstanceId, answer: PingAnswer);
     /// An answer told how full its target is.
     fn load_seen(&mut self, now: Ms, target: &InstanceId, load: UpstreamLoad);
     /// What is to be done now, in order.
     fn commands(&mut self, now: Ms) -> Vec<Command>;
 }
+
+impl Decisions for Dispatcher {
+    fn tables_changed(&mut self, snapshot: &Snapshot) {
+        Dispatcher::tables_changed(self, &snapshot.tables.targets);
+    }
+
+    fn request(&mut self, now: Ms, request: NewRequest) {
+        Dispatcher::request(self, now, request);
+    }
+
+    fn withdrawn(&mut self, request: RequestKey) {
+        Dispatcher::withdrawn(self, request);
+    }
+
+    fn ended(&mut self, now: Ms, request: RequestKey, target: &InstanceId, ended: Ended) {
+        Dispatcher::ended(self, now, request, target, ended);
+    }
+
+    fn pinged(&mut self, target: &InstanceId, answer: PingAnswer) {
+        Dispatcher::pinged(self, target, answer);
+    }
+
+    fn load_seen(&mut self, now: Ms, target: &InstanceId, load: UpstreamLoad) {
+        Dispatcher::load_seen(self, now, target, load);
+    }
+
+    fn commands(&mut self, now: Ms) -> Vec<Command> {
+        Dispatcher::commands(self, now)
+    }
+}
--- a/tier/proxy/src/lib.rs
+++ b/tier/proxy/src/lib.rs
@@ -20,7 +20,6 @@
 mod plain;
 mod process;
 mod ready;
-mod round_robin;
 mod run;
 mod shutdown;
 pub mod snapshot;
--- a/tier/proxy/src/run.rs
+++ b/tier/proxy/src/run.rs
@@ -1,27 +1,32 @@
 //! Puts the process together.
 
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use plankhill_dispatch::{DispatchSettings, Dispatcher};
+use plankhill_protocol::ids::{NodeId, ZoneName};
 use plankhill_protocol::transport::listen;
 use plankhill_settings::Settings;
+use plankhill_store_client::StoreClient;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, PingOrder};
 use crate::clock::Clock;
 use crate::exchange::Targets;
 use crate::process::{Life, Proxy};
-use crate::round_robin::RoundRobin;
 use crate::snapshot::SnapshotCell;
 use crate::target_pool::TargetPool;
-use crate::turn_store::Unstored;
 use crate::{feed, listener, ping, ready, shutdown};
 
 /// Descriptors that are left for connections to targets, to stores and to the agent, as a share of all.
 const SHARE_FOR_OTHERS: f64 = 0.4;
 
+/// Requests held or out at once: each holds some kilobytes, and more could not be served in time.
+const MOST_REQUESTS: usize = 2_000;
+
 /// Why the process ended without being asked to.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -56,7 +61,7 @@
     let clients = bound(clients)?;
     let readiness = bound(readiness)?;
     let (pings, ping_orders) = mpsc::unbounded_channel();
-    let proxy = assemble(pings);
+    let proxy = assemble(&settings, pings);
     let (follower, subscription) = (proxy.clone(), feed::subscribe(&settings));
     tokio::task::spawn_local(feed::follow(follower, subscription));
     tokio::task::spawn_local(ping::carry_out(proxy.clone(), ping_orders));
@@ -69,21 +74,29 @@
     Ok(())
 }
 
-fn assemble(pings: mpsc::UnboundedSender<crate::admission::PingOrder>) -> Rc<Proxy> {
+fn assemble(settings: &Settings, pings: mpsc::UnboundedSender<PingOrder>) -> Rc<Proxy> {
     let clock = Clock::start();
     let pool = Rc::new(TargetPool::default());
-    let decisions = Box::new(RoundRobin::default());
+    let zone = ZoneName::from(settings.zone.as_str());
+    let node = NodeId::from(settings.node_id.as_str());
+    let dispatch = DispatchSettings { seed: seed(), zone: zone.clone(), most_requests: MOST_REQUESTS };
+    let decisions = Box::new(Dispatcher::new(dispatch, clock.now()));
     let admission = Rc::new(Admission::new(clock, decisions, pool.clone(), pings));
     Rc::new(Proxy {
         clock,
         snapshots: SnapshotCell::default(),
         admission,
         targets: Targets { clock, pool },
-        turns: Rc::new(Unstored),
+        turns: Rc::new(StoreClient::new(node, zone)),
         life: Rc::new(Life::default()),
     })
 }
 
+/// Differs from process to process: the library's hash keys are drawn at random.
+fn seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
 fn bound(address: SocketAddr) -> Result<tokio::net::TcpListener, RunError> {
     listen(address).map_err(|source| RunError::Listen { address, source })
 }
--- a/tier/proxy/src/stream/run.rs
+++ b/tier/proxy/src/stream/run.rs
@@ -19,6 +19,8 @@
 /// A stream may run on this long after its deadline, in milliseconds: the target ends it by itself, and its
 /// last events are on their way then.
 const AFTER_DEADLINE: Ms = 50.0;
+/// The stores are waited for during this share of the time left: a target needs the rest.
+const SHARE_FOR_BEGIN: f64 = 0.5;
 /// What a client is told while the stores cannot tell, in milliseconds.
 const PAUSE_FOR_STORES: Ms = 200.0;
 
@@ -35,9 +37,12 @@
 /// Has the stream answered. May be dropped at any time.
 pub async fn run(proxy: &Rc<Proxy>, job: &mut Job, client: &mut Client, ending: &mut Ending) {
     if let Some(turn) = &mut ending.turn {
-        match turn.begin(proxy.clock.instant(job.deadline)).await {
+        let now = proxy.clock.now();
+        let until = now + (job.deadline - now) * SHARE_FOR_BEGIN;
+        match turn.begin(proxy.clock.instant(until)).await {
             Ok(body) => job.outgoing.body = body,
             Err(refusal) => {
+                ending.settled = refusal == TurnRefusal::BudgetSpent;
                 let id = Some(&job.outgoing.request_id);
                 client.answer(match refusal {
                     TurnRefusal::BudgetSpent => answer::empty(StatusCode::PAYMENT_REQUIRED, id),
--- a/tier/proxy/src/turn.rs
+++ b/tier/proxy/src/turn.rs
@@ -7,19 +7,14 @@
 use bytes::{Bytes, BytesMut};
 use plankhill_configuration::Route;
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::turns::{Reservation, StoreReply, TurnPlace, TurnRecord};
-use tokio::time::{sleep, Instant};
+use plankhill_protocol::turns::{Reservation, TurnPlace, TurnRecord};
+use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn};
+use tokio::time::Instant;
 
 use crate::facts::Facts;
 use crate::process::Work;
-use crate::turn_store::{BeginTurn, EndTurn, TurnStore};
-
-/// A store call that takes longer is given up; another try may reach other stores.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The pause after a first try without an acknowledgement; it doubles up to [`LONGEST_PAUSE`].
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-/// See [`FIRST_PAUSE`].
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+use crate::turn_store::TurnStore;
+
 /// How long a settlement is tried in the background. What stays unsettled counts at its most: too much, never
 /// too little.
 const SETTLE_FOR: Duration = Duration::from_secs(20);
@@ -111,47 +106,29 @@
         if !self.needs_begin() {
             return Ok(self.input.clone());
         }
-        let mut pause = FIRST_PAUSE;
-        loop {
-            let call = BeginTurn {
-                program: self.program.clone(),
-                turn: self.turn.clone(),
-                reservation: self.reservation.clone(),
-                previous: self.previous.clone(),
-            };
-            let within = CALL_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
-            match self.store.begin(call, within).await {
-                StoreReply::Begun { history, previous } => {
-                    self.place = previous;
-                    return Ok(joined(&history, &self.input));
-                }
-                StoreReply::BudgetSpent => return Err(TurnRefusal::BudgetSpent),
-                StoreReply::NoSuchTurn => return Err(TurnRefusal::NoSuchTurn),
-                StoreReply::Unsure | StoreReply::Ended | StoreReply::OldEpoch(_) => {}
-            }
-            if Instant::now() + pause >= until {
-                return Err(TurnRefusal::Unsure);
+        let call = BeginTurn {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            reservation: self.reservation.clone(),
+            previous: self.previous.clone(),
+        };
+        let within = until.saturating_duration_since(Instant::now());
+        match self.store.begin(call, within).await {
+            BeginOutcome::Begun { history, previous } => {
+                self.place = previous;
+                Ok(joined(&history, &self.input))
             }
-            sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
+            BeginOutcome::BudgetSpent => Err(TurnRefusal::BudgetSpent),
+            BeginOutcome::NoSuchTurn => Err(TurnRefusal::NoSuchTurn),
+            BeginOutcome::Unsure => Err(TurnRefusal::Unsure),
         }
     }
 
     /// Settles and keeps; true once enough stores have acknowledged it, false if they have not by `until`.
     pub async fn end(&self, handed: &Handed, until: Instant) -> bool {
         let Some(call) = self.end_call(handed) else { return true };
-        let mut pause = FIRST_PAUSE;
-        loop {
-            let within = CALL_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
-            if self.store.end(call.clone(), within).await == StoreReply::Ended {
-                return true;
-            }
-            if Instant::now() + pause >= until {
-                return false;
-            }
-            sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-        }
+        let within = until.saturating_duration_since(Instant::now());
+        self.store.end(call, within).await == EndOutcome::Ended
     }
 
     /// Settles in the background.
