--- /dev/null
+++ b/tier/demo/src/call.rs
@@ -0,0 +1,57 @@
+//! One HTTP exchange on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Largest body read, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Why no whole answer came.
+#[derive(Debug, Error)]
+pub(crate) enum CallError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("broken off: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("body broken off: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("no whole answer in time")]
+    TimedOut(#[from] tokio::time::error::Elapsed),
+}
+
+/// Sends `request` to `address` and reads the whole answer within `limit`.
+pub(crate) async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Answer, CallError> {
+    timeout(limit, exchange(address, request)).await?
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(CallError::Body)?;
+    Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+}
--- /dev/null
+++ b/tier/demo/src/heartbeat.rs
@@ -0,0 +1,42 @@
+//! Heartbeats of the stand-in targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::configuration::{CAPACITY, MODELS};
+use crate::control_plane::{send, Order};
+use crate::settings_file::HEARTBEAT_MS;
+use crate::target::Target;
+
+/// Longest wait for the acknowledgement of one heartbeat.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Sends heartbeats of `target` for as long as the demo runs.
+pub(crate) async fn keep_up(target: Arc<Target>, controllers: Arc<[SocketAddr]>) {
+    for sequence in 1_usize.. {
+        let order = heartbeat(&target, sequence);
+        // The next heartbeat repeats what one without an acknowledgement said.
+        let _ = send(&controllers, sequence, &order, LIMIT).await;
+        sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+    }
+}
+
+fn heartbeat(target: &Target, sequence: usize) -> Order {
+    let mut body = json!({
+        "service": target.service, "address": target.address.to_string(), "zone": target.zone,
+        "version": "v1", "capacity": CAPACITY, "state": "healthy", "cold_remaining_ms": 0,
+        "sequence": sequence
+    });
+    if target.service == MODELS {
+        body["phase"] = json!("both");
+        body["models"] = json!([{"name": "m", "version": 1, "adapters": []}]);
+    }
+    let path = format!("/-/instances/{}", target.id);
+    Order { method: Method::PUT, path, base: None, body: Bytes::from(body.to_string()) }
+}
--- /dev/null
+++ b/tier/demo/src/settings_file.rs
@@ -0,0 +1,59 @@
+//! The settings file of one process.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use crate::layout::{Class, Machine, Role, PORT_RANGE, REGION, ZONES};
+
+/// Time between two heartbeats of a target, in milliseconds.
+pub(crate) const HEARTBEAT_MS: u64 = 1000;
+
+/// What a settings file says besides the machine and the role.
+pub(crate) struct Surroundings<'a> {
+    pub(crate) seeds: &'a [SocketAddr],
+    /// True at the first start of the whole tier.
+    pub(crate) bootstrap: bool,
+    /// Folder for the data of the machine's process.
+    pub(crate) data: &'a Path,
+}
+
+/// The text of the settings file for `role` on `machine`.
+pub(crate) fn text(machine: &Machine, role: Role, around: &Surroundings<'_>) -> String {
+    let has_disk = machine.class != Class::Edge;
+    let serves = role.serves().map(|what| format!("{what:?}")).unwrap_or_default();
+    let seeds: Vec<String> = around.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let mut text = String::new();
+    let mut line = |key: &str, value: String| {
+        // Writing to a string doesn't fail.
+        let _ = writeln!(text, "{key} = {value}");
+    };
+    line("node_id", format!("{:?}", machine.name));
+    line("role", format!("{:?}", role.name()));
+    line("machine_class", format!("{:?}", machine.class.name()));
+    line("serves", format!("[{serves}]"));
+    line("ip", format!("\"{}\"", machine.ip));
+    line("zone", format!("{:?}", machine.zone));
+    line("region", format!("{REGION:?}"));
+    line("port_range", format!("[{}, {}]", PORT_RANGE.0, PORT_RANGE.1));
+    line("seed_nodes", format!("[{}]", seeds.join(", ")));
+    line("bootstrap", around.bootstrap.to_string());
+    line("counts_for_quorum", has_disk.to_string());
+    if has_disk {
+        line("data_path", format!("{:?}", around.data.display().to_string()));
+    }
+    line("heartbeat_ms", HEARTBEAT_MS.to_string());
+    text + &tables(machine, role)
+}
+
+fn tables(machine: &Machine, role: Role) -> String {
+    let zones: String = ZONES.iter().map(|zone| format!("{zone} = {REGION:?}\n")).collect();
+    let listeners = match role {
+        Role::Controller => format!("admin = \"{}\"\n", machine.admin()),
+        Role::Proxy => format!("http = \"{}\"\nreadiness = \"{}\"\n", machine.http(), machine.readiness()),
+        Role::Agent | Role::Store => String::new(),
+    };
+    let limits = "cpu_quota = 1.0\ncpus = 1\nmemory_mb = 256\nmax_fds = 1024\ndisk_mb = 256\n";
+    let tolerance = "nodes = 1\nzones = 1\nregions = 0\n";
+    format!("\n[zones]\n{zones}\n[listeners_map]\n{listeners}\n[limits]\n{limits}\n[fault_tolerance]\n{tolerance}")
+}
