--- a/tier/command/src/arguments.rs
+++ b/tier/command/src/arguments.rs
@@ -6,6 +6,12 @@
 use lexopt::{Arg, Parser, ValueExt};
 use thiserror::Error;
 
+/// Programs of the demo unless the command line says otherwise: enough to be under way at both kills.
+const DEFAULT_DEMO_PROGRAMS: u32 = 40;
+
+/// Most programs of the demo; with more it would take over a minute.
+const MAX_DEMO_PROGRAMS: u32 = 200;
+
 /// What the command line asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
@@ -30,6 +36,11 @@
         /// The file to check.
         file: PathBuf,
     },
+    /// Show a small tier on loopback addresses.
+    Demo {
+        /// Number of programs sent through it.
+        programs: u32,
+    },
     /// Ask a controller for its status.
     Status {
         /// Address of the controller, as `IP:PORT`.
@@ -85,6 +96,9 @@
     /// `check` can't check this.
     #[error("check knows settings and configuration, not {0:?}")]
     UnknownKind(String),
+    /// The number of programs is none, or out of bounds.
+    #[error("--programs is a number from 1 to {MAX_DEMO_PROGRAMS}, not {0:?}")]
+    ProgramCount(String),
     /// The form of log lines is unknown.
     #[error("--log-format is text or json, not {0:?}")]
     UnknownLogFormat(String),
@@ -111,6 +125,7 @@
             "store" => parse_role(parser, Role::Store),
             "check" => parse_check(parser),
             "status" => parse_status(parser),
+            "demo" => parse_demo(parser),
             _ => Err(UsageError::UnknownCommand(name)),
         }
     }
@@ -171,6 +186,25 @@
     Ok(Command::Status { address, json })
 }
 
+fn parse_demo(mut parser: Parser) -> Result<Command, UsageError> {
+    let mut programs = DEFAULT_DEMO_PROGRAMS;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("programs") => programs = parse_programs(parser.value()?.string()?)?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Command::Demo { programs })
+}
+
+fn parse_programs(text: String) -> Result<u32, UsageError> {
+    match text.parse() {
+        Ok(programs) if (1..=MAX_DEMO_PROGRAMS).contains(&programs) => Ok(programs),
+        _ => Err(UsageError::ProgramCount(text)),
+    }
+}
+
 fn missing(command: &'static str, what: &'static str) -> UsageError {
     UsageError::Missing { command, what }
 }
--- /dev/null
+++ b/tier/command/src/demo.rs
@@ -0,0 +1,28 @@
+//! Shows a small tier on loopback addresses.
+
+use plankhill_demo::{DemoError, DemoOptions, Report};
+
+use crate::{print, print_error, ExitStatus};
+
+/// Runs the demo with this program; a failure if clients saw anything wrong.
+pub(crate) fn show(programs: u32) -> ExitStatus {
+    match run(programs) {
+        Ok(report) => {
+            print(&format!("\n{report}"));
+            if report.is_whole() {
+                ExitStatus::Success
+            } else {
+                ExitStatus::Failure
+            }
+        }
+        Err(error) => {
+            print_error(&format!("plankhill-tier: {error}"));
+            ExitStatus::Failure
+        }
+    }
+}
+
+fn run(programs: u32) -> Result<Report, DemoError> {
+    let program = std::env::current_exe()?;
+    plankhill_demo::run(&DemoOptions { program, programs })
+}
--- a/tier/command/src/lib.rs
+++ b/tier/command/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod check;
+mod demo;
 mod exit;
 mod logging;
 mod render;
@@ -35,6 +36,7 @@
         Command::Run { role, log_format } => role::start(role, log_format),
         Command::CheckSettings { file } => check::settings(&file),
         Command::CheckConfiguration { file } => check::configuration(&file),
+        Command::Demo { programs } => demo::show(programs),
         Command::Status { address, json } => status::show(&address, json),
     }
 }
--- a/tier/command/src/usage.rs
+++ b/tier/command/src/usage.rs
@@ -14,6 +14,9 @@
       Checks a configuration as an operator would send it and prints each fault with its key.
   plankhill-tier status ADDRESS [--json]
       Asks the controller at ADDRESS (IP:PORT) for its status; --json prints it as received.
+  plankhill-tier demo [--programs N]
+      Starts a small tier on loopback addresses (Linux), sends N programs (default 40) through it,
+      kills a controller and a proxy, and prints what clients saw. Takes under a minute.
 
 Options:
   --log-format text|json   Form of the log lines on standard output (default: text).
--- a/tier/command/tests/arguments.rs
+++ b/tier/command/tests/arguments.rs
@@ -51,6 +51,12 @@
     assert_eq!(understood("status --json 127.0.0.1:9001"), Command::Status { address, json: true });
 }
 
+#[test]
+fn the_demo_takes_a_number_of_programs() {
+    assert_eq!(understood("demo"), Command::Demo { programs: 40 });
+    assert_eq!(understood("demo --programs 7"), Command::Demo { programs: 7 });
+}
+
 #[test]
 fn help_and_version_are_known_everywhere() {
     for line in ["--help", "-h", "proxy --help", "check -h", "status --help"] {
@@ -76,6 +82,9 @@
         ("check settings a.toml b.toml", "b.toml"),
         ("status", "address"),
         ("status 127.0.0.1:1 127.0.0.1:2", "127.0.0.1:2"),
+        ("demo --programs 0", "\"0\""),
+        ("demo --programs many", "many"),
+        ("demo --programs 1000", "1000"),
         ("--quick", "--quick"),
     ];
     for (line, named) in cases {
