--- a/tier/controller/src/lib.rs
+++ b/tier/controller/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod liveness;
 pub mod log;
 pub mod process;
+mod run;
 
 pub use log::{Committed, ControlLog};
 pub use process::Controller;
+pub use run::{run, RunError};
