Homes: races between an update under way and a change of its source are tested and closed

A home is followed only once all that the controller has announced is held; a gap while a home is followed counts as its lag.

--- /dev/null
+++ b/tier/agent/tests/feeding.rs
@@ -0,0 +1,213 @@
+//! The agent's feeder and its homes over loopback, with a controller that the test plays.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use plankhill_agent::feeder::{serve, Source, PEERS, PROXY};
+use plankhill_agent::homes::follow_homes;
+use plankhill_membership::homes::home_of;
+use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
+use plankhill_protocol::ids::{Incarnation, NodeId, Revision, ZoneName};
+use plankhill_protocol::subscription::{Subscription, SubscriptionOptions};
+use plankhill_protocol::tables::{Edge, Tables, TablesChange, TablesUpdate};
+use plankhill_protocol::transport::{accept, listen, Channel, Connection, Hello};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, LocalSet};
+
+/// Far beyond anything that a test waits for.
+const PATIENT: Duration = Duration::from_secs(60);
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn edge(name: &str, address: SocketAddr) -> Edge {
+    let (node, zone) = (NodeId::from(name), ZoneName::from("west"));
+    Edge { node, incarnation: Incarnation(1), address, zone }
+}
+
+fn hello(name: &str) -> Hello {
+    Hello::new(Channel::Feed, NodeId::from(name))
+}
+
+fn subscribe(name: &str, subscriber: Subscriber, feeder: SocketAddr) -> Subscription {
+    let (_, candidates) = watch::channel(vec![feeder]);
+    let hello = hello(name);
+    Subscription::start(SubscriptionOptions { hello, subscriber, candidates, silence: PATIENT })
+}
+
+/// A controller's listener, and what it does to the one who subscribes.
+struct Controller {
+    listener: TcpListener,
+}
+
+impl Controller {
+    fn new() -> Self {
+        Controller { listener: listen(any_port()).unwrap() }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    async fn welcome(&self) -> Connection {
+        let (stream, address) = self.listener.accept().await.unwrap();
+        let mut connection = accept(stream, address, &hello("core-1")).await.unwrap();
+        let first = connection.reader.next().await.unwrap();
+        assert!(matches!(first, FromSubscriber::Subscribe { .. }));
+        connection
+    }
+}
+
+async fn send(connection: &mut Connection, message: ToSubscriber) {
+    connection.writer.send(&message).await.unwrap();
+}
+
+fn snapshot(tables: &Tables) -> ToSubscriber {
+    ToSubscriber::Update(TablesUpdate::Snapshot(tables.clone()))
+}
+
+fn heartbeat(revision: u64) -> ToSubscriber {
+    ToSubscriber::Heartbeat { revision: Revision(revision), current: true }
+}
+
+/// Reads until this message comes.
+async fn wait_for(connection: &mut Connection, wanted: FromSubscriber) {
+    while connection.reader.next::<FromSubscriber>().await.unwrap() != wanted {}
+}
+
+fn start_feeder(
+    of: &Subscription,
+    audience: plankhill_agent::feeder::Audience,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = listen(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let source = Source { tables: of.tables(), standing: of.standing() };
+    let (connected, _) = watch::channel(0);
+    let serving = serve(listener, hello("edge-1"), source, audience, connected);
+    (address, tokio::task::spawn_local(serving))
+}
+
+#[test]
+fn a_proxy_gets_what_the_agent_gets_and_is_current_when_the_agent_is() {
+    run(async {
+        let controller = Controller::new();
+        let me = edge("edge-1", any_port());
+        let agent = subscribe("edge-1", Subscriber::Edge(me.clone()), controller.address());
+        let (loopback, _feeder) = start_feeder(&agent, PROXY);
+        let proxy = subscribe("edge-1", Subscriber::Proxy, loopback);
+        let mut link = controller.welcome().await;
+        let tables = Tables { revision: Revision(3), edges: vec![me], ..Tables::default() };
+        send(&mut link, snapshot(&tables)).await;
+        send(&mut link, heartbeat(3)).await;
+        proxy.tables().wait_for(|held| **held == tables).await.unwrap();
+        proxy.standing().wait_for(|standing| standing.current).await.unwrap();
+    });
+}
+
+#[test]
+fn a_proxy_of_an_agent_that_knows_nothing_yet_is_not_current() {
+    run(async {
+        let controller = Controller::new();
+        let me = edge("edge-1", any_port());
+        let agent = subscribe("edge-1", Subscriber::Edge(me), controller.address());
+        let (loopback, _feeder) = start_feeder(&agent, PROXY);
+        let proxy = subscribe("edge-1", Subscriber::Proxy, loopback);
+        let mut standing = proxy.standing();
+        standing.wait_for(|standing| standing.address.is_some()).await.unwrap();
+        assert!(!standing.borrow().current);
+    });
+}
+
+/// Two agents of one zone, each with its own line to the controller.
+struct Zone {
+    home: Connection,
+    other: Connection,
+    other_agent: Rc<Subscription>,
+    home_feeder: JoinHandle<()>,
+    tables: Tables,
+    _home_agent: Subscription,
+}
+
+/// Lets the second agent follow the first, up to where the controller sends it heartbeats only.
+async fn zone() -> Zone {
+    let controller = Controller::new();
+    // The feeder listens under either name; the name that makes it the home is given to it.
+    let names = ["edge-1", "edge-2"];
+    let placed: Vec<Edge> = names.iter().map(|name| edge(name, any_port())).collect();
+    let home_name = home_of(&ZoneName::from("west"), &placed).unwrap().node.clone();
+    let other_name = names.into_iter().find(|name| *name != home_name.as_str()).unwrap();
+    let other = edge(other_name, any_port());
+    let placeholder = Subscriber::Edge(edge(home_name.as_str(), any_port()));
+    let home_agent = subscribe(home_name.as_str(), placeholder, controller.address());
+    let (address, home_feeder) = start_feeder(&home_agent, PEERS);
+    let home = edge(home_name.as_str(), address);
+    let mut home_link = controller.welcome().await;
+    let mut edges = vec![home, other.clone()];
+    edges.sort_by(|one, another| one.node.cmp(&another.node));
+    let tables = Tables { revision: Revision(3), edges, ..Tables::default() };
+    send(&mut home_link, snapshot(&tables)).await;
+    send(&mut home_link, heartbeat(3)).await;
+    home_agent.standing().wait_for(|standing| standing.current).await.unwrap();
+
+    let subscriber = Subscriber::Edge(other.clone());
+    let other_agent = Rc::new(subscribe(other_name, subscriber, controller.address()));
+    let mut other_link = controller.welcome().await;
+    send(&mut other_link, snapshot(&tables)).await;
+    send(&mut other_link, heartbeat(3)).await;
+    tokio::task::spawn_local(follow_homes(other, other_agent.clone()));
+    wait_for(&mut other_link, FromSubscriber::HeartbeatsOnly).await;
+    let _home_agent = home_agent;
+    Zone { home: home_link, other: other_link, other_agent, home_feeder, tables, _home_agent }
+}
+
+fn next_revision() -> ToSubscriber {
+    let changes = vec![TablesChange::Stores(Default::default())];
+    ToSubscriber::Update(TablesUpdate::Changes { from: Revision(3), to: Revision(4), changes })
+}
+
+#[test]
+fn the_home_brings_what_the_controller_only_announces() {
+    run(async {
+        let mut zone = zone().await;
+        send(&mut zone.other, heartbeat(4)).await;
+        send(&mut zone.home, next_revision()).await;
+        send(&mut zone.home, heartbeat(4)).await;
+        let four = |held: &Arc<Tables>| held.revision == Revision(4);
+        zone.other_agent.tables().wait_for(four).await.unwrap();
+        assert_eq!(zone.other_agent.tables().borrow().edges, zone.tables.edges);
+    });
+}
+
+#[test]
+fn a_home_that_brings_nothing_is_left_for_the_controller() {
+    run(async {
+        let mut zone = zone().await;
+        send(&mut zone.other, heartbeat(4)).await;
+        wait_for(&mut zone.other, FromSubscriber::Updates { held: Revision(3) }).await;
+        send(&mut zone.other, next_revision()).await;
+        let four = |held: &Arc<Tables>| held.revision == Revision(4);
+        zone.other_agent.tables().wait_for(four).await.unwrap();
+    });
+}
+
+#[test]
+fn a_home_that_leaves_the_zone_is_left_before_anything_is_announced() {
+    run(async {
+        let mut zone = zone().await;
+        zone.home_feeder.abort();
+        let gone = home_of(&ZoneName::from("west"), &zone.tables.edges).unwrap().node.clone();
+        let changes = vec![TablesChange::EdgeRemoved(gone)];
+        let update = TablesUpdate::Changes { from: Revision(3), to: Revision(4), changes };
+        send(&mut zone.other, ToSubscriber::Update(update)).await;
+        wait_for(&mut zone.other, FromSubscriber::Updates { held: Revision(4) }).await;
+    });
+}
--- a/tier/protocol/src/subscription.rs
+++ b/tier/protocol/src/subscription.rs
@@ -132,7 +132,8 @@
 
     /// From now on, updates come by [`Subscription::offer`]; the feeder sends heartbeats only. As soon as offers
     /// lag behind the feeder's revision by [`HOME_LAG`], and on every new connection, the feeder is asked for
-    /// updates again. False if the queue is full.
+    /// updates again. Nothing happens while the feeder has announced more than is held. False if the queue is
+    /// full.
     pub fn by_home(&self) -> bool {
         self.orders.try_send(Order::ByHome).is_ok()
     }
--- a/tier/protocol/src/subscription/exchange.rs
+++ b/tier/protocol/src/subscription/exchange.rs
@@ -138,11 +138,7 @@
                 let _ = written.map(|written| written.send(()));
                 Ok(())
             }
-            Order::ByHome if self.progress.is_by_home() => Ok(()),
-            Order::ByHome => {
-                self.progress.begin_by_home();
-                self.send(&FromSubscriber::HeartbeatsOnly).await
-            }
+            Order::ByHome => self.by_home().await,
             Order::Direct => self.direct().await,
             Order::Offer(offered) => self.offered(offered).await,
         }
@@ -156,6 +152,14 @@
         }
     }
 
+    async fn by_home(&mut self) -> Result<(), Stop> {
+        let held = self.link.tables.borrow().revision;
+        match self.progress.begin_by_home(held) {
+            Some(message) => self.send(&message).await,
+            None => Ok(()),
+        }
+    }
+
     async fn direct(&mut self) -> Result<(), Stop> {
         let held = self.link.tables.borrow().revision;
         match self.progress.end_by_home(held) {
--- a/tier/protocol/src/subscription/progress.rs
+++ b/tier/protocol/src/subscription/progress.rs
@@ -45,7 +45,10 @@
 /// Progress over one connection.
 #[derive(Debug, Default)]
 pub struct Progress {
-    asked: bool,
+    /// The feeder was asked for a snapshot that has not come yet.
+    asked_snapshot: bool,
+    /// The feeder was asked for updates that have not come yet.
+    asked_updates: bool,
     behind: u32,
     source: Source,
     announced: Revision,
@@ -55,7 +58,7 @@
     /// Takes a message that came at `now`; applies an update to `tables`.
     pub fn take(&mut self, message: ToSubscriber, tables: &mut Arc<Tables>, now: Instant) -> Step {
         match message {
-            ToSubscriber::Update(update) => self.update(update, tables),
+            ToSubscriber::Update(update) => self.update(update, tables, now),
             ToSubscriber::Heartbeat { revision, current } => {
                 self.heartbeat(revision, current, tables.revision, now)
             }
@@ -63,9 +66,14 @@
         }
     }
 
-    /// Updates come from the home from now on.
-    pub fn begin_by_home(&mut self) {
+    /// Updates come from the home from now on, which is told by the answer. None if they already do, or if the
+    /// feeder has announced more than is held: that is to come first.
+    pub fn begin_by_home(&mut self, held: Revision) -> Option<FromSubscriber> {
+        if self.is_by_home() || self.announced > held {
+            return None;
+        }
         self.source = Source::Home { lags_since: None };
+        Some(FromSubscriber::HeartbeatsOnly)
     }
 
     /// Whether updates come from the home.
@@ -80,7 +88,7 @@
         }
         *tables = offered;
         if tables.revision >= self.announced {
-            self.begin_by_home();
+            self.source = Source::Home { lags_since: None };
         }
         Step::Changed
     }
@@ -97,16 +105,16 @@
     pub fn end_by_home(&mut self, held: Revision) -> Option<FromSubscriber> {
         let was_by_home = self.is_by_home();
         self.source = Source::Feeder;
-        self.asked = was_by_home;
+        (self.asked_snapshot, self.asked_updates) = (false, was_by_home);
         was_by_home.then_some(FromSubscriber::Updates { held })
     }
 
-    fn update(&mut self, update: TablesUpdate, tables: &mut Arc<Tables>) -> Step {
+    fn update(&mut self, update: TablesUpdate, tables: &mut Arc<Tables>, now: Instant) -> Step {
         let before = tables.revision;
         if !Arc::make_mut(tables).apply(update) {
-            return self.snapshot_once();
+            return if self.is_by_home() { self.behind_the_feeder(now) } else { self.snapshot_once() };
         }
-        self.asked = false;
+        (self.asked_snapshot, self.asked_updates) = (false, false);
         if tables.revision == before {
             Step::Unconfirmed
         } else {
@@ -136,6 +144,7 @@
 
     fn behind_the_feeder(&mut self, now: Instant) -> Step {
         match &mut self.source {
+            Source::Feeder if self.asked_updates => Step::Unconfirmed,
             Source::Feeder => self.snapshot_once(),
             Source::Home { lags_since } => {
                 lags_since.get_or_insert(now);
@@ -145,7 +154,7 @@
     }
 
     fn snapshot_once(&mut self) -> Step {
-        if std::mem::replace(&mut self.asked, true) {
+        if std::mem::replace(&mut self.asked_snapshot, true) {
             Step::Unconfirmed
         } else {
             Step::WantsSnapshot
