--- a/tier/protocol/tests/homes.rs
+++ b/tier/protocol/tests/homes.rs
@@ -97,7 +97,7 @@
     let mut held = Arc::new(tables(0));
     for now in 0..STEPS {
         let instant = begin + Duration::from_millis(now as u64);
-        let mut later = |draw: &mut Unstructured<'_>| Ok(now + draw.int_in_range(1..=MOST_STEPS)?);
+        let later = |draw: &mut Unstructured<'_>| Ok(now + draw.int_in_range(1..=MOST_STEPS)?);
         if draw.ratio(1, 60)? {
             let newest = Arc::new(any_tables(draw, history.len() as u64)?);
             to_home.send(later(draw)?, newest.clone());
