--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -99,7 +99,7 @@
             request: key,
             target: known.id.clone(),
             address: known.address,
-            deadline: request.deadline,
+            deadline: request.call_deadline(self.now, known.load.answer_time()),
             priority: request.priority,
         });
     }
--- a/tier/dispatch/src/interface.rs
+++ b/tier/dispatch/src/interface.rs
@@ -126,7 +126,7 @@
         target: InstanceId,
         /// Where that listens.
         address: SocketAddr,
-        /// The call ends as timed out then, and its answer is due then.
+        /// The call ends as timed out then: the request's deadline, or earlier if another call may follow.
         deadline: Ms,
         /// The value of the `Priority` header.
         priority: u8,
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -104,7 +104,8 @@
         (0.1 * there * self.answer_time() / self.slots).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
-    fn answer_time(&self) -> Ms {
+    /// How long an answer's head usually takes.
+    pub fn answer_time(&self) -> Ms {
         self.usual_answer.unwrap_or(INITIAL_ANSWER)
     }
 }
--- a/tier/dispatch/src/requests.rs
+++ b/tier/dispatch/src/requests.rs
@@ -6,7 +6,7 @@
 
 use crate::affinity::Chains;
 use crate::interface::{NewRequest, Repeats, RequestKey};
-use crate::retry::Attempts;
+use crate::retry::{call_deadline, Attempts};
 
 /// One request, until it is over and its last call has ended.
 #[derive(Debug)]
@@ -43,6 +43,13 @@
         }
     }
 
+    /// When a call that leaves now ends as timed out. A stream goes on for as long as it may.
+    pub(crate) fn call_deadline(&self, now: Ms, usual_answer: Ms) -> Ms {
+        let another = self.attempts.more_after_this(self.repeats, self.max_attempts);
+        let may_follow = another && self.session.is_none();
+        call_deadline(now, self.deadline, self.objective, usual_answer, may_follow)
+    }
+
     /// How its last call ended; not sent if it had none.
     pub(crate) fn last_fate(&self) -> Fate {
         self.attempts.last.unwrap_or(Fate::NotSent)
--- a/tier/dispatch/src/retry.rs
+++ b/tier/dispatch/src/retry.rs
@@ -1,6 +1,6 @@
 //! Whether a request whose call ended undelivered goes again.
 
-use plankhill::interface::Fate;
+use plankhill::interface::{Fate, Ms};
 
 use crate::interface::Repeats;
 
@@ -30,6 +30,22 @@
 /// this many the service as a whole is full or gone.
 const MOST_NOT_RUN: u32 = 4;
 
+/// A call that may be repeated is given this many objectives, or usual answer times if that is longer: past
+/// both its answer is lost more often than late.
+const GIVEN_OBJECTIVES: f64 = 2.0;
+const GIVEN_ANSWERS: f64 = 8.0;
+/// No more than this share of the time left, so that the next call has as much.
+const GIVEN_SHARE: f64 = 0.5;
+
+/// When a call ends as timed out: at the request's deadline, or earlier where another call may follow.
+pub fn call_deadline(now: Ms, deadline: Ms, objective: Ms, usual_answer: Ms, may_follow: bool) -> Ms {
+    if !may_follow {
+        return deadline;
+    }
+    let given = (GIVEN_OBJECTIVES * objective).max(GIVEN_ANSWERS * usual_answer);
+    now + given.min(GIVEN_SHARE * (deadline - now))
+}
+
 /// What one request has been through so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Attempts {
@@ -56,6 +72,11 @@
         self.run > 0
     }
 
+    /// Whether another call could follow the one that is about to leave, were its answer lost.
+    pub fn more_after_this(&self, repeats: Repeats, max_attempts: u32) -> bool {
+        repeats == Repeats::Allowed && self.run + 1 < max_attempts
+    }
+
     /// Whether another call is allowed. The proxy's own end of a call (`Cancelled`) is final.
     pub fn allow_another(&self, repeats: Repeats, max_attempts: u32) -> bool {
         if self.last == Some(Fate::Cancelled) {
--- a/tier/dispatch/tests/attempts.rs
+++ b/tier/dispatch/tests/attempts.rs
@@ -99,6 +99,21 @@
     assert!((1.0..=1_000.0).contains(&retry_after));
 }
 
+#[test]
+fn a_lost_answer_leaves_time_for_another_call() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    let deadline_of = |commands: &[Command]| match commands {
+        [Command::Send { deadline, .. }] => *deadline,
+        other => panic!("{other:?}"),
+    };
+    let first = deadline_of(&proxy.at(1.0, |dispatcher| dispatcher.request(1.0, request(1, 1.0))));
+    assert!((1_000.0..=2_501.0).contains(&first));
+    let stream = deadline_of(&proxy.at(2.0, |dispatcher| dispatcher.request(2.0, turn(2, 2.0, 9))));
+    assert_eq!(stream, 5_002.0);
+    let binding = deadline_of(&proxy.at(3.0, |dispatcher| dispatcher.request(3.0, once(3, 3.0))));
+    assert_eq!(binding, 5_003.0);
+}
+
 #[test]
 fn a_told_wait_holds_the_target() {
     let mut proxy = Proxy::with(&["a"]);
