--- a/tier/dispatch/src/admission.rs
+++ b/tier/dispatch/src/admission.rs
@@ -40,7 +40,7 @@
         HeldFor::NextSend => (HELD_AGAIN_SHARE * objective).max(LEAST_HOLD),
         HeldFor::Session => HELD_IN_SESSION_SHARE * (deadline - now),
     };
-    (now + hold).min(deadline)
+    (now + hold.max(0.0)).min(deadline)
 }
 
 /// When a client whose request was refused is to come back: when the service's first target may take calls
--- a/tier/dispatch/src/dispatcher.rs
+++ b/tier/dispatch/src/dispatcher.rs
@@ -15,7 +15,8 @@
 use crate::interface::{Command, DispatchSettings, Ended, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
 use crate::module_terms;
 use crate::requests::{Request, Requests};
-use crate::settle::SettleTime;
+use crate::retry::Verdict;
+use crate::settle::{SessionRests, SettleTime};
 use crate::targets::{target_id, Targets};
 
 /// Decides which request goes next to which target.
@@ -31,6 +32,7 @@
     targets: Targets,
     holds: Holds,
     settle: SettleTime,
+    rests: SessionRests,
     draws: u64,
     /// Requests whose end was decided outside the module's round.
     given_up: Vec<RequestKey>,
@@ -52,6 +54,7 @@
             targets: Targets::default(),
             holds: Holds::default(),
             settle,
+            rests: SessionRests::default(),
             draws,
             given_up: Vec::new(),
             wake_at: None,
@@ -73,9 +76,8 @@
         }
         let priority = admission::priority(new.priority, new.finish_left, new.objective);
         let service = self.targets.service(&new.service);
-        let behind = new.session.is_some_and(|session| self.requests.has_session(session));
-        let held_for = if behind { HeldFor::Session } else { HeldFor::FirstSend };
-        self.holds.set(key, admission::hold_until(now, held_for, new.objective, new.deadline));
+        let hold_until = self.first_hold(now, &new);
+        self.holds.set(key, hold_until);
         self.requests.insert(key, Request::new(&new, service, priority));
         self.inputs.push(Input::Taken {
             key,
@@ -86,6 +88,14 @@
         });
     }
 
+    /// Until when a new request is held: what it may wait for begins once its session no longer rests.
+    fn first_hold(&self, now: Ms, new: &NewRequest) -> Ms {
+        let behind = new.session.is_some_and(|session| self.requests.has_session(session));
+        let held_for = if behind { HeldFor::Session } else { HeldFor::FirstSend };
+        let from = new.session.map_or(now, |session| self.rests.over_at(now, session));
+        admission::hold_until(from, held_for, new.objective, new.deadline)
+    }
+
     /// The client has left, or has its answer by other means: the request is not sent any more. A call that
     /// is out is the proxy's to end.
     pub fn withdrawn(&mut self, key: RequestKey) {
@@ -108,6 +118,9 @@
         let Some(request) = self.requests.get_mut(key).filter(|request| request.is_out) else { return };
         request.is_out = false;
         request.attempts.count(ended.fate);
+        if let Some(session) = request.session.filter(|_| Verdict::of(ended.fate) == Verdict::MayHaveRun) {
+            self.rests.begin(now, session, now + self.settle.value());
+        }
         let wait = self.note_end(now, target, &ended);
         let over = self.decide_next(now, key, ended.fate);
         let told = plankhill::interface::Ended {
@@ -137,7 +150,8 @@
                 return wait;
             }
             Fate::Error | Fate::TimedOut | Fate::NoConnection | Fate::Reset => known.load.failed(now),
-            Fate::Cancelled | Fate::NotSent => (),
+            Fate::NotSent => known.load.failed(now),
+            Fate::Cancelled => (),
         }
         0.0
     }
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -78,7 +78,7 @@
         self.avoided_until = f64::NEG_INFINITY;
     }
 
-    /// A call failed there.
+    /// A call failed there, or could not be written.
     pub fn failed(&mut self, now: Ms) {
         self.avoided_until = now + AVOIDED;
     }
--- a/tier/dispatch/src/settle.rs
+++ b/tier/dispatch/src/settle.rs
@@ -3,6 +3,8 @@
 //! A target drops a request whose connection has closed when it next writes to it, so that the longest pause
 //! between two writes bounds how long the request goes on unseen.
 
+use std::collections::{HashMap, VecDeque};
+
 use plankhill::interface::Ms;
 
 /// The rest before any answer was seen.
@@ -52,3 +54,28 @@
         Some(derived)
     }
 }
+
+/// The sessions that rest now.
+#[derive(Debug, Default)]
+pub struct SessionRests {
+    until: HashMap<u64, Ms>,
+    by_time: VecDeque<(Ms, u64)>,
+}
+
+impl SessionRests {
+    /// The session rests until then. Rests that are over by `now` are forgotten.
+    pub fn begin(&mut self, now: Ms, session: u64, until: Ms) {
+        while let Some((over, other)) = self.by_time.pop_front_if(|(until, _)| *until <= now) {
+            if self.until.get(&other) == Some(&over) {
+                self.until.remove(&other);
+            }
+        }
+        self.until.insert(session, until);
+        self.by_time.push_back((until, session));
+    }
+
+    /// When the session's next call may go: now, or at the end of its rest.
+    pub fn over_at(&self, now: Ms, session: u64) -> Ms {
+        self.until.get(&session).copied().unwrap_or(now).max(now)
+    }
+}
--- a/tier/dispatch/tests/attempts.rs
+++ b/tier/dispatch/tests/attempts.rs
@@ -114,6 +114,14 @@
     assert_eq!(binding, 5_003.0);
 }
 
+#[test]
+fn a_call_that_found_no_connection_free_goes_to_another_target() {
+    let mut proxy = Proxy::with(&["a", "b"]);
+    let first = proxy.takes(1.0, once(1, 1.0)).expect("sent");
+    proxy.ends(2.0, 1, &first, Fate::NotSent);
+    assert_ne!(sent_to(&proxy.until(12.0)).expect("soon"), first);
+}
+
 #[test]
 fn a_told_wait_holds_the_target() {
     let mut proxy = Proxy::with(&["a"]);
--- a/tier/dispatch/tests/sessions.rs
+++ b/tier/dispatch/tests/sessions.rs
@@ -40,6 +40,16 @@
     }
 }
 
+#[test]
+fn the_next_try_of_a_session_that_rests_is_not_refused_for_it() {
+    let mut proxy = Proxy::with(&["a"]);
+    let try_of = |key, now| NewRequest { session: Some(9), objective: 50.0, ..once(key, now) };
+    proxy.takes(1.0, try_of(1, 1.0));
+    proxy.ends(10.0, 1, "a", Fate::Cancelled);
+    assert_eq!(proxy.takes(12.0, try_of(2, 12.0)), None);
+    assert_eq!(sends(&proxy.until(2_000.0)), [(2, "a".to_owned())]);
+}
+
 #[test]
 fn a_turn_whose_client_left_holds_its_session_until_its_call_has_ended() {
     let mut proxy = Proxy::with(&["a"]);
