--- /dev/null
+++ b/tier/dispatch/tests/fleet.rs
@@ -0,0 +1,295 @@
+//! Several proxies that share no state, before targets with slots and queues, in virtual time.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+
+use common::*;
+use plankhill_dispatch::*;
+use plankhill_protocol::ids::InstanceId;
+use plankhill_protocol::tables::{Target, TargetState};
+
+const ZONES: [&str; 3] = ["x", "y", "z"];
+const WAY: Ms = 1.0;
+const OTHER_ZONE_WAY: Ms = 2.4;
+const SHARED_TOKENS: u32 = 2_560;
+const TOKENS_PER_MS: f64 = 38.4;
+
+/// A call at a target.
+#[derive(Clone, Copy)]
+struct Call {
+    proxy: usize,
+    key: u64,
+    sent: Ms,
+    subject: Option<u64>,
+}
+
+struct Member {
+    zone: usize,
+    dispatcher: Dispatcher,
+    wake_at: Option<Ms>,
+}
+
+/// Works on `slots` calls at once, queues `queue` more and refuses the rest.
+struct Server {
+    id: InstanceId,
+    zone: usize,
+    slots: usize,
+    queue: usize,
+    running: usize,
+    waiting: VecDeque<Call>,
+    read: HashSet<u64>,
+}
+
+enum Happens {
+    Arrives(u64),
+    Reaches(usize, Call),
+    Done(usize, Call),
+    Answered(usize, Call, Ended),
+    Wakes(usize, Ms),
+}
+
+struct Fleet {
+    now: Ms,
+    draws: u64,
+    work: Ms,
+    proxies: Vec<Member>,
+    servers: Vec<Server>,
+    agenda: BinaryHeap<Reverse<(u64, u64)>>,
+    due: HashMap<u64, Happens>,
+    count: u64,
+    subjects: Option<u64>,
+    subject_of: HashMap<u64, u64>,
+    answered: Vec<Ms>,
+    refused: usize,
+    /// Shared parts that some target read.
+    shared_reads: usize,
+}
+
+impl Fleet {
+    fn new(proxies: usize, servers: usize, slots: usize, queue: usize, work: Ms) -> Self {
+        let server = |at: usize| Server {
+            id: InstanceId::from(format!("i-{at}").as_str()),
+            zone: at % ZONES.len(),
+            slots,
+            queue,
+            running: 0,
+            waiting: VecDeque::new(),
+            read: HashSet::new(),
+        };
+        let servers: Vec<Server> = (0..servers).map(server).collect();
+        let listed: Vec<Target> = servers
+            .iter()
+            .map(|server| Target {
+                capacity: slots as u32,
+                ..target(server.id.as_str(), ZONES[server.zone], TargetState::Healthy)
+            })
+            .collect();
+        let proxy = |at: usize| {
+            let zone = at % ZONES.len();
+            let settings =
+                DispatchSettings { seed: at as u64, zone: ZONES[zone].into(), most_requests: 1_000 };
+            let mut dispatcher = Dispatcher::new(settings, 0.0);
+            dispatcher.tables_changed(&listed);
+            Member { zone, dispatcher, wake_at: None }
+        };
+        Fleet {
+            now: 0.0,
+            draws: 1,
+            work,
+            proxies: (0..proxies).map(proxy).collect(),
+            servers,
+            agenda: BinaryHeap::new(),
+            due: HashMap::new(),
+            count: 0,
+            subjects: None,
+            subject_of: HashMap::new(),
+            answered: Vec::new(),
+            refused: 0,
+            shared_reads: 0,
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (self.draws >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn spread(&mut self, mean: Ms) -> Ms {
+        -mean * (1.0 - self.draw()).ln()
+    }
+
+    fn at(&mut self, when: Ms, happens: Happens) {
+        self.count += 1;
+        self.due.insert(self.count, happens);
+        self.agenda.push(Reverse(((when * 1_000.0) as u64, self.count)));
+    }
+
+    /// Requests arrive at that rate a second, for some seconds.
+    fn run(&mut self, rate: f64, seconds: f64) {
+        let mut when = 0.0;
+        let mut key = 0;
+        while when < seconds * 1_000.0 {
+            when += self.spread(1_000.0 / rate);
+            key += 1;
+            self.at(when, Happens::Arrives(key));
+        }
+        while let Some(Reverse((micros, number))) = self.agenda.pop() {
+            self.now = self.now.max(micros as f64 / 1_000.0);
+            let happens = self.due.remove(&number).expect("due");
+            self.happens(happens);
+        }
+    }
+
+    fn happens(&mut self, happens: Happens) {
+        let now = self.now;
+        match happens {
+            Happens::Arrives(key) => {
+                let proxy = (self.draw() * self.proxies.len() as f64) as usize;
+                let prefix = self.prefix(key);
+                let new = NewRequest { prefix, ..once(key, now) };
+                self.proxies[proxy].dispatcher.request(now, new);
+                self.round(proxy);
+            }
+            Happens::Reaches(server, call) => self.reaches(server, call),
+            Happens::Done(server, call) => self.done(server, call),
+            Happens::Answered(server, call, ended) => {
+                let id = self.servers[server].id.clone();
+                let ended = Ended { took: now - call.sent, ..ended };
+                if ended.fate == Fate::Delivered {
+                    self.answered.push(ended.took);
+                }
+                self.proxies[call.proxy].dispatcher.ended(now, RequestKey(call.key), &id, ended);
+                self.round(call.proxy);
+            }
+            Happens::Wakes(proxy, at) if self.proxies[proxy].wake_at == Some(at) => self.round(proxy),
+            Happens::Wakes(..) => (),
+        }
+    }
+
+    /// A shared part, and one of its own; none where the service reads no prompts.
+    fn prefix(&mut self, key: u64) -> Vec<PrefixPart> {
+        let Some(subjects) = self.subjects else { return Vec::new() };
+        let subject = (self.draw() * subjects as f64) as u64;
+        self.subject_of.insert(key, subject);
+        let shared = PrefixPart { id: subject, tokens: SHARED_TOKENS };
+        vec![shared, PrefixPart { id: subjects + key, tokens: 500 }]
+    }
+
+    fn way(&self, proxy: usize, server: usize) -> Ms {
+        if self.proxies[proxy].zone == self.servers[server].zone {
+            WAY
+        } else {
+            OTHER_ZONE_WAY
+        }
+    }
+
+    fn round(&mut self, proxy: usize) {
+        let now = self.now;
+        self.proxies[proxy].wake_at = None;
+        for command in self.proxies[proxy].dispatcher.commands(now) {
+            match command {
+                Command::Send { request, target, .. } => {
+                    let server = self.servers.iter().position(|server| server.id == target).expect("known");
+                    let subject = self.subject_of.get(&request.0).copied();
+                    let call = Call { proxy, key: request.0, sent: now, subject };
+                    self.at(now + self.way(proxy, server), Happens::Reaches(server, call));
+                }
+                Command::Refuse { .. } | Command::Fail { .. } => self.refused += 1,
+                Command::WakeAt(at) => {
+                    self.proxies[proxy].wake_at = Some(at);
+                    self.at(at.max(now) + 0.001, Happens::Wakes(proxy, at));
+                }
+                _ => (),
+            }
+        }
+    }
+
+    fn reaches(&mut self, at: usize, call: Call) {
+        let server = &mut self.servers[at];
+        if server.running < server.slots {
+            self.starts(at, call);
+        } else if server.waiting.len() < server.queue {
+            server.waiting.push_back(call);
+        } else {
+            self.answers(at, call, Fate::Full);
+        }
+    }
+
+    fn starts(&mut self, at: usize, call: Call) {
+        self.servers[at].running += 1;
+        let mut work = self.spread(self.work);
+        if let Some(subject) = call.subject {
+            let is_new = self.servers[at].read.insert(subject);
+            self.shared_reads += usize::from(is_new);
+            work += if is_new { f64::from(SHARED_TOKENS) / TOKENS_PER_MS } else { 0.0 };
+        }
+        self.at(self.now + work, Happens::Done(at, call));
+    }
+
+    fn done(&mut self, at: usize, call: Call) {
+        self.answers(at, call, Fate::Delivered);
+        self.servers[at].running -= 1;
+        if let Some(next) = self.servers[at].waiting.pop_front() {
+            self.starts(at, next);
+        }
+    }
+
+    fn answers(&mut self, at: usize, call: Call, fate: Fate) {
+        let server = &self.servers[at];
+        let load = UpstreamLoad {
+            running: server.running as u32,
+            waiting: server.waiting.len() as u32,
+            slots: server.slots as u32,
+        };
+        let ended = Ended { load: Some(load), ..Ended::plain(fate) };
+        let way = self.way(call.proxy, at);
+        self.at(self.now + way, Happens::Answered(at, call, ended));
+    }
+
+    fn print(&mut self) {
+        let shares = [0.5, 0.9, 0.99, 0.999];
+        let times: Vec<Ms> = shares.iter().map(|share| self.percentile(*share).round()).collect();
+        println!("{} answered in {times:?} ms at {shares:?}", self.answered.len());
+        println!("{} refused, {} shared reads", self.refused, self.shared_reads);
+    }
+
+    fn percentile(&mut self, share: f64) -> Ms {
+        self.answered.sort_by(f64::total_cmp);
+        self.answered[(share * (self.answered.len() - 1) as f64) as usize]
+    }
+}
+
+#[test]
+fn plain_services_at_six_tenths_of_their_capacity_refuse_nothing_and_queue_little() {
+    let mut fleet = Fleet::new(6, 11, 6, 24, 60.0);
+    fleet.run(0.6 * 66.0 / 0.060, 20.0);
+    fleet.print();
+    assert_eq!(fleet.refused, 0);
+    // Without any queue the answer times would be those of the work alone.
+    let work_alone = -60.0 * 0.01f64.ln() + 2.0 * OTHER_ZONE_WAY;
+    assert!(fleet.percentile(0.99) < 1.25 * work_alone);
+}
+
+#[test]
+fn plain_services_beyond_their_capacity_are_kept_busy() {
+    let mut fleet = Fleet::new(6, 11, 6, 24, 60.0);
+    let capacity = 66.0 / 0.060;
+    fleet.run(1.5 * capacity, 10.0);
+    fleet.print();
+    assert!(fleet.answered.len() as f64 > 0.95 * capacity * 10.0);
+}
+
+#[test]
+fn shared_parts_of_prompts_are_read_by_few_targets() {
+    let (servers, subjects) = (18, 6);
+    for rate in [32.0, 200.0] {
+        let mut fleet = Fleet::new(6, servers, 32, 96, 300.0);
+        fleet.subjects = Some(subjects);
+        fleet.run(rate, 34.0);
+        fleet.print();
+        assert_eq!(fleet.refused, 0);
+        assert!(fleet.shared_reads < servers * subjects as usize);
+    }
+}
