--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -66,7 +66,7 @@
     pub(super) fn rate(&self, here: &Here, at: usize) -> Option<f64> {
         let (now, terms, lane) = (here.now, &here.terms, &self.lanes[at]);
         let mut rate = f64::INFINITY;
-        if let Some((pace, set)) = lane.pace.filter(|&(_, set)| now - set < 20_000.0) {
+        if let Some((pace, set)) = lane.pace.filter(|&(_, set)| terms.tuning.spaced && now - set < 20_000.0) {
             let aim = pace.max(self.a_second(here, &self.offered));
             let (since, by_call) = ((now - set) / 1000.0, (aim / OFTEN - 1.0).max(0.0));
             rate = pace * (0.08 * since).exp() + 0.08 * aim * by_call * since;
@@ -80,7 +80,7 @@
             let budget = BUDGET * terms.tip_multiple * warm * self.usual(here);
             rate = rate.min(budget.max(least) * lane.trust.max(1.0));
         }
-        (rate.is_finite() && terms.tuning.spaced).then_some(rate)
+        rate.is_finite().then_some(rate)
     }
 
     /// What usually goes to each lane a second, now or before it was cold, also in an earlier process: events
@@ -141,7 +141,7 @@
     /// It may have returned half of a ping's longest pause later than is taken here.
     pub(super) fn is_cold(&self, here: &Here) -> bool {
         let cold = here.terms.warm_after + 0.6 * PING * (here.terms.forwarders.sqrt() / 1.5).max(1.0);
-        self.cold_since.is_some_and(|since| here.now - since < cold)
+        here.terms.tuning.spaced && self.cold_since.is_some_and(|since| here.now - since < cold)
     }
 
     /// Nothing is out and no wait or cold time is still to be kept.
--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -120,7 +120,7 @@
     }
 
     /// Two targets drawn at random, and the one that our own counts favour: not just failed, fewer calls out,
-    /// and of two alike the one with an idle connection, as a new one has its price; or the one that the host names.
+    /// and of two alike the one with an idle connection, as a new one has a price; or the one the host named.
     pub(super) fn pick(&self, here: &mut Here, first: u64, open: &[Spot], out: &mut impl Decisions) -> Spot {
         let (event, target) = (&self.events[&first], |&(at, t): &Spot| &self.lanes[at].targets[t]);
         let from: Vec<_> = open.iter().filter(|t| here.may_go(event, target(t))).collect();
--- a/tier/dispatch/src/admission.rs
+++ b/tier/dispatch/src/admission.rs
@@ -11,6 +11,8 @@
 /// A request that was never sent is held for this share of its objective: one refused within a quarter still
 /// earns most of its worth by its next try.
 const HELD_SHARE: f64 = 0.2;
+/// One that a target refused is held a little longer: a slot there comes free within an answer's time.
+const HELD_REFUSED_SHARE: f64 = 0.5;
 /// A request whose call failed is held for this share of its objective until it goes again.
 const HELD_AGAIN_SHARE: f64 = 1.0;
 /// Behind another of its session it is held for this share of the time left.
@@ -27,6 +29,8 @@
 pub enum HeldFor {
     /// A target that takes it.
     FirstSend,
+    /// Its next call after one that surely did not run.
+    Refused,
     /// Its next call after one that failed.
     NextSend,
     /// An earlier request of its session.
@@ -37,6 +41,7 @@
 pub fn hold_until(now: Ms, held_for: HeldFor, objective: Ms, deadline: Ms) -> Ms {
     let hold = match held_for {
         HeldFor::FirstSend => (HELD_SHARE * objective).max(LEAST_HOLD),
+        HeldFor::Refused => (HELD_REFUSED_SHARE * objective).max(LEAST_HOLD),
         HeldFor::NextSend => (HELD_AGAIN_SHARE * objective).max(LEAST_HOLD),
         HeldFor::Session => HELD_IN_SESSION_SHARE * (deadline - now),
     };
--- a/tier/dispatch/src/dispatcher.rs
+++ b/tier/dispatch/src/dispatcher.rs
@@ -169,7 +169,11 @@
             self.given_up.push(key);
             return true;
         }
-        let until = admission::hold_until(now, HeldFor::NextSend, request.objective, request.deadline);
+        let held_for = match Verdict::of(fate) {
+            Verdict::NotRun => HeldFor::Refused,
+            Verdict::MayHaveRun | Verdict::Ran => HeldFor::NextSend,
+        };
+        let until = admission::hold_until(now, held_for, request.objective, request.deadline);
         self.holds.set(key, until);
         false
     }
--- a/tier/dispatch/src/retry.rs
+++ b/tier/dispatch/src/retry.rs
@@ -28,7 +28,7 @@
 
 /// Calls of one request that surely did not run, beyond `max_attempts`. Each costs a round trip or less; after
 /// this many the service as a whole is full or gone.
-const MOST_NOT_RUN: u32 = 4;
+const MOST_NOT_RUN: u32 = 3;
 
 /// A call that may be repeated is given this many objectives, or usual answer times if that is longer: past
 /// both its answer is lost more often than late.
