--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -14,8 +14,10 @@
     Agent(#[from] plankhill_agent::RunError),
     #[error(transparent)]
     Store(#[from] plankhill_store::RunError),
-    #[error("this build does not hold the role")]
-    NotBuilt,
+    #[error(transparent)]
+    Proxy(#[from] plankhill_proxy::RunError),
+    #[error(transparent)]
+    Controller(#[from] plankhill_controller::RunError),
 }
 
 /// Runs `role` until it is stopped.
@@ -35,7 +37,8 @@
     match role {
         Role::Agent => plankhill_agent::run(settings)?,
         Role::Store => plankhill_store::run(settings)?,
-        Role::Controller | Role::Proxy => return Err(RoleError::NotBuilt),
+        Role::Proxy => plankhill_proxy::run(settings)?,
+        Role::Controller => plankhill_controller::run(settings)?,
     }
     Ok(())
 }
