--- a/tier/store/tests/world/network.rs
+++ b/tier/store/tests/world/network.rs
@@ -102,7 +102,8 @@
     }
 
     fn harmed_answer(&self, mut answer: StoreAnswer) -> StoreAnswer {
-        if let (Plant::AccountsUntold, StoreAnswer::Peer(PeerReply { body, .. })) = (self.plant, &mut answer) {
+        if let (Plant::AccountsUntold, StoreAnswer::Peer(PeerReply { body, .. })) = (self.plant, &mut answer)
+        {
             if let PeerResponse::Account(account) = body {
                 *account = Account::default();
             }
--- a/tier/store/tests/world/programs.rs
+++ b/tier/store/tests/world/programs.rs
@@ -56,12 +56,20 @@
         assert!(handed <= budget, "BUDGET: {program} was handed {handed} of {budget}");
     }
 
-    /// A turn was refused because the budget is spent.
-    pub fn refused(&mut self, program: &ProgramId, turn: &RequestId, most: u64) {
+    /// What counts of each turn: of those that a client does not know to be settled their most.
+    pub fn counted(&self, program: &ProgramId) -> BTreeMap<RequestId, u64> {
+        let turns = self.turns.get(program).into_iter().flatten();
+        turns.map(|(name, turn)| (name.clone(), if turn.settled { turn.handed } else { turn.most })).collect()
+    }
+
+    /// A turn was refused because the budget is spent. `before` is what counted when it was asked for: others
+    /// may have been settled while the answer was on its way.
+    pub fn refused(&mut self, program: &ProgramId, turn: &RequestId, before: &BTreeMap<RequestId, u64>) {
         self.spent += 1;
-        let others = self.turns[program].iter().filter(|(other, _)| *other != turn);
+        let most = self.turn(program, turn).most;
+        let others = self.counted(program).into_iter().filter(|(other, _)| other != turn);
         let counted: u64 =
-            others.map(|(_, turn)| if turn.settled { turn.handed } else { turn.most }).sum();
+            others.map(|(other, tokens)| tokens.max(before.get(&other).copied().unwrap_or(0))).sum();
         let budget = self.budget(program);
         assert!(counted + most > budget, "REFUSED: {program} has {counted} of {budget}, one asks {most}");
     }
--- a/tier/store/tests/world/proxy.rs
+++ b/tier/store/tests/world/proxy.rs
@@ -60,13 +60,14 @@
             reservation: Some(Reservation { budget, most }),
             previous: previous.clone(),
         };
+        let counted = self.programs.borrow().counted(program);
         match self.ask(begin, BEGIN_TIME).await {
             StoreReply::Begun { history, previous: place } => {
                 self.programs.borrow_mut().began(previous.as_ref(), &history);
                 self.run_turn(program, turn, most, &history, place).await;
             }
             StoreReply::BudgetSpent => {
-                self.programs.borrow_mut().refused(program, turn, most);
+                self.programs.borrow_mut().refused(program, turn, &counted);
             }
             StoreReply::NoSuchTurn => {
                 if let Some(previous) = &previous {
--- a/tier/store/tests/world/scenario.rs
+++ b/tier/store/tests/world/scenario.rs
@@ -24,15 +24,8 @@
 }
 
 impl Story {
-    pub const SMALL: Story = Story {
-        stores: 3,
-        faults: 1,
-        clients: 4,
-        turns: 25,
-        troubles: 2,
-        kinds: &[],
-        plant: Plant::Nothing,
-    };
+    pub const SMALL: Story =
+        Story { stores: 3, faults: 1, clients: 4, turns: 25, troubles: 2, kinds: &[], plant: Plant::Nothing };
 }
 
 /// What happened, to see that a story was not empty.
