--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -14,6 +14,8 @@
     Agent(#[from] plankhill_agent::RunError),
     #[error(transparent)]
     Store(#[from] plankhill_store::RunError),
+    #[error(transparent)]
+    Controller(#[from] plankhill_controller::RunError),
     #[error("this build does not hold the role")]
     NotBuilt,
 }
@@ -35,7 +37,8 @@
     match role {
         Role::Agent => plankhill_agent::run(settings)?,
         Role::Store => plankhill_store::run(settings)?,
-        Role::Controller | Role::Proxy => return Err(RoleError::NotBuilt),
+        Role::Controller => plankhill_controller::run(settings)?,
+        Role::Proxy => return Err(RoleError::NotBuilt),
     }
     Ok(())
 }
--- a/tier/replica/src/machine.rs
+++ b/tier/replica/src/machine.rs
@@ -8,8 +8,9 @@
 
 use crate::state::{AppliedOperation, CommittedState, ReplicatedState};
 
-/// Operations kept for subscribers that lag a little.
-const RECENT: usize = 256;
+/// Operations kept for subscribers that lag a little. Few: each may hold a document of several megabytes, and the
+/// controller derives changes from the states.
+const RECENT: usize = 4;
 
 /// The typed state, and the operations that it took last.
 pub(crate) struct TypedMachine<S: ReplicatedState> {
