--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -15,9 +15,9 @@
     #[error(transparent)]
     Store(#[from] plankhill_store::RunError),
     #[error(transparent)]
+    Proxy(#[from] plankhill_proxy::RunError),
+    #[error(transparent)]
     Controller(#[from] plankhill_controller::RunError),
-    #[error("this build does not hold the role")]
-    NotBuilt,
 }
 
 /// Runs `role` until it is stopped.
@@ -37,8 +37,8 @@
     match role {
         Role::Agent => plankhill_agent::run(settings)?,
         Role::Store => plankhill_store::run(settings)?,
+        Role::Proxy => plankhill_proxy::run(settings)?,
         Role::Controller => plankhill_controller::run(settings)?,
-        Role::Proxy => return Err(RoleError::NotBuilt),
     }
     Ok(())
 }
