--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -78,7 +78,7 @@
         self.avoided_until = f64::NEG_INFINITY;
     }
 
-    /// A call failed there.
+    /// A call failed there, or could not be written.
     pub fn failed(&mut self, now: Ms) {
         self.avoided_until = now + AVOIDED;
     }
@@ -104,7 +104,8 @@
         (0.1 * there * self.answer_time() / self.slots).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
-    fn answer_time(&self) -> Ms {
+    /// How long an answer's head usually takes.
+    pub fn answer_time(&self) -> Ms {
         self.usual_answer.unwrap_or(INITIAL_ANSWER)
     }
 }
