Who was just registered is given time to be heard; SIGHUP ends no process

A store that came back with an empty disk was dropped 12 ms after it had registered with another controller than the head, which had not heard of it yet, and then was not registered again: its former life in the serving set looked like a later one. The same held for edges and targets.

--- a/tier/control/src/stores.rs
+++ b/tier/control/src/stores.rs
@@ -52,6 +52,13 @@
         self.view.serving.iter().chain(next).any(|member| member.node == *node)
     }
 
+    /// The lives of a machine's disk that are in the view or wait for the first one.
+    pub fn lives_of<'a>(&'a self, node: &'a NodeId) -> impl Iterator<Item = Incarnation> + 'a {
+        let members = self.view.serving.iter().chain(self.view.next.iter().flatten());
+        let all = members.chain(self.founders.values());
+        all.filter(move |member| member.node == *node).map(|member| member.incarnation)
+    }
+
     /// Whether fewer than 2f+1, but enough for a quorum, wait for the first view.
     pub fn can_found_with_fewer(&self) -> bool {
         self.view.serving.is_empty() && self.founders.len() > self.view.faults as usize
--- a/tier/controller/src/duties.rs
+++ b/tier/controller/src/duties.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use plankhill_control::{ControlState, Duty, ExpiredTarget};
+use plankhill_protocol::ids::{Incarnation, InstanceId, NodeId};
 use plankhill_protocol::tables::StoreMember;
 
+use crate::first_seen::FirstSeen;
 use crate::liveness::{Liveness, MachineLife};
 use crate::log::Place;
 
@@ -29,12 +31,26 @@
     target_silence: Duration,
     /// The view that this controller heads, and since when.
     heads: Option<(u64, Instant)>,
+    targets: FirstSeen<InstanceId>,
+    machines: FirstSeen<MachineLife>,
+}
+
+/// What a decision is made from.
+struct Now<'a> {
+    state: &'a ControlState,
+    liveness: &'a Liveness,
+    time: Instant,
 }
 
 impl Duties {
     /// For targets that send a heartbeat every `heartbeat`.
     pub fn new(heartbeat: Duration) -> Self {
-        Duties { target_silence: heartbeat * MISSED_HEARTBEATS + HEARTBEAT_SLACK, heads: None }
+        Duties {
+            target_silence: heartbeat * MISSED_HEARTBEATS + HEARTBEAT_SLACK,
+            heads: None,
+            targets: FirstSeen::default(),
+            machines: FirstSeen::default(),
+        }
     }
 
     /// How long whoever was heard must be remembered.
@@ -42,7 +58,8 @@
         self.target_silence.max(STORE_LOST) * 2
     }
 
-    /// What is due now. A new head first listens for as long as the silence that it acts on.
+    /// What is due now. A new head listens for as long as the silence that it acts on, and so does every head to
+    /// whoever has just been registered: another controller may hear them.
     pub fn due(
         &mut self,
         place: &Place,
@@ -51,13 +68,19 @@
         liveness: &Liveness,
         now: Instant,
     ) -> Vec<Duty> {
-        let Some(since) = self.heads_since(place, current, now) else { return Vec::new() };
-        let listened = now.saturating_duration_since(since);
+        let Some(since) = self.heads_since(place, current, now) else {
+            self.targets.clear();
+            self.machines.clear();
+            return Vec::new();
+        };
+        self.targets.update(state.targets().iter().map(|target| target.id.clone()), now);
+        self.machines.update(machines_of(state), now);
+        let at = Now { state, liveness, time: now };
         let mut due = Vec::new();
-        due.extend(self.expired_targets(state, liveness, listened, now));
-        due.extend(silent_edges(state, liveness, listened, now));
-        due.extend(lost_store(state, liveness, listened, now));
-        if state.stores().can_found_with_fewer() && listened >= FOUNDING_GRACE {
+        due.extend(self.expired_targets(&at));
+        due.extend(self.silent_edges(&at));
+        due.extend(self.lost_store(&at));
+        if state.stores().can_found_with_fewer() && now.saturating_duration_since(since) >= FOUNDING_GRACE {
             due.push(Duty::FoundStores);
         }
         due
@@ -74,59 +97,52 @@
         Some(since)
     }
 
-    fn expired_targets(
-        &self,
-        state: &ControlState,
-        liveness: &Liveness,
-        listened: Duration,
-        now: Instant,
-    ) -> Option<Duty> {
-        if listened < self.target_silence {
-            return None;
-        }
-        let silent = state
-            .targets()
-            .iter()
-            .filter(|target| !liveness.target_within(&target.id, self.target_silence, now));
+    fn expired_targets(&self, at: &Now<'_>) -> Option<Duty> {
+        let silence = self.target_silence;
+        let silent = at.state.targets().iter().filter(|target| {
+            self.targets.for_long(&target.id, silence, at.time)
+                && !at.liveness.target_within(&target.id, silence, at.time)
+        });
         let expired: Vec<ExpiredTarget> = silent
             .map(|target| ExpiredTarget { id: target.id.clone(), sequence: target.sequence })
             .take(EXPIRED_AT_ONCE)
             .collect();
         (!expired.is_empty()).then_some(Duty::ExpireTargets(expired))
     }
-}
 
-fn silent_edges(state: &ControlState, liveness: &Liveness, listened: Duration, now: Instant) -> Vec<Duty> {
-    if listened < MACHINE_SILENCE {
-        return Vec::new();
+    fn silent_edges(&self, at: &Now<'_>) -> Vec<Duty> {
+        let lives = at.state.edges().iter().map(|edge| life(&edge.node, edge.incarnation));
+        let silent = lives.filter(|life| self.machine_silent(life, MACHINE_SILENCE, at));
+        silent.map(|MachineLife { node, incarnation }| Duty::ForgetEdge { node, incarnation }).collect()
+    }
+
+    /// At most one store is dropped at a time. A serving store may go early only if a new one is about to join.
+    fn lost_store(&self, at: &Now<'_>) -> Option<Duty> {
+        let view = at.state.stores().view();
+        let serves = |member: &StoreMember| view.serving.iter().any(|serving| serving.node == member.node);
+        let successor_joins = view.next.iter().flatten().any(|member| !serves(member));
+        let members = view.next.as_ref().unwrap_or(&view.serving);
+        let lost = members.iter().find(|member| {
+            let joins = !view.serving.contains(member);
+            let silence = if joins || successor_joins { MACHINE_SILENCE } else { STORE_LOST };
+            self.machine_silent(&life(&member.node, member.incarnation), silence, at)
+                && at.state.stores().can_drop(&member.node, member.incarnation)
+        })?;
+        Some(Duty::DropStore { node: lost.node.clone(), incarnation: lost.incarnation })
+    }
+
+    fn machine_silent(&self, life: &MachineLife, silence: Duration, at: &Now<'_>) -> bool {
+        self.machines.for_long(life, silence, at.time) && !at.liveness.machine_within(life, silence, at.time)
     }
-    let silent = state.edges().iter().filter(|edge| {
-        let life = MachineLife { node: edge.node.clone(), incarnation: edge.incarnation };
-        !liveness.machine_within(&life, MACHINE_SILENCE, now)
-    });
-    silent.map(|edge| Duty::ForgetEdge { node: edge.node.clone(), incarnation: edge.incarnation }).collect()
 }
 
-/// At most one store is dropped at a time. A serving store may go early only if a new one is about to join.
-fn lost_store(state: &ControlState, liveness: &Liveness, listened: Duration, now: Instant) -> Option<Duty> {
+fn machines_of(state: &ControlState) -> impl Iterator<Item = MachineLife> + '_ {
     let view = state.stores().view();
-    let serves = |member: &StoreMember| view.serving.iter().any(|serving| serving.node == member.node);
-    let successor_joins = view.next.iter().flatten().any(|member| !serves(member));
-    let lost_after = |member: &StoreMember| {
-        let joins = !view.serving.contains(member);
-        if joins || successor_joins {
-            MACHINE_SILENCE
-        } else {
-            STORE_LOST
-        }
-    };
-    let members = view.next.as_ref().unwrap_or(&view.serving);
-    let lost = members.iter().find(|member| {
-        let life = MachineLife { node: member.node.clone(), incarnation: member.incarnation };
-        let silence = lost_after(member);
-        listened >= silence
-            && !liveness.machine_within(&life, silence, now)
-            && state.stores().can_drop(&member.node, member.incarnation)
-    })?;
-    Some(Duty::DropStore { node: lost.node.clone(), incarnation: lost.incarnation })
+    let stores = view.serving.iter().chain(view.next.iter().flatten());
+    let edges = state.edges().iter().map(|edge| life(&edge.node, edge.incarnation));
+    stores.map(|member| life(&member.node, member.incarnation)).chain(edges)
+}
+
+fn life(node: &NodeId, incarnation: Incarnation) -> MachineLife {
+    MachineLife { node: node.clone(), incarnation }
 }
--- a/tier/controller/src/feed.rs
+++ b/tier/controller/src/feed.rs
@@ -5,6 +5,6 @@
 mod session;
 mod subscribers;
 
-pub use registration::{registration_of, should_register};
+pub use registration::{other_lives, registration_of, should_register};
 pub use session::serve_subscriber;
 pub use subscribers::{SubscriberStatus, Subscribers};
--- a/tier/controller/src/feed/registration.rs
+++ b/tier/controller/src/feed/registration.rs
@@ -2,6 +2,7 @@
 
 use plankhill_control::{ControlState, Operation};
 use plankhill_protocol::feed::Subscriber;
+use plankhill_protocol::ids::Incarnation;
 
 use crate::liveness::MachineLife;
 
@@ -27,19 +28,27 @@
     }
 }
 
-/// Whether a subscriber still is to be registered. `registered` says that this connection has done so before:
-/// then a later life of the machine that took its place is left alone.
-pub fn should_register(state: &ControlState, subscriber: &Subscriber, registered: bool) -> bool {
-    match subscriber {
-        Subscriber::Edge(edge) => {
-            let held = state.edges().get(&edge.node);
-            let replaced = registered && held.is_some_and(|held| held.incarnation != edge.incarnation);
-            !state.edges().is_known(edge) && !replaced
-        }
+/// Other lives of the subscriber's machine that the control state knows.
+pub fn other_lives(state: &ControlState, subscriber: &Subscriber) -> Vec<Incarnation> {
+    let mut lives: Vec<Incarnation> = match subscriber {
+        Subscriber::Edge(edge) => state.edges().get(&edge.node).iter().map(|held| held.incarnation).collect(),
+        Subscriber::Store(member) => state.stores().lives_of(&member.node).collect(),
+        Subscriber::Proxy | Subscriber::Peer => Vec::new(),
+    };
+    let own = life_of(subscriber).map(|life| life.incarnation);
+    lives.retain(|life| Some(*life) != own);
+    lives
+}
+
+/// Whether a subscriber still is to be registered. `former` are the other lives of its machine that were known
+/// when it subscribed: a life that came later took its place, and is left alone.
+pub fn should_register(state: &ControlState, subscriber: &Subscriber, former: &[Incarnation]) -> bool {
+    let known = match subscriber {
+        Subscriber::Edge(edge) => state.edges().is_known(edge),
         Subscriber::Store(member) => {
-            let replaced = registered && state.stores().holds_data(&member.node);
-            !state.stores().is_known(member) && !state.retirements().contains(&member.node) && !replaced
+            state.stores().is_known(member) || state.retirements().contains(&member.node)
         }
-        Subscriber::Proxy | Subscriber::Peer => false,
-    }
+        Subscriber::Proxy | Subscriber::Peer => true,
+    };
+    !known && other_lives(state, subscriber).iter().all(|life| former.contains(life))
 }
--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -6,12 +6,12 @@
 
 use plankhill_control::Operation;
 use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
-use plankhill_protocol::ids::Revision;
+use plankhill_protocol::ids::{Incarnation, Revision};
 use plankhill_protocol::tables::TablesUpdate;
 use plankhill_protocol::transport::{Connection, FrameReader, FrameWriter, TransportError};
 use tokio::time::timeout;
 
-use super::registration::{life_of, registration_of, should_register};
+use super::registration::{life_of, other_lives, registration_of, should_register};
 use crate::liveness::MachineLife;
 use crate::log::ControlLog;
 use crate::process::Controller;
@@ -34,6 +34,7 @@
     let Ok(Ok(FromSubscriber::Subscribe { subscriber, held })) = first else { return };
     let Some(key) = controller.subscribers.borrow_mut().add(peer.node.clone(), held) else { return };
     let life = life_of(&subscriber);
+    let former = other_lives(&controller.log.state().borrow().state, &subscriber);
     tracing::info!(node = %peer.node, %address, held = held.0, "subscribed");
     let session = Session {
         controller: controller.clone(),
@@ -47,7 +48,7 @@
         beat: Instant::now(),
         heard: Instant::now(),
         registering: None,
-        registered: false,
+        former,
     };
     let reason = session.run(reader).await;
     tracing::info!(node = %peer.node, reason, "subscription ended");
@@ -71,7 +72,8 @@
     /// When it was heard last.
     heard: Instant,
     registering: Option<tokio::task::JoinHandle<bool>>,
-    registered: bool,
+    /// Other lives of the machine that were known when it subscribed.
+    former: Vec<Incarnation>,
 }
 
 impl<L: ControlLog> Session<L> {
@@ -183,8 +185,7 @@
             return;
         }
         let state = self.controller.log.state().borrow().state.clone();
-        if !should_register(&state, &self.subscriber, self.registered) {
-            self.registered = true;
+        if !should_register(&state, &self.subscriber, &self.former) {
             return;
         }
         let faults = self.controller.faults;
--- a/tier/controller/src/lib.rs
+++ b/tier/controller/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change_log;
 pub mod duties;
 pub mod feed;
+pub mod first_seen;
 pub mod internal;
 pub mod liveness;
 pub mod log;
--- a/tier/controller/tests/duties.rs
+++ b/tier/controller/tests/duties.rs
@@ -162,3 +162,29 @@
     world.pass(4);
     assert_eq!(world.due(), [Duty::FoundStores]);
 }
+
+#[test]
+fn whoever_was_just_registered_is_given_time_to_be_heard() {
+    let mut world = World::new();
+    for number in 1..=3 {
+        world.log.commit(&register(&store(&format!("s{number}"), number)));
+    }
+    world.due();
+    for _ in 0..20 {
+        world.pass(1);
+        (1..=3).for_each(|number| world.hear_store(&format!("s{number}"), number));
+        assert!(world.due().is_empty());
+    }
+    register_target(&world);
+    world.log.commit(&register(&store("s3", 33)));
+    world.log.commit(&Operation::SetEdge(edge("edge-1", 7)));
+    for _ in 0..4 {
+        (1..=2).for_each(|number| world.hear_store(&format!("s{number}"), number));
+        assert!(world.due().is_empty());
+        world.pass(1);
+    }
+    (1..=2).for_each(|number| world.hear_store(&format!("s{number}"), number));
+    let due = world.due();
+    assert!(due.contains(&Duty::DropStore { node: NodeId::from("s3"), incarnation: Incarnation(33) }));
+    assert!(due.contains(&Duty::ForgetEdge { node: NodeId::from("edge-1"), incarnation: Incarnation(7) }));
+}
--- a/tier/proxy/src/shutdown.rs
+++ b/tier/proxy/src/shutdown.rs
@@ -23,6 +23,8 @@
 /// If the signal cannot be waited for.
 pub async fn ended(proxy: Rc<Proxy>, bounds: Bounds) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    // Changed settings are the agent's concern: without a handler the signal would end the process.
+    let _reload = signal(SignalKind::hangup())?;
     terminate.recv().await;
     tracing::info!("ending");
     proxy.life.set_ending();
--- a/tier/store/src/process.rs
+++ b/tier/store/src/process.rs
@@ -113,6 +113,8 @@
 fn termination() -> io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Other seeds come with the feed: without a handler the signal would end the process.
+    let _reload = signal(SignalKind::hangup())?;
     Ok(async move {
         tokio::select! {
             _ = terminate.recv() => {}
