--- /dev/null
+++ b/tier/proxy/tests/support/peer.rs
@@ -0,0 +1,138 @@
+//! Scripted ends of connections: clients and targets that send exactly what a test says.
+
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A message as it came: its head as text, its body as bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
+        lines.find(|(found, _)| found.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// One end of a connection.
+pub struct Peer {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Peer {
+    pub async fn connect(address: SocketAddr) -> Peer {
+        Peer { stream: TcpStream::connect(address).await.expect("a connection"), unread: Vec::new() }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    /// Reads one message; none if the connection ends before the message does.
+    pub async fn receive(&mut self) -> Option<Message> {
+        let head = self.head().await?;
+        let mut message = Message { head, body: Vec::new() };
+        if message.header("transfer-encoding").is_some() {
+            while let Some(chunk) = self.chunk().await? {
+                message.body.extend(chunk);
+            }
+        } else if let Some(length) = message.header("content-length") {
+            let length = length.parse().expect("a length");
+            message.body = self.exactly(length).await?;
+        }
+        Some(message)
+    }
+
+    /// Reads a head; none if the connection ends before.
+    pub async fn head(&mut self) -> Option<String> {
+        let end = self.until(b"\r\n\r\n").await?;
+        Some(String::from_utf8(end).expect("text"))
+    }
+
+    /// The next chunk of a body; `Some(None)` at its proper end, none if the connection ends before.
+    pub async fn chunk(&mut self) -> Option<Option<Vec<u8>>> {
+        let line = self.until(b"\r\n").await?;
+        let line = String::from_utf8(line).expect("text");
+        let length = usize::from_str_radix(line.trim(), 16).expect("a length");
+        let chunk = self.exactly(length).await?;
+        self.exactly(2).await?;
+        Some((length > 0).then_some(chunk))
+    }
+
+    /// Returns once the other side has closed; what comes until then is returned.
+    pub async fn closed(&mut self) -> Vec<u8> {
+        while self.more().await {}
+        std::mem::take(&mut self.unread)
+    }
+
+    /// Closes with a reset.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().expect("an option");
+    }
+
+    async fn until(&mut self, end: &[u8]) -> Option<Vec<u8>> {
+        loop {
+            let found = self.unread.windows(end.len()).position(|window| window == end);
+            if let Some(at) = found {
+                return Some(self.unread.drain(..at + end.len()).collect());
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    async fn exactly(&mut self, length: usize) -> Option<Vec<u8>> {
+        while self.unread.len() < length {
+            if !self.more().await {
+                return None;
+            }
+        }
+        Some(self.unread.drain(..length).collect())
+    }
+
+    async fn more(&mut self) -> bool {
+        matches!(self.stream.read_buf(&mut self.unread).await, Ok(read) if read > 0)
+    }
+}
+
+/// A target that accepts connections when the test says.
+pub struct Listening {
+    listener: TcpListener,
+}
+
+impl Listening {
+    pub async fn start() -> Listening {
+        Listening { listener: TcpListener::bind("127.0.0.1:0").await.expect("a port") }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    pub async fn accept(&self) -> Peer {
+        let (stream, _) = self.listener.accept().await.expect("a connection");
+        Peer { stream, unread: Vec::new() }
+    }
+
+    /// Accepts a connection and reads its first request.
+    pub async fn request(&self) -> (Peer, Message) {
+        let mut peer = self.accept().await;
+        let request = peer.receive().await.expect("a request");
+        (peer, request)
+    }
+}
--- /dev/null
+++ b/tier/proxy/tests/support/round_robin.rs
@@ -0,0 +1,86 @@
+//! Targets in turns: stands in for the dispatcher.
+
+use std::collections::{HashMap, VecDeque};
+
+use plankhill_dispatch::retry::Attempts;
+use plankhill_dispatch::{Command, Ended, Fate, Ms, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
+use plankhill_protocol::ids::InstanceId;
+use plankhill_protocol::tables::{Target, TargetState};
+
+use plankhill_proxy::decisions::Decisions;
+use plankhill_proxy::snapshot::Snapshot;
+
+/// What refused clients are told, in milliseconds.
+pub const RETRY_AFTER: Ms = 200.0;
+
+/// Sends each request at once to the next target of its service.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    targets: Vec<Target>,
+    requests: HashMap<RequestKey, (NewRequest, Attempts)>,
+    next: usize,
+    commands: VecDeque<Command>,
+}
+
+impl RoundRobin {
+    fn send(&mut self, key: RequestKey) {
+        let Some((request, _)) = self.requests.get(&key) else { return };
+        let healthy =
+            |target: &&Target| target.service == request.service && target.state == TargetState::Healthy;
+        let targets: Vec<&Target> = self.targets.iter().filter(healthy).collect();
+        let at = self.next % targets.len().max(1);
+        self.next += 1;
+        match targets.get(at) {
+            Some(target) => self.commands.push_back(Command::Send {
+                request: key,
+                target: target.id.clone(),
+                address: target.address,
+                deadline: request.deadline,
+                priority: request.priority,
+            }),
+            None => self.commands.push_back(Command::Refuse { request: key, retry_after: RETRY_AFTER }),
+        }
+    }
+}
+
+impl Decisions for RoundRobin {
+    fn tables_changed(&mut self, snapshot: &Snapshot) {
+        self.targets.clone_from(&snapshot.tables.targets);
+    }
+
+    fn request(&mut self, _now: Ms, request: NewRequest) {
+        let key = request.key;
+        self.requests.insert(key, (request, Attempts::default()));
+        self.send(key);
+    }
+
+    fn withdrawn(&mut self, request: RequestKey) {
+        self.requests.remove(&request);
+    }
+
+    fn ended(&mut self, _now: Ms, key: RequestKey, _target: &InstanceId, ended: Ended) {
+        let Some((request, attempts)) = self.requests.get_mut(&key) else { return };
+        attempts.count(ended.fate);
+        if ended.fate == Fate::Delivered || ended.fate == Fate::Cancelled {
+            self.requests.remove(&key);
+        } else if attempts.allow_another(request.repeats, request.max_attempts) {
+            self.send(key);
+        } else {
+            let may_have_run = attempts.may_have_run();
+            self.requests.remove(&key);
+            self.commands.push_back(if may_have_run {
+                Command::Fail { request: key, last: ended.fate }
+            } else {
+                Command::Refuse { request: key, retry_after: RETRY_AFTER }
+            });
+        }
+    }
+
+    fn pinged(&mut self, _target: &InstanceId, _answer: PingAnswer) {}
+
+    fn load_seen(&mut self, _now: Ms, _target: &InstanceId, _load: UpstreamLoad) {}
+
+    fn commands(&mut self, _now: Ms) -> Vec<Command> {
+        self.commands.drain(..).collect()
+    }
+}
--- /dev/null
+++ b/tier/proxy/tests/support/world.rs
@@ -0,0 +1,176 @@
+//! The proxy under test.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use plankhill_protocol::ids::{InstanceId, Revision, ServiceName, ZoneName};
+use plankhill_protocol::tables::{ConfigurationText, Tables, Target, TargetState};
+use plankhill_proxy::admission::Admission;
+use plankhill_proxy::clock::Clock;
+use plankhill_proxy::exchange::Targets;
+use plankhill_proxy::process::{Life, Proxy};
+use plankhill_proxy::snapshot::SnapshotCell;
+use plankhill_proxy::target_pool::TargetPool;
+use plankhill_proxy::{listener, ready};
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+
+use super::peer::{Listening, Message, Peer};
+use super::round_robin::RoundRobin;
+use super::stores::{InMemory, Stores};
+
+/// Connections of clients at once.
+const MOST_CLIENTS: usize = 64;
+
+/// A proxy with its addresses.
+pub struct World {
+    pub proxy: Rc<Proxy>,
+    pub stores: Rc<Stores>,
+    pub clients: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+impl World {
+    /// A proxy that knows nothing yet.
+    pub async fn unready() -> World {
+        let clock = Clock::start();
+        let pool = Rc::new(TargetPool::default());
+        let (pings, _) = tokio::sync::mpsc::unbounded_channel();
+        let decisions = Box::new(RoundRobin::default());
+        let stores = Rc::new(Stores::default());
+        let proxy = Rc::new(Proxy {
+            clock,
+            snapshots: SnapshotCell::default(),
+            admission: Rc::new(Admission::new(clock, decisions, pool.clone(), pings)),
+            targets: Targets { clock, pool },
+            turns: Rc::new(InMemory(stores.clone())),
+            life: Rc::new(Life::default()),
+        });
+        let (client_listener, clients) = listening().await;
+        let (ready_listener, readiness) = listening().await;
+        tokio::task::spawn_local(listener::serve(proxy.clone(), client_listener, MOST_CLIENTS));
+        tokio::task::spawn_local(ready::serve(proxy.clone(), ready_listener));
+        World { proxy, stores, clients, readiness }
+    }
+
+    /// A proxy with these targets, named t0, t1 and so on, and the routes of [`configuration`].
+    pub async fn with_targets(targets: &[&Listening]) -> World {
+        let world = World::unready().await;
+        let addresses: Vec<SocketAddr> = targets.iter().map(|target| target.address()).collect();
+        world.set_tables(tables(&addresses, &configuration()));
+        world.proxy.life.set_current();
+        world
+    }
+
+    pub fn set_tables(&self, tables: Tables) {
+        self.proxy.snapshots.replace(Arc::new(tables));
+        self.proxy.admission.tables_changed(&self.proxy.snapshots.newest());
+    }
+
+    pub async fn client(&self) -> Peer {
+        Peer::connect(self.clients).await
+    }
+
+    /// One request over a connection of its own.
+    pub async fn ask(&self, request: &str) -> Option<Message> {
+        let mut client = self.client().await;
+        client.send(request).await;
+        client.receive().await
+    }
+}
+
+async fn listening() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Routes `/once/`, `/again/`, `/stream/`, `/resume/` and `/kept/` at `host.example`.
+pub fn configuration() -> Value {
+    let route = |name: &str, kind: &str, retained: bool, resumable: bool| {
+        json!({"name": name, "host": "host.example", "path_prefix": format!("/{name}/"), "type": kind,
+            "timeout_ms": 20_000, "target_latency_ms": 250, "priority": 1, "service": "service",
+            "max_attempts": 2, "retained": retained, "retention_s": 60.0, "session_affinity": false,
+            "resumable": resumable})
+    };
+    let routes = [
+        route("once", "non_idempotent", false, false),
+        route("again", "idempotent", false, false),
+        route("stream", "streaming", false, false),
+        route("resume", "streaming", false, true),
+        route("kept", "streaming", true, false),
+    ];
+    json!({"version": 1, "routes": routes,
+        "services": [{"name": "service", "health_check": "/healthz", "max_connections": 100, "protocol": "h1",
+            "tls": false, "engine": {"capacity": 8, "kv_capacity": 1000, "chunk_size": 3, "models": []}}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000}})
+}
+
+pub fn tables(targets: &[SocketAddr], configuration: &Value) -> Tables {
+    let target = |(number, address): (usize, &SocketAddr)| Target {
+        id: InstanceId::from(format!("t{number}").as_str()),
+        service: ServiceName::from("service"),
+        address: *address,
+        zone: ZoneName::from("zone"),
+        capacity: 8,
+        state: TargetState::Healthy,
+        sequence: 1,
+        cold_remaining_ms: 0,
+        models: Vec::new(),
+    };
+    let document = Arc::from(configuration.to_string().into_bytes());
+    Tables {
+        revision: Revision(1),
+        configuration: Some(ConfigurationText { version: 1, document }),
+        targets: targets.iter().enumerate().map(target).collect(),
+        ..Tables::default()
+    }
+}
+
+/// A request without a body to one of the routes.
+pub fn get(route: &str, id: &str) -> String {
+    format!(
+        "GET /{route}/x?y=1 HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 9000\r\n\r\n"
+    )
+}
+
+/// A turn of a program with a body.
+pub fn turn(route: &str, id: &str, more_headers: &str, body: &str) -> String {
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nProgram: p\r\nSession: s\r\n\
+         Budget: 100\r\nToken-Usage: 50,33\r\nDeadline-Ms: 9000\r\n{more_headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A target's answer.
+pub fn answer(status: &str, id: &str, more_headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nUpstream-Signature: stamp-{id}\r\n{more_headers}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a target's stream.
+pub fn stream_head(id: &str, stamp: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nUpstream-Signature: {stamp}\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// One chunk of a body.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// One event.
+pub fn event(id: u64, data: &str) -> String {
+    format!("id: {id}\ndata: {data}\n\n")
+}
+
+/// The end of a chunked body.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
