Several machines of the tier can share a host by loopback addresses of their own

Cause: in the demo all machines share 127.0.0.1, so the agents' loopback ports collided. Change: a machine whose address is a loopback one uses it for its agent and proxy as well; on all other machines it stays 127.0.0.1.

--- a/tier/agent/src/run.rs
+++ b/tier/agent/src/run.rs
@@ -49,7 +49,7 @@
 
 async fn run_local(mut settings: Settings) -> Result<(), RunError> {
     let mut signals = Signals::listen().map_err(RunError::Runtime)?;
-    let loopback = listen_at(ports(&settings).agent_loopback())?;
+    let loopback = listen_at(ports(&settings).agent_loopback(settings.ip))?;
     let datagrams = bind_datagrams(ports(&settings).agent(settings.ip)).await?;
     let peers = listen_at(ports(&settings).agent(settings.ip))?;
     let me = edge(&settings);
--- a/tier/protocol/src/ports.rs
+++ b/tier/protocol/src/ports.rs
@@ -34,9 +34,13 @@
         self.at(ip, AGENT)
     }
 
-    /// Where the agent listens for the proxy of its own machine.
-    pub fn agent_loopback(self) -> SocketAddr {
-        self.at(Ipv4Addr::LOCALHOST, LOOPBACK)
+    /// Where the agent listens for the proxy of its own machine, whose address is `ip`.
+    ///
+    /// A machine whose own address is a loopback one is used for trials beside others on the same
+    /// host; each then needs an address of its own here.
+    pub fn agent_loopback(self, ip: Ipv4Addr) -> SocketAddr {
+        let loopback = if ip.is_loopback() { ip } else { Ipv4Addr::LOCALHOST };
+        self.at(loopback, LOOPBACK)
     }
 
     fn at(self, ip: Ipv4Addr, offset: u16) -> SocketAddr {
--- a/tier/proxy/src/feed.rs
+++ b/tier/proxy/src/feed.rs
@@ -14,7 +14,7 @@
 
 /// Subscribes at the agent that the settings' port range names.
 pub fn subscribe(settings: &Settings) -> Subscription {
-    let agent = PortRange { first: settings.port_range.first }.agent_loopback();
+    let agent = PortRange { first: settings.port_range.first }.agent_loopback(settings.ip);
     let (_, candidates) = watch::channel(vec![agent]);
     Subscription::start(SubscriptionOptions {
         hello: Hello::new(Channel::Feed, NodeId::from(settings.node_id.as_str())),
