--- a/tier/demo/src/configuration.rs
+++ b/tier/demo/src/configuration.rs
@@ -3,34 +3,34 @@
 use serde_json::{json, Value};
 
 /// Host of all routes.
-pub(crate) const HOST: &str = "demo.example";
+pub const HOST: &str = "demo.example";
 
 /// Path of turns.
-pub(crate) const TURN_PATH: &str = "/chat/1";
+pub const TURN_PATH: &str = "/chat/1";
 
 /// Path of tool calls.
-pub(crate) const TOOL_PATH: &str = "/tools/look";
+pub const TOOL_PATH: &str = "/tools/look";
 
 /// Path of the route that the second configuration adds.
-pub(crate) const ADDED_PATH: &str = "/added/look";
+pub const ADDED_PATH: &str = "/added/look";
 
 /// Path of the targets' health check.
-pub(crate) const HEALTH_PATH: &str = "/health";
+pub const HEALTH_PATH: &str = "/health";
 
 /// Tokens in each event of a stream.
-pub(crate) const CHUNK_TOKENS: u32 = 3;
+pub const CHUNK_TOKENS: u32 = 3;
 
 /// Requests that one target works on at once.
-pub(crate) const CAPACITY: u32 = 8;
+pub const CAPACITY: u32 = 8;
 
 /// The service that takes turns.
-pub(crate) const MODELS: &str = "models";
+pub const MODELS: &str = "models";
 
 /// The service that takes tool calls.
-pub(crate) const TOOLS: &str = "tools";
+pub const TOOLS: &str = "tools";
 
 /// The first configuration: turns and tools.
-pub(crate) fn first() -> Value {
+pub fn first() -> Value {
     json!({
         "version": 1,
         "routes": [
@@ -63,7 +63,7 @@
 }
 
 /// The second configuration: one more route.
-pub(crate) fn second() -> Value {
+pub fn second() -> Value {
     let mut document = first();
     document["version"] = json!(3);
     if let Some(routes) = document["routes"].as_array_mut() {
--- a/tier/demo/src/events.rs
+++ b/tier/demo/src/events.rs
@@ -1,11 +1,11 @@
 //! The events of a stream, as targets write them and clients read them.
 
 /// Writes one event.
-pub(crate) fn write(id: u32, data: &str) -> String {
+pub fn write(id: u32, data: &str) -> String {
     format!("id: {id}\ndata: {data}\n\n")
 }
 
 /// The data of each event of a whole stream.
-pub(crate) fn data_of(stream: &str) -> Vec<&str> {
+pub fn data_of(stream: &str) -> Vec<&str> {
     stream.lines().filter_map(|line| line.strip_prefix("data: ")).collect()
 }
--- a/tier/demo/src/history.rs
+++ b/tier/demo/src/history.rs
@@ -6,18 +6,18 @@
 
 /// The inputs and outputs of a program so far.
 #[derive(Debug, Default)]
-pub(crate) struct History {
+pub struct History {
     bytes: Vec<u8>,
 }
 
 impl History {
     /// Digest of the body that a target gets for a turn that brings `input`.
-    pub(crate) fn digest_with(&self, input: &str) -> String {
+    pub fn digest_with(&self, input: &str) -> String {
         digest(&[&self.bytes, input.as_bytes()].concat())
     }
 
     /// Adds a turn that was answered whole.
-    pub(crate) fn add(&mut self, input: &str, events: &[&str]) {
+    pub fn add(&mut self, input: &str, events: &[&str]) {
         self.bytes.extend_from_slice(input.as_bytes());
         for data in events {
             self.bytes.extend_from_slice(data.as_bytes());
@@ -27,7 +27,7 @@
 }
 
 /// Digest of a body, short enough to stand in each event.
-pub(crate) fn digest(body: &[u8]) -> String {
+pub fn digest(body: &[u8]) -> String {
     let mut hasher = SipHasher13::new();
     hasher.write(body);
     format!("{:016x}", hasher.finish())
--- a/tier/demo/src/layout.rs
+++ b/tier/demo/src/layout.rs
@@ -3,13 +3,13 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Zones of the demo, all in one region.
-pub(crate) const ZONES: [&str; 3] = ["north", "south", "shore"];
+pub const ZONES: [&str; 3] = ["north", "south", "shore"];
 
 /// The region of the zones.
-pub(crate) const REGION: &str = "inland";
+pub const REGION: &str = "inland";
 
 /// First and last port of the traffic inside the tier.
-pub(crate) const PORT_RANGE: (u16, u16) = (7400, 7415);
+pub const PORT_RANGE: (u16, u16) = (7400, 7415);
 
 const ADMIN_PORT: u16 = 7001;
 const HTTP_PORT: u16 = 8001;
@@ -18,53 +18,65 @@
 
 /// Class of a machine; its value is the host part of the first address of the class.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Class {
+pub enum Class {
+    /// Runs a controller.
     Core = 11,
+    /// Runs a store.
     Storage = 21,
+    /// Runs an agent and a proxy.
     Edge = 31,
+    /// Stands for a target; no process of the tier.
     Target = 41,
 }
 
 /// A role of the tier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) enum Role {
+pub enum Role {
+    /// Holds the control state.
     Controller,
+    /// Keeps turns and budgets.
     Store,
+    /// Links a proxy to the control plane.
     Agent,
+    /// Carries requests.
     Proxy,
 }
 
 /// One machine of the demo.
 #[derive(Debug, Clone)]
-pub(crate) struct Machine {
-    pub(crate) name: String,
-    pub(crate) class: Class,
-    pub(crate) ip: Ipv4Addr,
-    pub(crate) zone: &'static str,
+pub struct Machine {
+    /// Name, unique in the demo.
+    pub name: String,
+    /// Its class.
+    pub class: Class,
+    /// Its loopback address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: &'static str,
 }
 
 /// The network of one run; runs side by side use different ones.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Network {
+pub struct Network {
     second: u8,
     third: u8,
 }
 
 impl Network {
     /// The network for the process `pid`: one of 62,500, none of which holds 127.0.0.1.
-    pub(crate) fn of_process(pid: u32) -> Network {
+    pub fn of_process(pid: u32) -> Network {
         let second = 1 + (pid / 250) % 250;
         let third = pid % 250;
         Network { second: second as u8, third: third as u8 }
     }
 
     /// One machine of `class` in each zone.
-    pub(crate) fn machines(self, class: Class) -> Vec<Machine> {
+    pub fn machines(self, class: Class) -> Vec<Machine> {
         (0..).zip(ZONES).map(|(place, zone)| self.machine(class, place, zone)).collect()
     }
 
     /// Address of target `place`.
-    pub(crate) fn target(self, place: u8) -> SocketAddr {
+    pub fn target(self, place: u8) -> SocketAddr {
         SocketAddr::from((self.address(Class::Target, place), TARGET_PORT))
     }
 
@@ -79,21 +91,25 @@
 }
 
 impl Machine {
-    pub(crate) fn admin(&self) -> SocketAddr {
+    /// Where its controller serves operators and targets.
+    pub fn admin(&self) -> SocketAddr {
         SocketAddr::from((self.ip, ADMIN_PORT))
     }
 
-    pub(crate) fn http(&self) -> SocketAddr {
+    /// Where its proxy serves clients.
+    pub fn http(&self) -> SocketAddr {
         SocketAddr::from((self.ip, HTTP_PORT))
     }
 
-    pub(crate) fn readiness(&self) -> SocketAddr {
+    /// Where its proxy tells whether it takes new clients.
+    pub fn readiness(&self) -> SocketAddr {
         SocketAddr::from((self.ip, READINESS_PORT))
     }
 }
 
 impl Class {
-    pub(crate) fn name(self) -> &'static str {
+    /// Name of the class in settings.
+    pub fn name(self) -> &'static str {
         match self {
             Class::Core => "core",
             Class::Storage => "storage",
@@ -103,7 +119,7 @@
     }
 
     /// Roles that run on each machine of the class.
-    pub(crate) fn roles(self) -> &'static [Role] {
+    pub fn roles(self) -> &'static [Role] {
         match self {
             Class::Core => &[Role::Controller],
             Class::Storage => &[Role::Store],
@@ -115,7 +131,7 @@
 
 impl Role {
     /// Name of the role on the command line.
-    pub(crate) fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             Role::Controller => "controller",
             Role::Store => "store",
@@ -125,7 +141,7 @@
     }
 
     /// What the role serves to callers from outside.
-    pub(crate) fn serves(self) -> Option<&'static str> {
+    pub fn serves(self) -> Option<&'static str> {
         match self {
             Role::Controller => Some("control_plane"),
             Role::Store => Some("storage"),
--- a/tier/demo/src/lib.rs
+++ b/tier/demo/src/lib.rs
@@ -5,20 +5,20 @@
 
 mod call;
 mod client;
-mod configuration;
+pub mod configuration;
 mod control_plane;
 mod error;
-mod events;
+pub mod events;
 mod fleet;
 mod front;
 mod heartbeat;
-mod history;
-mod layout;
+pub mod history;
+pub mod layout;
 mod narration;
 mod program;
 mod report;
 mod scenario;
-mod settings_file;
+pub mod settings_file;
 mod tally;
 mod target;
 mod target_answer;
--- a/tier/demo/src/settings_file.rs
+++ b/tier/demo/src/settings_file.rs
@@ -7,19 +7,20 @@
 use crate::layout::{Class, Machine, Role, PORT_RANGE, REGION, ZONES};
 
 /// Time between two heartbeats of a target, in milliseconds.
-pub(crate) const HEARTBEAT_MS: u64 = 1000;
+pub const HEARTBEAT_MS: u64 = 1000;
 
 /// What a settings file says besides the machine and the role.
-pub(crate) struct Surroundings<'a> {
-    pub(crate) seeds: &'a [SocketAddr],
+pub struct Surroundings<'a> {
+    /// Addresses of the controllers.
+    pub seeds: &'a [SocketAddr],
     /// True at the first start of the whole tier.
-    pub(crate) bootstrap: bool,
+    pub bootstrap: bool,
     /// Folder for the data of the machine's process.
-    pub(crate) data: &'a Path,
+    pub data: &'a Path,
 }
 
 /// The text of the settings file for `role` on `machine`.
-pub(crate) fn text(machine: &Machine, role: Role, around: &Surroundings<'_>) -> String {
+pub fn text(machine: &Machine, role: Role, around: &Surroundings<'_>) -> String {
     let has_disk = machine.class != Class::Edge;
     let serves = role.serves().map(|what| format!("{what:?}")).unwrap_or_default();
     let seeds: Vec<String> = around.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
