--- a/tier/command/src/role.rs
+++ b/tier/command/src/role.rs
@@ -15,9 +15,9 @@
     #[error(transparent)]
     Store(#[from] plankhill_store::RunError),
     #[error(transparent)]
-    Controller(#[from] plankhill_controller::RunError),
-    #[error(transparent)]
     Proxy(#[from] plankhill_proxy::RunError),
+    #[error(transparent)]
+    Controller(#[from] plankhill_controller::RunError),
 }
 
 /// Runs `role` until it is stopped.
@@ -35,10 +35,10 @@
 fn run(role: Role) -> Result<(), RoleError> {
     let settings = Settings::load()?;
     match role {
-        Role::Controller => plankhill_controller::run(settings)?,
         Role::Agent => plankhill_agent::run(settings)?,
-        Role::Proxy => plankhill_proxy::run(settings)?,
         Role::Store => plankhill_store::run(settings)?,
+        Role::Proxy => plankhill_proxy::run(settings)?,
+        Role::Controller => plankhill_controller::run(settings)?,
     }
     Ok(())
 }
