Dispatch: each request under way at a model target weighs 20 ms, not 3

Cause: model targets spend their time reading prompts; in a burst some targets had many more turns than others.

--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -5,6 +5,7 @@
 use crate::admission;
 use crate::affinity::{rank_costs, TOKEN_COST};
 use crate::holds::Holds;
+use crate::load::{ALL_SLOTS, ALL_SLOTS_READING};
 use crate::interface::{Command, RequestKey};
 use crate::requests::{key_of, Request, Requests};
 use crate::targets::{KnownTarget, Targets};
@@ -68,7 +69,8 @@
     fn cost(&self, request: &Request, target: &KnownTarget) -> Ms {
         let zone = if target.in_own_zone { 0.0 } else { OTHER_ZONE_COST };
         let reading = TOKEN_COST * f64::from(target.kept.missing(&request.chains));
-        target.load.cost(self.now) + zone + reading
+        let all_slots = if request.chains.is_empty() { ALL_SLOTS } else { ALL_SLOTS_READING };
+        target.load.cost(self.now, all_slots) + zone + reading
     }
 }
 
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -8,7 +8,8 @@
 const HALF_LIFE: Ms = 400.0;
 /// What a target whose slots are all taken costs, in expected milliseconds; less in proportion while they are
 /// not. Batches slow down by about a tenth of a common answer, plain services near their limit by more.
-const ALL_SLOTS: Ms = 100.0;
+pub const ALL_SLOTS: Ms = 100.0;
+pub const ALL_SLOTS_READING: Ms = 640.0;
 /// The weight of the newest answer in the usual answer time.
 const NEWEST: f64 = 0.1;
 /// The usual answer time before any answer was seen.
@@ -90,12 +91,12 @@
     }
 
     /// How much longer an answer from here takes than from an idle target, in expected milliseconds.
-    pub fn cost(&self, now: Ms) -> Ms {
+    pub fn cost(&self, now: Ms, all_slots: Ms) -> Ms {
         let estimate = self.estimate(now);
         let running = estimate.min(self.slots);
         let waiting = estimate - running;
         let avoided = if now < self.avoided_until { AVOIDED_COST } else { 0.0 };
-        ALL_SLOTS * running / self.slots + waiting * self.answer_time() / self.slots + avoided
+        all_slots * running / self.slots + waiting * self.answer_time() / self.slots + avoided
     }
 
     /// How long a target that refused as full takes nothing: until a tenth of what it has there is done.
