--- a/tier/store/tests/world/control.rs
+++ b/tier/store/tests/world/control.rs
@@ -74,7 +74,10 @@
     }
 
     fn tell(self: &Rc<Self>, node: &NodeId, view: &StoreView) {
-        let cut = self.network.borrow().cut_off.contains(node);
+        let cut = {
+            let network = self.network.borrow();
+            network.cut_off.contains(node) || network.deaf.contains(node)
+        };
         let machines = self.machines.borrow();
         let Some(machine) = machines.get(node) else { return };
         let frozen = machine.frozen_until.is_some_and(|until| until > tokio::time::Instant::now());
@@ -87,6 +90,9 @@
 
     /// A retired machine that is in no set any more is taken away with its disk.
     fn remove_retired(&self) {
+        if self.keeps_retired.get() {
+            return;
+        }
         let view = self.view.borrow().clone();
         let named = |node: &NodeId| {
             let mut members = view.serving.iter().chain(view.next.iter().flatten());
--- a/tier/store/tests/world/faults.rs
+++ b/tier/store/tests/world/faults.rs
@@ -9,6 +9,9 @@
 /// After its return a machine still counts as lost for this time.
 pub const CATCH_UP_MS: u64 = 4_100;
 
+/// How long a store hears nothing from the control plane.
+const DEAF_MS: u64 = 4_000;
+
 /// What happens to one machine, or to all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -19,13 +22,15 @@
     SlowDisk,
     Retire,
     Add,
+    /// One hears nothing from the control plane for a while; the next trouble comes meanwhile.
+    Deaf,
     /// All lose power.
     Power,
     /// One loses its disk while all others lose power.
     PowerAndWipe,
 }
 
-const ALL: [Trouble; 9] = [
+const ALL: [Trouble; 10] = [
     Trouble::Kill,
     Trouble::Wipe,
     Trouble::Freeze,
@@ -33,6 +38,7 @@
     Trouble::SlowDisk,
     Trouble::Retire,
     Trouble::Add,
+    Trouble::Deaf,
     Trouble::Power,
     Trouble::PowerAndWipe,
 ];
@@ -77,10 +83,20 @@
                 self.add_machine(number);
                 tokio::time::sleep(milliseconds(away)).await;
             }
+            Trouble::Deaf => self.deafen(&node),
             Trouble::Power | Trouble::PowerAndWipe => self.power(&node, kind, away).await,
         }
     }
 
+    fn deafen(self: &Rc<Self>, node: &NodeId) {
+        self.network.borrow_mut().deaf.insert(node.clone());
+        let (world, node) = (self.clone(), node.clone());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(milliseconds(DEAF_MS)).await;
+            world.network.borrow_mut().deaf.remove(&node);
+        });
+    }
+
     async fn slow_disk(&self, node: &NodeId, away: u64) {
         let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
         let Some(disk) = disk else { return };
--- a/tier/store/tests/world/machine.rs
+++ b/tier/store/tests/world/machine.rs
@@ -5,12 +5,13 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use plankhill_protocol::ids::{Incarnation, NodeId, ZoneName};
+use plankhill_protocol::ids::{Incarnation, NodeId, RequestId, ZoneName};
 use plankhill_protocol::tables::StoreMember;
 use plankhill_store::clock::Clock;
-use plankhill_store::disk::MemoryDisk;
+use plankhill_store::disk::{Disk, MemoryDisk};
 use plankhill_store::figures::Figures;
 use plankhill_store::node::{Node, Parts};
+use plankhill_turns::rows::{turn_key, Table};
 use plankhill_turns::wire::{StoreAnswer, StoreRequest};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, LocalSet};
@@ -61,6 +62,11 @@
         self.life.as_ref().map(|life| life.calls.clone())
     }
 
+    /// Whether the turn is on the disk.
+    pub fn has_turn(&self, turn: &RequestId) -> bool {
+        matches!(self.disk.read(Table::Turns, &turn_key(turn)), Ok(Some(_)))
+    }
+
     /// Does something inside the process, which ends with it.
     pub fn inside(&self, work: impl Future<Output = ()> + 'static) {
         if let Some(life) = &self.life {
--- a/tier/store/tests/world/mod.rs
+++ b/tier/store/tests/world/mod.rs
@@ -62,6 +62,8 @@
     pub faults: u32,
     pub started: Instant,
     pub ended: Cell<bool>,
+    /// Whether retired machines stay for a while.
+    pub keeps_retired: Cell<bool>,
 }
 
 impl World {
@@ -77,6 +79,7 @@
             faults,
             started: Instant::now(),
             ended: Cell::new(false),
+            keeps_retired: Cell::new(false),
         });
         (0..stores).for_each(|number| world.add_machine(number));
         world.found();
--- a/tier/store/tests/world/network.rs
+++ b/tier/store/tests/world/network.rs
@@ -20,6 +20,8 @@
 pub struct Network {
     /// Machines that reach nobody; "control" and proxies are never cut off themselves.
     pub cut_off: BTreeSet<NodeId>,
+    /// Machines that hear nothing from the control plane.
+    pub deaf: BTreeSet<NodeId>,
     /// Lost messages in a hundred.
     pub loss: u64,
 }
--- a/tier/store/tests/world/programs.rs
+++ b/tier/store/tests/world/programs.rs
@@ -68,8 +68,10 @@
         self.spent += 1;
         let most = self.turn(program, turn).most;
         let others = self.counted(program).into_iter().filter(|(other, _)| other != turn);
-        let counted: u64 =
-            others.map(|(other, tokens)| tokens.max(before.get(&other).copied().unwrap_or(0))).sum();
+        let turns = &self.turns[program];
+        // One that began since counted at its most for a while.
+        let at_most = |other: &RequestId| before.get(other).copied().unwrap_or(turns[other].most);
+        let counted: u64 = others.map(|(other, tokens)| tokens.max(at_most(&other))).sum();
         let budget = self.budget(program);
         assert!(counted + most > budget, "REFUSED: {program} has {counted} of {budget}, one asks {most}");
     }
--- a/tier/store/tests/world/scenario.rs
+++ b/tier/store/tests/world/scenario.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use plankhill_protocol::ids::{ProgramId, RequestId};
+use plankhill_protocol::tables::StoreMember;
 use plankhill_protocol::turns::{StoreCall, StoreReply};
+use plankhill_turns::placement::{replicas, Quorum};
 
 use super::faults::Trouble;
+use super::machine::Machine;
 use super::programs::RETENTION;
 use super::{milliseconds, run, Plant, World};
 
@@ -19,13 +22,23 @@
     pub clients: u64,
     pub turns: u64,
     pub troubles: u64,
+    /// Lost messages in a hundred at most.
+    pub loss: u64,
     pub kinds: &'static [Trouble],
     pub plant: Plant,
 }
 
 impl Story {
-    pub const SMALL: Story =
-        Story { stores: 3, faults: 1, clients: 4, turns: 25, troubles: 2, kinds: &[], plant: Plant::Nothing };
+    pub const SMALL: Story = Story {
+        stores: 3,
+        faults: 1,
+        clients: 4,
+        turns: 25,
+        troubles: 2,
+        loss: 2,
+        kinds: &[],
+        plant: Plant::Nothing,
+    };
 }
 
 /// What happened, to see that a story was not empty.
@@ -41,7 +54,7 @@
 pub fn tell(seed: u64, story: Story) -> Told {
     run(async move {
         let world = World::new(seed, story.stores, story.faults, story.plant);
-        world.network.borrow_mut().loss = world.within(0..3);
+        world.network.borrow_mut().loss = world.within(0..story.loss + 1);
         tokio::task::spawn_local(world.clone().run_control());
         tokio::time::sleep(milliseconds(200)).await;
         let clients = (0..story.clients)
@@ -54,6 +67,7 @@
         world.network.borrow_mut().loss = 0;
         settle(&world).await;
         check_found(&world).await;
+        check_repaired(&world);
         world.ended.set(true);
         let programs = world.programs.borrow();
         Told {
@@ -93,6 +107,26 @@
     assert!(reply == StoreReply::NoSuchTurn, "UNSURE: of a turn that never was: {reply:?}");
 }
 
+/// Nothing is left to be delivered, and each turn lies on all of its replicas' disks, but for those whose
+/// hint was lost with its store: they lie on enough.
+fn check_repaired(world: &Rc<World>) {
+    let view = world.view.borrow().clone();
+    let machines = world.machines.borrow();
+    let waiting: usize = machines.values().filter_map(Machine::node).map(|node| node.hints_waiting()).sum();
+    assert!(waiting == 0, "REPAIR: {waiting} hints are left");
+    let answered = world.programs.borrow().answered.clone();
+    let mut short = 0;
+    for turn in answered.iter().filter(|turn| turn.at.elapsed() < RETENTION) {
+        let holders = replicas(&view.serving, &turn.program, world.faults);
+        let holds = |member: &&&StoreMember| machines[&member.node].has_turn(&turn.turn);
+        let copies = holders.iter().filter(holds).count();
+        let enough = Quorum::of(holders.len(), world.faults).write;
+        assert!(copies >= enough, "COPIES: {copies} of {}", turn.turn);
+        short += usize::from(copies < holders.len());
+    }
+    assert!(short * 20 <= answered.len(), "REPAIR: {short} of {} turns lack a copy", answered.len());
+}
+
 async fn read(world: &Rc<World>, program: &ProgramId, turn: &RequestId) -> StoreReply {
     let call = StoreCall::BeginTurn {
         epoch: world.view.borrow().epoch,
