--- /dev/null
+++ b/tier/store/tests/disk_contract.rs
@@ -0,0 +1,180 @@
+//! What every disk must do.
+
+use std::future::Future;
+use std::time::Duration;
+
+use plankhill_store::disk::{Disk, FjallDisk, MemoryDisk};
+use plankhill_turns::rows::{RowChange, Table};
+use tokio::task::LocalSet;
+
+fn row(key: &str, value: &str) -> RowChange {
+    RowChange { table: Table::Turns, key: key.as_bytes().to_vec(), value: Some(value.as_bytes().to_vec()) }
+}
+
+fn read(disk: &impl Disk, table: Table, key: &str) -> Option<String> {
+    let value = disk.read(table, key.as_bytes()).expect("a readable disk");
+    value.map(|value| String::from_utf8(value).expect("text"))
+}
+
+fn keys(disk: &impl Disk, table: Table) -> Vec<String> {
+    let mut keys = Vec::new();
+    let mut visit = |key: &[u8], _: &[u8]| keys.push(String::from_utf8_lossy(key).into_owned());
+    disk.scan(table, &mut visit).expect("a readable disk");
+    keys
+}
+
+/// All that a disk must do while it is open.
+async fn keeps_its_contract(disk: impl Disk) {
+    a_row_is_there_once_its_commit_has_ended(&disk).await;
+    a_removed_row_is_gone(&disk).await;
+    tables_do_not_mix(&disk).await;
+    rows_come_in_the_order_of_their_keys(&disk).await;
+    commits_end_in_the_order_of_their_calls(&disk).await;
+    a_commit_goes_on_when_nobody_waits(&disk).await;
+}
+
+async fn a_row_is_there_once_its_commit_has_ended(disk: &impl Disk) {
+    disk.commit(vec![row("one", "first"), row("two", "second")]).await.expect("a commit");
+    assert_eq!(read(disk, Table::Turns, "one").as_deref(), Some("first"));
+    disk.commit(vec![row("one", "changed")]).await.expect("a commit");
+    assert_eq!(read(disk, Table::Turns, "one").as_deref(), Some("changed"));
+    assert_eq!(read(disk, Table::Turns, "on"), None);
+}
+
+async fn a_removed_row_is_gone(disk: &impl Disk) {
+    let removals = vec![
+        RowChange::remove(Table::Turns, b"one".to_vec()),
+        RowChange::remove(Table::Turns, b"never there".to_vec()),
+    ];
+    disk.commit(removals).await.expect("a commit");
+    assert_eq!(read(disk, Table::Turns, "one"), None);
+    assert_eq!(read(disk, Table::Turns, "two").as_deref(), Some("second"));
+}
+
+async fn tables_do_not_mix(disk: &impl Disk) {
+    for table in Table::ALL {
+        let value = format!("{table:?}").into_bytes();
+        let change = RowChange { table, key: b"same".to_vec(), value: Some(value) };
+        disk.commit(vec![change]).await.expect("a commit");
+    }
+    for table in Table::ALL {
+        assert_eq!(read(disk, table, "same"), Some(format!("{table:?}")));
+    }
+    assert_eq!(keys(disk, Table::Hints), ["same"]);
+}
+
+async fn rows_come_in_the_order_of_their_keys(disk: &impl Disk) {
+    disk.commit(vec![row("b", ""), row("a", ""), row("", ""), row("ab", "")]).await.expect("a commit");
+    assert_eq!(keys(disk, Table::Turns), ["", "a", "ab", "b", "same", "two"]);
+}
+
+async fn commits_end_in_the_order_of_their_calls(disk: &impl Disk) {
+    let first = disk.commit(vec![row("order", "1")]);
+    let second = disk.commit(vec![row("order", "2")]);
+    let barrier = disk.commit(Vec::new());
+    barrier.await.expect("a commit");
+    assert_eq!(read(disk, Table::Turns, "order").as_deref(), Some("2"));
+    second.await.expect("a commit");
+    first.await.expect("a commit");
+}
+
+async fn a_commit_goes_on_when_nobody_waits(disk: &impl Disk) {
+    drop(disk.commit(vec![row("dropped", "kept")]));
+    disk.commit(Vec::new()).await.expect("a commit");
+    assert_eq!(read(disk, Table::Turns, "dropped").as_deref(), Some("kept"));
+}
+
+fn run<T>(story: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), story)
+}
+
+#[test]
+fn memory_keeps_the_contract() {
+    world_time(keeps_its_contract(MemoryDisk::new(Duration::from_millis(5))));
+}
+
+#[test]
+fn fjall_keeps_the_contract() {
+    let folder = tempfile::tempdir().expect("a folder");
+    run(async { keeps_its_contract(FjallDisk::open(folder.path()).expect("a database")).await });
+}
+
+#[test]
+fn fjall_holds_synced_rows_when_it_is_opened_again() {
+    let folder = tempfile::tempdir().expect("a folder");
+    run(async {
+        let disk = FjallDisk::open(folder.path()).expect("a database");
+        disk.commit(vec![row("kept", "value")]).await.expect("a commit");
+        disk.commit(vec![RowChange::remove(Table::Turns, b"gone".to_vec())]).await.expect("a commit");
+        // The copy is what another process finds after this one was killed.
+        let copy = tempfile::tempdir().expect("a folder");
+        copy_folder(folder.path(), copy.path());
+        let again = FjallDisk::open(copy.path()).expect("a database");
+        assert_eq!(read(&again, Table::Turns, "kept").as_deref(), Some("value"));
+    });
+}
+
+#[test]
+fn fjall_holds_synced_rows_behind_a_torn_journal() {
+    let folder = tempfile::tempdir().expect("a folder");
+    run(async {
+        let disk = FjallDisk::open(folder.path()).expect("a database");
+        disk.commit(vec![row("kept", "value")]).await.expect("a commit");
+        let copy = tempfile::tempdir().expect("a folder");
+        copy_folder(folder.path(), copy.path());
+        disk.commit(vec![row("torn", &"x".repeat(5_000))]).await.expect("a commit");
+        let torn = tempfile::tempdir().expect("a folder");
+        copy_folder(folder.path(), torn.path());
+        let torn_files = tear_what_is_newer(copy.path(), torn.path());
+        assert!(torn_files > 0, "nothing was torn");
+        let again = FjallDisk::open(torn.path()).expect("a database");
+        assert_eq!(read(&again, Table::Turns, "kept").as_deref(), Some("value"));
+        assert_eq!(read(&again, Table::Turns, "torn"), None);
+    });
+}
+
+/// Cuts the files of `newer` that have changed since `older` in the middle of what was added, and puts other
+/// bytes there. How many there were.
+fn tear_what_is_newer(older: &std::path::Path, newer: &std::path::Path) -> usize {
+    let mut torn = 0;
+    for entry in std::fs::read_dir(newer).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let before = older.join(path.file_name().expect("a name"));
+        if path.is_dir() {
+            torn += tear_what_is_newer(&before, &path);
+            continue;
+        }
+        let (old, mut new) =
+            (std::fs::read(&before).unwrap_or_default(), std::fs::read(&path).expect("a file"));
+        let same = old.iter().zip(&new).take_while(|(old, new)| old == new).count();
+        if same == new.len() {
+            continue;
+        }
+        let added = new[same..].iter().rposition(|byte| *byte != 0).map_or(0, |last| last + 1);
+        new[same + added / 2..same + added].fill(0xa5);
+        new.truncate(same + added * 3 / 4);
+        std::fs::write(&path, new).expect("a file");
+        torn += 1;
+    }
+    torn
+}
+
+fn copy_folder(from: &std::path::Path, to: &std::path::Path) {
+    for entry in std::fs::read_dir(from).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let target = to.join(path.file_name().expect("a name"));
+        if path.is_dir() {
+            std::fs::create_dir_all(&target).expect("a folder");
+            copy_folder(&path, &target);
+        } else {
+            std::fs::copy(&path, &target).expect("a file");
+        }
+    }
+}
+
+/// In virtual time.
+fn world_time<T>(story: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), story)
+}
--- /dev/null
+++ b/tier/store/tests/folder.rs
@@ -0,0 +1,50 @@
+//! A store's folder: empty, kept, half made, unreadable.
+
+use std::fs;
+use std::path::Path;
+
+use plankhill_protocol::ids::Incarnation;
+use plankhill_store::disk::open_folder;
+
+const FIRST: Incarnation = Incarnation(1);
+const SECOND: Incarnation = Incarnation(2);
+
+async fn incarnation(folder: &Path, fresh: Incarnation) -> Incarnation {
+    open_folder(folder, fresh).await.expect("a folder").incarnation
+}
+
+#[tokio::test]
+async fn a_kept_folder_keeps_its_incarnation() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let data = folder.path().join("not/yet/there");
+    assert_eq!(incarnation(&data, FIRST).await, FIRST);
+    assert_eq!(incarnation(&data, SECOND).await, FIRST);
+}
+
+#[tokio::test]
+async fn a_folder_whose_first_sync_is_not_over_counts_as_empty() {
+    let folder = tempfile::tempdir().expect("a folder");
+    assert_eq!(incarnation(folder.path(), FIRST).await, FIRST);
+    fs::remove_file(folder.path().join("ready")).expect("a file");
+    assert_eq!(incarnation(folder.path(), SECOND).await, SECOND);
+}
+
+#[tokio::test]
+async fn a_database_that_cannot_be_read_counts_as_empty() {
+    let folder = tempfile::tempdir().expect("a folder");
+    assert_eq!(incarnation(folder.path(), FIRST).await, FIRST);
+    empty_files(&folder.path().join("rows"));
+    assert_eq!(incarnation(folder.path(), SECOND).await, SECOND);
+    assert_eq!(incarnation(folder.path(), FIRST).await, SECOND);
+}
+
+fn empty_files(folder: &Path) {
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            empty_files(&path);
+        } else {
+            fs::write(&path, b"").expect("a file");
+        }
+    }
+}
