--- a/tier/demo/src/call.rs
+++ b/tier/demo/src/call.rs
@@ -37,6 +37,18 @@
     TimedOut(#[from] tokio::time::error::Elapsed),
 }
 
+impl CallError {
+    /// What happened, in two or three words.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            CallError::Connect(_) => "no connection",
+            CallError::Broken(_) => "closed without answer",
+            CallError::Body(_) => "closed within answer",
+            CallError::TimedOut(_) => "no answer in time",
+        }
+    }
+}
+
 /// Sends `request` to `address` and reads the whole answer within `limit`.
 pub(crate) async fn call(
     address: SocketAddr,
--- a/tier/demo/src/client.rs
+++ b/tier/demo/src/client.rs
@@ -62,19 +62,18 @@
     pub(crate) async fn send(&self, request: &ClientRequest) -> Result<Answered, String> {
         let mut seen = String::new();
         for number in 0..MAX_TRIES {
-            if number > 0 {
-                self.tally.update(|counts| counts.tries_again += 1);
-            }
             let id = format!("{}-{number}", request.name);
             let proxy = self.front.choose(self.place + number as usize);
             let pause = match call(proxy, built(request, &id), TRY_TIMEOUT).await {
                 Ok(answer) if is_final(answer.status) => return Ok(Answered { id, answer }),
                 Ok(answer) => {
-                    seen = format!("{} answered {}", proxy, answer.status);
+                    seen = format!("{proxy} answered {}", answer.status);
+                    self.count_failed(format!("answered {}", answer.status.as_u16()));
                     retry_after(&answer)
                 }
                 Err(error) => {
                     seen = format!("{proxy}: {error}");
+                    self.count_failed(error.kind().to_owned());
                     None
                 }
             };
@@ -82,6 +81,10 @@
         }
         Err(format!("{}: {seen}", request.name))
     }
+
+    fn count_failed(&self, what: String) {
+        self.tally.update(|counts| *counts.failed_tries.entry(what).or_default() += 1);
+    }
 }
 
 fn is_final(status: StatusCode) -> bool {
--- a/tier/demo/src/report.rs
+++ b/tier/demo/src/report.rs
@@ -45,7 +45,7 @@
             self.time(1.0)
         )?;
         writeln!(formatter, "  tool calls     {}", counts.calls)?;
-        writeln!(formatter, "  tried again    {}", counts.tries_again)?;
+        writeln!(formatter, "  failed tries   {}", self.failed_tries())?;
         writeln!(formatter, "  wrong prompts  {}", counts.wrong_histories)?;
         writeln!(formatter, "  run twice      {}", self.run_again)?;
         writeln!(
@@ -77,6 +77,17 @@
 }
 
 impl Report {
+    /// Failed tries by what they saw, for people.
+    fn failed_tries(&self) -> String {
+        let kinds = self.counts.failed_tries.iter().map(|(what, count)| format!("{count} {what}"));
+        let listed = kinds.collect::<Vec<_>>().join(", ");
+        if listed.is_empty() {
+            "none".to_owned()
+        } else {
+            listed
+        }
+    }
+
     /// The time below which `share` of the turns took, for people.
     fn time(&self, share: f64) -> String {
         let mut times = self.counts.turn_times.clone();
--- a/tier/demo/src/tally.rs
+++ b/tier/demo/src/tally.rs
@@ -1,5 +1,6 @@
 //! What clients saw, counted as it happens.
 
+use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
     pub(crate) programs_whole: u32,
     pub(crate) turns: u32,
     pub(crate) calls: u32,
-    /// Tries after the first one of a request.
-    pub(crate) tries_again: u32,
+    /// What failed tries saw, and how many.
+    pub(crate) failed_tries: BTreeMap<String, u32>,
     /// Turns whose target got something else than the history and the new input.
     pub(crate) wrong_histories: u32,
     /// Turns refused because the budget was spent.
