Demo tells how the controllers see the control plane

Cause: a run in which the two controllers left agreed on no view for 20 s showed nothing of it. Change: view, chain and voters are printed before the kill, and again when an order is not acknowledged in time.

--- a/tier/demo/src/control_plane.rs
+++ b/tier/demo/src/control_plane.rs
@@ -80,6 +80,12 @@
     None
 }
 
+/// The status of one controller, if it gives one.
+pub(crate) async fn status(controller: SocketAddr) -> Option<serde_json::Value> {
+    let answer = ask(controller, &Order::get("/-/status")).await?;
+    serde_json::from_slice(&answer.body).ok()
+}
+
 async fn ask(controller: SocketAddr, order: &Order) -> Option<Answer> {
     let mut address = controller;
     for _ in 0..=MAX_REDIRECTIONS {
--- a/tier/demo/src/scenario.rs
+++ b/tier/demo/src/scenario.rs
@@ -13,7 +13,7 @@
 
 use crate::client::{Client, ClientRequest};
 use crate::configuration::{self, ADDED_PATH, MODELS, TOOLS};
-use crate::control_plane::{send, Order};
+use crate::control_plane::{self, send, Order};
 use crate::fleet::Fleet;
 use crate::front::Front;
 use crate::layout::{Class, Machine, Network, Role, ZONES};
@@ -109,7 +109,10 @@
                 self.narration.say(&format!("configuration {} is acknowledged", document["version"]));
                 Ok(())
             }
-            _ => Err(self.too_late("the acknowledgement of the configuration")),
+            _ => {
+                self.say_standing().await;
+                Err(self.too_late("the acknowledgement of the configuration"))
+            }
         }
     }
 
@@ -139,9 +142,21 @@
         (0..count).map(start).collect()
     }
 
+    /// Tells how each controller sees the control plane.
+    async fn say_standing(&self) {
+        for core in &self.cores {
+            let line = match control_plane::status(core.admin()).await {
+                Some(status) => format!("{}: {}", core.name, standing(&status)),
+                None => format!("{}: no status", core.name),
+            };
+            self.narration.say(&line);
+        }
+    }
+
     /// Kills a controller, changes the configuration meanwhile, and starts it again.
     async fn kill_controller(&mut self) -> Result<Option<Duration>, DemoError> {
         let core = self.cores[0].clone();
+        self.say_standing().await;
         self.fleet.kill(&core, Role::Controller)?;
         self.narration.say(&format!("killed the controller on {}", core.name));
         self.put_configuration(1, &configuration::second()).await?;
@@ -234,6 +249,13 @@
     Ok(())
 }
 
+/// A controller's view in one line.
+fn standing(status: &Value) -> String {
+    let keys = ["view", "chain", "voters", "current", "revision"];
+    let parts = keys.map(|key| format!("{key} {}", status[key].to_string().replace('"', "")));
+    parts.join(", ")
+}
+
 /// True if the client's proxy serves the route that the second configuration adds.
 async fn serves_added_route(client: &Client, place: usize, number: u32) -> bool {
     let request = ClientRequest {
