--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -70,7 +70,8 @@
         let zone = if target.in_own_zone { 0.0 } else { OTHER_ZONE_COST };
         let reading = TOKEN_COST * f64::from(target.kept.missing(&request.chains));
         let all_slots = if request.chains.is_empty() { ALL_SLOTS } else { ALL_SLOTS_READING };
-        target.load.cost(self.now, all_slots) + zone + reading
+        let crowd = 1.0 + 0.25 * target.load.estimate(self.now);
+        target.load.cost(self.now, all_slots) + zone + reading * crowd
     }
 }
 
