--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -5,8 +5,8 @@
 use crate::admission;
 use crate::affinity::{rank_costs, TOKEN_COST};
 use crate::holds::Holds;
-use crate::load::{ALL_SLOTS, ALL_SLOTS_READING};
 use crate::interface::{Command, RequestKey};
+use crate::load::{ALL_SLOTS, ALL_SLOTS_READING};
 use crate::requests::{key_of, Request, Requests};
 use crate::targets::{KnownTarget, Targets};
 
@@ -17,6 +17,8 @@
 /// that it keeps goes elsewhere.
 const BOUND_SHARE: f64 = 1.25;
 const BOUND_FEW: f64 = 6.0;
+/// What is read delays all that is under way at the target: by so much more for each.
+const CROWDED_READING: f64 = 0.25;
 /// Added to wake-ups, so that none comes a rounding error early.
 const ROUNDING: Ms = 0.01;
 
@@ -53,10 +55,13 @@
 
     /// The target that costs least, within the bound on load.
     fn cheapest(&self, request: &Request, open: &[&KnownTarget]) -> Option<usize> {
-        let estimates: Vec<f64> = open.iter().map(|target| target.load.estimate(self.now)).collect();
+        let others = open.iter().map(|target| target.load.others(self.now)).sum::<f64>();
+        let common = others / open.len().max(1) as f64;
+        let estimates: Vec<f64> = open.iter().map(|target| target.load.estimate(self.now, common)).collect();
         let least = estimates.iter().copied().fold(f64::INFINITY, f64::min);
         let bound = BOUND_SHARE * least + BOUND_FEW;
-        let mut costs: Vec<Ms> = open.iter().map(|target| self.cost(request, target)).collect();
+        let each = open.iter().zip(&estimates);
+        let mut costs: Vec<Ms> = each.map(|(target, there)| self.cost(request, target, *there)).collect();
         if !request.chains.is_empty() {
             let hashes: Vec<u64> = open.iter().map(|target| target.hash).collect();
             let ranks = rank_costs(&request.chains, &hashes);
@@ -66,12 +71,13 @@
         within.min_by(|&one, &other| costs[one].total_cmp(&costs[other]))
     }
 
-    fn cost(&self, request: &Request, target: &KnownTarget) -> Ms {
+    /// `there`: requests that are probably under way at the target.
+    fn cost(&self, request: &Request, target: &KnownTarget, there: f64) -> Ms {
         let zone = if target.in_own_zone { 0.0 } else { OTHER_ZONE_COST };
-        let reading = TOKEN_COST * f64::from(target.kept.missing(&request.chains));
+        let missing = f64::from(target.kept.missing(&request.chains));
+        let reading = TOKEN_COST * missing * (1.0 + CROWDED_READING * there);
         let all_slots = if request.chains.is_empty() { ALL_SLOTS } else { ALL_SLOTS_READING };
-        let crowd = 1.0 + 0.25 * target.load.estimate(self.now);
-        target.load.cost(self.now, all_slots) + zone + reading * crowd
+        target.load.cost(self.now, there, all_slots) + zone + reading
     }
 }
 
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -6,6 +6,8 @@
 
 /// A report loses half of its weight in this time: about as long as a call takes.
 const HALF_LIFE: Ms = 400.0;
+/// What is common at a service is forgotten in this time once nothing is reported.
+const LAPSE: Ms = 2_000.0;
 /// What a target whose slots are all taken costs, in expected milliseconds; less in proportion while they are
 /// not. Batches slow down by about a tenth of a common answer, plain services near their limit by more.
 pub const ALL_SLOTS: Ms = 100.0;
@@ -84,15 +86,24 @@
         self.avoided_until = now + AVOIDED;
     }
 
-    /// Requests that are probably there, of all proxies.
-    pub fn estimate(&self, now: Ms) -> f64 {
-        let age = (now - self.reported_at).max(0.0);
-        f64::from(self.out) + self.reported_by_others * (-age / HALF_LIFE).exp2()
+    /// Requests of other proxies there by the last report, which fades in some seconds.
+    pub fn others(&self, now: Ms) -> f64 {
+        self.reported_by_others * (-self.age(now) / LAPSE).exp2()
+    }
+
+    /// Requests that are probably there, of all proxies: as reported, and with the age of the report as many
+    /// of other proxies as is common at the service.
+    pub fn estimate(&self, now: Ms, common_others: f64) -> f64 {
+        let trust = (-self.age(now) / HALF_LIFE).exp2();
+        f64::from(self.out) + trust * self.reported_by_others + (1.0 - trust) * common_others
+    }
+
+    fn age(&self, now: Ms) -> Ms {
+        (now - self.reported_at).max(0.0)
     }
 
     /// How much longer an answer from here takes than from an idle target, in expected milliseconds.
-    pub fn cost(&self, now: Ms, all_slots: Ms) -> Ms {
-        let estimate = self.estimate(now);
+    pub fn cost(&self, now: Ms, estimate: f64, all_slots: Ms) -> Ms {
         let running = estimate.min(self.slots);
         let waiting = estimate - running;
         let avoided = if now < self.avoided_until { AVOIDED_COST } else { 0.0 };
@@ -101,7 +112,7 @@
 
     /// How long a target that refused as full takes nothing: until a tenth of what it has there is done.
     pub fn wait_after_refusal(&self, now: Ms) -> Ms {
-        let there = self.estimate(now).max(self.slots);
+        let there = self.estimate(now, 0.0).max(self.slots);
         (0.1 * there * self.answer_time() / self.slots).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
--- a/tier/dispatch/tests/load.rs
+++ b/tier/dispatch/tests/load.rs
@@ -39,8 +39,8 @@
     load.sent();
     load.sent();
     load.reported(0.0, report(3, 0));
-    assert_eq!(load.estimate(0.0), 3.0);
-    assert!(load.estimate(5_000.0) < 2.1);
+    assert_eq!(load.estimate(0.0, 0.0), 3.0);
+    assert!(load.estimate(5_000.0, 0.0) < 2.1);
     load.ended();
     load.ended();
     load.ended();
@@ -53,7 +53,7 @@
         let mut load = TargetLoad::new(4);
         load.answered(100.0);
         load.reported(0.0, report(running, waiting));
-        load.cost(0.0)
+        load.cost(0.0, load.estimate(0.0, 0.0), 100.0)
     };
     assert!(cost(0, 0) < cost(1, 0));
     assert!(cost(1, 0) < cost(4, 0));
