--- a/tier/controller/src/lib.rs
+++ b/tier/controller/src/lib.rs
@@ -8,10 +8,13 @@
 pub mod change_log;
 pub mod duties;
 pub mod feed;
+pub mod first_seen;
 pub mod internal;
 pub mod liveness;
 pub mod log;
 pub mod process;
+mod run;
 
 pub use log::{Committed, ControlLog};
 pub use process::Controller;
+pub use run::{run, RunError};
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -6,9 +6,12 @@
 
 /// A report loses half of its weight in this time: about as long as a call takes.
 const HALF_LIFE: Ms = 400.0;
+/// What is common at a service is forgotten in this time once nothing is reported.
+const LAPSE: Ms = 2_000.0;
 /// What a target whose slots are all taken costs, in expected milliseconds; less in proportion while they are
 /// not. Batches slow down by about a tenth of a common answer, plain services near their limit by more.
-const ALL_SLOTS: Ms = 100.0;
+pub const ALL_SLOTS: Ms = 100.0;
+pub const ALL_SLOTS_READING: Ms = 640.0;
 /// The weight of the newest answer in the usual answer time.
 const NEWEST: f64 = 0.1;
 /// The usual answer time before any answer was seen.
@@ -78,33 +81,43 @@
         self.avoided_until = f64::NEG_INFINITY;
     }
 
-    /// A call failed there.
+    /// A call failed there, or could not be written.
     pub fn failed(&mut self, now: Ms) {
         self.avoided_until = now + AVOIDED;
     }
 
-    /// Requests that are probably there, of all proxies.
-    pub fn estimate(&self, now: Ms) -> f64 {
-        let age = (now - self.reported_at).max(0.0);
-        f64::from(self.out) + self.reported_by_others * (-age / HALF_LIFE).exp2()
+    /// Requests of other proxies there by the last report, which fades in some seconds.
+    pub fn others(&self, now: Ms) -> f64 {
+        self.reported_by_others * (-self.age(now) / LAPSE).exp2()
+    }
+
+    /// Requests that are probably there, of all proxies: as reported, and with the age of the report as many
+    /// of other proxies as is common at the service.
+    pub fn estimate(&self, now: Ms, common_others: f64) -> f64 {
+        let trust = (-self.age(now) / HALF_LIFE).exp2();
+        f64::from(self.out) + trust * self.reported_by_others + (1.0 - trust) * common_others
+    }
+
+    fn age(&self, now: Ms) -> Ms {
+        (now - self.reported_at).max(0.0)
     }
 
     /// How much longer an answer from here takes than from an idle target, in expected milliseconds.
-    pub fn cost(&self, now: Ms) -> Ms {
-        let estimate = self.estimate(now);
+    pub fn cost(&self, now: Ms, estimate: f64, all_slots: Ms) -> Ms {
         let running = estimate.min(self.slots);
         let waiting = estimate - running;
         let avoided = if now < self.avoided_until { AVOIDED_COST } else { 0.0 };
-        ALL_SLOTS * running / self.slots + waiting * self.answer_time() / self.slots + avoided
+        all_slots * running / self.slots + waiting * self.answer_time() / self.slots + avoided
     }
 
     /// How long a target that refused as full takes nothing: until a tenth of what it has there is done.
     pub fn wait_after_refusal(&self, now: Ms) -> Ms {
-        let there = self.estimate(now).max(self.slots);
+        let there = self.estimate(now, 0.0).max(self.slots);
         (0.1 * there * self.answer_time() / self.slots).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
-    fn answer_time(&self) -> Ms {
+    /// How long an answer's head usually takes.
+    pub fn answer_time(&self) -> Ms {
         self.usual_answer.unwrap_or(INITIAL_ANSWER)
     }
 }
--- a/tier/proxy/src/round_robin.rs
+++ b/tier/proxy/tests/support/round_robin.rs
@@ -2,18 +2,22 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use plankhill_dispatch::retry::Attempts;
 use plankhill_dispatch::{Command, Ended, Fate, Ms, NewRequest, PingAnswer, RequestKey, UpstreamLoad};
 use plankhill_protocol::ids::InstanceId;
 use plankhill_protocol::tables::{Target, TargetState};
 
-use crate::decisions::Decisions;
-use crate::snapshot::Snapshot;
+use plankhill_proxy::decisions::Decisions;
+use plankhill_proxy::snapshot::Snapshot;
+
+/// What refused clients are told, in milliseconds.
+pub const RETRY_AFTER: Ms = 200.0;
 
 /// Sends each request at once to the next target of its service.
 #[derive(Debug, Default)]
 pub struct RoundRobin {
     targets: Vec<Target>,
-    requests: HashMap<RequestKey, (NewRequest, u32)>,
+    requests: HashMap<RequestKey, (NewRequest, Attempts)>,
     next: usize,
     commands: VecDeque<Command>,
 }
@@ -24,8 +28,9 @@
         let healthy =
             |target: &&Target| target.service == request.service && target.state == TargetState::Healthy;
         let targets: Vec<&Target> = self.targets.iter().filter(healthy).collect();
+        let at = self.next % targets.len().max(1);
         self.next += 1;
-        match targets.get(self.next % targets.len().max(1)) {
+        match targets.get(at) {
             Some(target) => self.commands.push_back(Command::Send {
                 request: key,
                 target: target.id.clone(),
@@ -33,41 +38,45 @@
                 deadline: request.deadline,
                 priority: request.priority,
             }),
-            None => self.commands.push_back(Command::Refuse { request: key, retry_after: 200.0 }),
+            None => self.commands.push_back(Command::Refuse { request: key, retry_after: RETRY_AFTER }),
         }
     }
 }
 
 impl Decisions for RoundRobin {
-    fn tables_changed(&mut self, _now: Ms, snapshot: &Snapshot) {
+    fn tables_changed(&mut self, snapshot: &Snapshot) {
         self.targets.clone_from(&snapshot.tables.targets);
     }
 
     fn request(&mut self, _now: Ms, request: NewRequest) {
         let key = request.key;
-        self.requests.insert(key, (request, 0));
+        self.requests.insert(key, (request, Attempts::default()));
         self.send(key);
     }
 
-    fn withdrawn(&mut self, _now: Ms, request: RequestKey) {
+    fn withdrawn(&mut self, request: RequestKey) {
         self.requests.remove(&request);
     }
 
-    fn ended(&mut self, _now: Ms, key: RequestKey, ended: Ended) {
+    fn ended(&mut self, _now: Ms, key: RequestKey, _target: &InstanceId, ended: Ended) {
         let Some((request, attempts)) = self.requests.get_mut(&key) else { return };
-        *attempts += 1;
-        let done = matches!(ended.fate, Fate::Delivered | Fate::Cancelled);
-        if done || *attempts >= request.max_attempts {
+        attempts.count(ended.fate);
+        if ended.fate == Fate::Delivered || ended.fate == Fate::Cancelled {
+            self.requests.remove(&key);
+        } else if attempts.allow_another(request.repeats, request.max_attempts) {
+            self.send(key);
+        } else {
+            let may_have_run = attempts.may_have_run();
             self.requests.remove(&key);
-            if !done {
-                self.commands.push_back(Command::Fail { request: key, last: ended.fate });
-            }
-            return;
+            self.commands.push_back(if may_have_run {
+                Command::Fail { request: key, last: ended.fate }
+            } else {
+                Command::Refuse { request: key, retry_after: RETRY_AFTER }
+            });
         }
-        self.send(key);
     }
 
-    fn pinged(&mut self, _now: Ms, _target: &InstanceId, _answer: PingAnswer) {}
+    fn pinged(&mut self, _target: &InstanceId, _answer: PingAnswer) {}
 
     fn load_seen(&mut self, _now: Ms, _target: &InstanceId, _load: UpstreamLoad) {}
 
