--- /dev/null
+++ b/tier/replica/tests/storage.rs
@@ -0,0 +1,175 @@
+//! One suite that every storage passes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use arbtest::{arbitrary, arbtest};
+use plankhill_chain::{
+    Acceptor, Ballot, Durable, Entry, Identity, Member, RequestNumber, Snapshot, Storage, View, ViewNumber,
+    Write,
+};
+use plankhill_protocol::ids::{Incarnation, NodeId, Revision};
+use plankhill_replica::storage::{open_folder, FjallStorage, MemoryStorage};
+use tempfile::TempDir;
+
+/// Something that can be closed and opened again.
+trait Reopened: Storage + Sized {
+    fn reopened(self, folder: &Path) -> Self;
+}
+
+impl Reopened for MemoryStorage {
+    fn reopened(self, _: &Path) -> Self {
+        self
+    }
+}
+
+impl Reopened for FjallStorage {
+    fn reopened(self, folder: &Path) -> Self {
+        drop(self);
+        FjallStorage::open(folder).unwrap()
+    }
+}
+
+fn entry(number: u64) -> Entry {
+    let operation = number.to_le_bytes().repeat(1 + number as usize % 40);
+    Entry { request: RequestNumber(number.into()), origin: NodeId::from("a"), operation: operation.into() }
+}
+
+fn view(number: u64) -> View {
+    let identity = Identity { node: NodeId::from("a"), incarnation: Incarnation(number) };
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let chain = vec![identity.node.clone()];
+    View {
+        number: ViewNumber(number),
+        voters: vec![Member { identity, address }],
+        chain,
+        base: Revision(number),
+    }
+}
+
+/// Batches as a member writes them: operations follow each other, the last ones may be cut off, snapshots
+/// take the first ones away.
+struct Writer {
+    before: u64,
+    last: u64,
+}
+
+impl Writer {
+    fn change(&mut self, input: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<Write> {
+        let number = input.int_in_range(0..=1_000_u64)?;
+        Ok(match input.int_in_range(0..=9)? {
+            0 => Write::View(view(number)),
+            1 => {
+                let ballot = Ballot { round: number, proposer: NodeId::from("b") };
+                let accepted = input.arbitrary::<bool>()?.then(|| (ballot.clone(), view(number)));
+                Write::Acceptor(Acceptor { instance: ViewNumber(number), promised: Some(ballot), accepted })
+            }
+            2 => Write::Committed(Revision(self.last)),
+            3 => {
+                self.last = input.int_in_range(self.before..=self.last)?;
+                Write::Truncate(Revision(self.last))
+            }
+            4 => {
+                self.before = input.int_in_range(self.before..=self.last + 3)?;
+                self.last = self.last.max(self.before);
+                let outcomes = vec![(RequestNumber(number.into()), vec![1; 9].into())];
+                let machine = vec![2; number as usize].into();
+                Write::Snapshot(Snapshot { revision: Revision(self.before), machine, outcomes })
+            }
+            _ => {
+                self.last += 1;
+                Write::Append { revision: Revision(self.last), entry: entry(number) }
+            }
+        })
+    }
+}
+
+/// Whatever is written is found again, also after the storage was opened anew.
+fn keeps_what_is_written<S: Reopened>(mut open: impl FnMut(&Path) -> S) {
+    arbtest(|input| {
+        let folder = TempDir::new().unwrap();
+        let mut storage = open(folder.path());
+        let mut writer = Writer { before: 0, last: 0 };
+        let mut expected = Durable::default();
+        for _ in 0..input.int_in_range(1..=12)? {
+            let mut batch = Vec::new();
+            for _ in 0..input.int_in_range(1..=8)? {
+                batch.push(writer.change(input)?);
+            }
+            batch.iter().for_each(|change| expected.apply(change));
+            storage.write(&batch).unwrap();
+            if input.ratio(1, 4)? {
+                storage = storage.reopened(folder.path());
+            }
+            assert_eq!(storage.load().unwrap(), expected);
+        }
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
+
+fn begins_empty<S: Reopened>(open: impl Fn(&Path) -> S) {
+    let folder = TempDir::new().unwrap();
+    assert_eq!(open(folder.path()).load().unwrap(), Durable::default());
+}
+
+#[test]
+fn memory_keeps_what_is_written() {
+    begins_empty(|_| MemoryStorage::default());
+    keeps_what_is_written(|_| MemoryStorage::default());
+}
+
+#[test]
+fn fjall_keeps_what_is_written() {
+    let open = |folder: &Path| FjallStorage::open(folder).unwrap();
+    begins_empty(open);
+    keeps_what_is_written(open);
+}
+
+#[test]
+fn a_folder_keeps_its_incarnation_until_it_is_lost() {
+    let folder = TempDir::new().unwrap();
+    let founders = vec![SocketAddr::from(([127, 0, 0, 1], 1))];
+    let first = open_folder(folder.path(), Incarnation(1), Some(founders.clone())).unwrap();
+    assert_eq!(first.held.incarnation, Some(Incarnation(1)));
+    assert_eq!(first.held.founders, Some(founders.clone()));
+    drop(first);
+    let again = open_folder(folder.path(), Incarnation(2), None).unwrap();
+    assert_eq!(again.held.incarnation, Some(Incarnation(1)));
+    assert_eq!(again.held.founders, Some(founders));
+}
+
+#[test]
+fn a_folder_whose_first_sync_never_ended_is_empty() {
+    let folder = TempDir::new().unwrap();
+    drop(open_folder(folder.path(), Incarnation(1), None).unwrap());
+    std::fs::remove_file(folder.path().join("chain-ready")).unwrap();
+    let again = open_folder(folder.path(), Incarnation(2), None).unwrap();
+    assert_eq!(again.held.incarnation, Some(Incarnation(2)));
+}
+
+#[test]
+fn a_torn_end_of_the_journal_is_left_out() {
+    let folder = TempDir::new().unwrap();
+    let mut opened = open_folder(folder.path(), Incarnation(1), None).unwrap();
+    let append = |number| Write::Append { revision: Revision(number), entry: entry(number) };
+    opened.storage.write(&[append(1)]).unwrap();
+    opened.storage.write(&[append(2)]).unwrap();
+    drop(opened);
+    tear_journals(&folder.path().join("chain"));
+    let again = open_folder(folder.path(), Incarnation(2), None).unwrap();
+    assert_eq!(again.held.incarnation, Some(Incarnation(1)));
+    assert_eq!(again.held.entries.keys().copied().collect::<Vec<_>>(), [Revision(1)]);
+}
+
+/// Overwrites the last bytes that are not zero in each journal.
+fn tear_journals(folder: &Path) {
+    for file in std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()) {
+        if file.extension().is_some_and(|extension| extension == "jnl") {
+            let mut bytes = std::fs::read(&file).unwrap();
+            let end = bytes.iter().rposition(|byte| *byte != 0).unwrap();
+            bytes[end - 3..=end].fill(0x55);
+            std::fs::write(&file, bytes).unwrap();
+        }
+    }
+}
