--- a/tier/replica/src/links.rs
+++ b/tier/replica/src/links.rs
@@ -15,8 +15,10 @@
 const QUEUE: usize = 1_024;
 /// Messages written together.
 const BATCH: usize = 64;
-/// Between attempts to connect.
-const REDIAL_PAUSE: Duration = Duration::from_millis(100);
+/// Before the first attempt to connect again; doubled after each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause between attempts: short beside the time that a member has to come back in (4 s).
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// The first message on a connection: which disk speaks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,16 +80,19 @@
 
 async fn keep_sending(to: SocketAddr, me: Identity, mut messages: mpsc::Receiver<Message>) {
     let hello = Hello::new(Channel::Chain, me.node.clone());
+    let mut pause = FIRST_PAUSE;
     loop {
         match dial(to, &hello).await {
             Ok(connection) => {
+                pause = FIRST_PAUSE;
                 drop_waiting(&mut messages);
                 send_over(connection, &me, &mut messages).await;
                 tracing::debug!(%to, "connection to another member ended");
             }
             Err(error) => tracing::debug!(%to, %error, "another member cannot be reached"),
         }
-        tokio::time::sleep(REDIAL_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = LONGEST_PAUSE.min(pause * 2);
     }
 }
 
