--- a/tier/command/src/usage.rs
+++ b/tier/command/src/usage.rs
@@ -16,7 +16,8 @@
       Asks the controller at ADDRESS (IP:PORT) for its status; --json prints it as received.
   plankhill-tier demo [--programs N]
       Starts a small tier on loopback addresses (Linux), sends N programs (default 40) through it,
-      kills a controller and a proxy, and prints what clients saw. Takes under a minute.
+      kills a controller and a proxy, and prints what clients saw. Takes under a minute. All
+      machines share one disk: where that is busy, let TMPDIR name a folder in memory.
 
 Options:
   --log-format text|json   Form of the log lines on standard output (default: text).
--- a/tier/demo/src/lib.rs
+++ b/tier/demo/src/lib.rs
@@ -19,6 +19,7 @@
 mod report;
 mod scenario;
 pub mod settings_file;
+mod stage;
 mod tally;
 mod target;
 mod target_answer;
