Settings: an empty data_path stands for none; demo's ports away from common ones

Cause: keys may be empty, and ports such as 8001 are often taken on a developer's machine. Change: reader of data_path with its test; ports of the demo from 27001 to 29001.

--- a/tier/demo/src/layout.rs
+++ b/tier/demo/src/layout.rs
@@ -8,13 +8,14 @@
 /// The region of the zones.
 pub const REGION: &str = "inland";
 
-/// First and last port of the traffic inside the tier.
-pub const PORT_RANGE: (u16, u16) = (7400, 7415);
-
-const ADMIN_PORT: u16 = 7001;
-const HTTP_PORT: u16 = 8001;
-const READINESS_PORT: u16 = 8002;
-const TARGET_PORT: u16 = 9001;
+/// First and last port of the traffic inside the tier. All ports of the demo lie below those that
+/// systems hand out by themselves, and away from those that services commonly use.
+pub const PORT_RANGE: (u16, u16) = (27400, 27415);
+
+const ADMIN_PORT: u16 = 27001;
+const HTTP_PORT: u16 = 28001;
+const READINESS_PORT: u16 = 28002;
+const TARGET_PORT: u16 = 29001;
 
 /// Class of a machine; its value is the host part of the first address of the class.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/tier/settings/src/settings.rs
+++ b/tier/settings/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use validator::{Validate, ValidationError};
 
 use crate::{Bounds, FaultTolerance, Limits, Listeners, Zones};
@@ -55,7 +55,7 @@
     #[serde(default)]
     pub counts_for_quorum: bool,
     /// Folder for this process's data, on machines with a disk.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_path")]
     pub data_path: Option<PathBuf>,
     /// Time between two heartbeats of a target, in milliseconds.
     #[validate(range(min = 1, max = MAX_HEARTBEAT_MS, message = "must lie between 1 and 3600000"))]
@@ -140,6 +140,12 @@
     }
 }
 
+/// Reads a path; the empty string stands for none.
+fn optional_path<'de, D: Deserializer<'de>>(source: D) -> Result<Option<PathBuf>, D::Error> {
+    let path = PathBuf::deserialize(source)?;
+    Ok(Some(path).filter(|path| !path.as_os_str().is_empty()))
+}
+
 fn check_port_range(range: &PortRange) -> Result<(), ValidationError> {
     if range.first == 0 {
         return Err(fault("the first port must not be 0"));
--- a/tier/settings/tests/reading.rs
+++ b/tier/settings/tests/reading.rs
@@ -51,6 +51,13 @@
     assert_eq!(none.listeners_map.readiness, None);
 }
 
+#[test]
+fn an_empty_data_path_stands_for_none() {
+    let data_path = |line: &str| read(&VALID.replace("[zones]", &format!("{line}\n[zones]"))).data_path;
+    assert_eq!(data_path("data_path = \"\""), None);
+    assert_eq!(data_path("data_path = \"/data/x\""), Some("/data/x".into()));
+}
+
 #[test]
 fn bounds_take_whole_numbers_fractions_and_truth_values() {
     let bounds = read(VALID).bounds;
