--- a/tier/controller/src/process.rs
+++ b/tier/controller/src/process.rs
@@ -8,11 +8,15 @@
 
 use plankhill_control::Operation;
 use plankhill_protocol::ids::{NodeId, Revision};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::spawn_local;
 
+use crate::admin::serve_admin;
 use crate::change_log::ChangeLog;
 use crate::duties::Duties;
 use crate::feed::Subscribers;
+use crate::internal::{report_to_head, serve_internal};
 use crate::liveness::Liveness;
 use crate::log::ControlLog;
 
@@ -58,7 +62,7 @@
     /// Proposes an operation whose outcome nobody waits for. Must run inside a `LocalSet`.
     pub fn submit(&self, operation: Operation) {
         let log = self.log.clone();
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             if log.propose(operation, SUBMIT_TIMEOUT).await.is_err() {
                 tracing::debug!("an operation found no chain");
             }
@@ -82,6 +86,29 @@
     }
 }
 
+/// Where a controller listens.
+pub struct Listeners {
+    /// For the operator and for targets.
+    pub admin: TcpListener,
+    /// For other processes of the tier.
+    pub internal: TcpListener,
+}
+
+/// Starts everything that a controller does on the current `LocalSet`. No more calls are accepted once `ending`
+/// says true. `heartbeat` is the time between two heartbeats of a target.
+pub fn start_tasks<L: ControlLog>(
+    controller: &Rc<Controller<L>>,
+    listeners: Listeners,
+    heartbeat: Duration,
+    ending: watch::Receiver<bool>,
+) {
+    spawn_local(publish_states(controller.clone()));
+    spawn_local(do_duties(controller.clone(), heartbeat));
+    spawn_local(report_to_head(controller.clone()));
+    spawn_local(serve_internal(controller.clone(), listeners.internal));
+    spawn_local(serve_admin(controller.clone(), listeners.admin, ending));
+}
+
 /// Publishes every newer committed state, for ever.
 pub async fn publish_states<L: ControlLog>(controller: Rc<Controller<L>>) {
     let mut states = controller.log.state();
--- a/tier/controller/src/run.rs
+++ b/tier/controller/src/run.rs
@@ -14,11 +14,9 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::LocalSet;
 
-use crate::admin::serve_admin;
-use crate::internal::{report_to_head, serve_internal};
-use crate::process::{do_duties, publish_states, Controller};
+use crate::process::{start_tasks, Controller, Listeners};
 
 /// Time for leaving the chain and for the calls under way at an orderly end; the platform gives several seconds.
 const LEAVING: Duration = Duration::from_millis(2_000);
@@ -66,14 +64,10 @@
     let admin = settings.listeners_map.admin.ok_or(RunError::Setting("listeners_map.admin"))?;
     let (admin, internal) = (listen_at(admin)?, listen_at(internal_address(&settings))?);
     let log: Log<ControlState> = start(replica_settings(&settings)?)?;
-    let controller =
-        Controller::new(NodeId::from(settings.node_id.as_str()), settings.fault_tolerance.nodes, log.clone());
+    let node = NodeId::from(settings.node_id.as_str());
+    let controller = Controller::new(node, settings.fault_tolerance.nodes, log.clone());
     let (ending, ended) = watch::channel(false);
-    spawn_local(publish_states(controller.clone()));
-    spawn_local(do_duties(controller.clone(), settings.heartbeat()));
-    spawn_local(report_to_head(controller.clone()));
-    spawn_local(serve_internal(controller.clone(), internal));
-    spawn_local(serve_admin(controller.clone(), admin, ended));
+    start_tasks(&controller, Listeners { admin, internal }, settings.heartbeat(), ended);
     tracing::info!(node = %settings.node_id, "controller started");
     loop {
         tokio::select! {
--- /dev/null
+++ b/tier/controller/tests/cluster/mod.rs
@@ -0,0 +1,231 @@
+//! Controllers with their disks, each on a thread of its own, that can be killed at any moment.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use plankhill_control::ControlState;
+use plankhill_controller::process::{start_tasks, Listeners};
+use plankhill_controller::Controller;
+use plankhill_protocol::feed::Subscriber;
+use plankhill_protocol::ids::NodeId;
+use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
+use plankhill_protocol::transport::{listen, Channel, Hello};
+use plankhill_replica::{start, Log, ReplicaSettings};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, watch};
+
+/// Longest wait for one answer, and for a controller to be current, on a busy machine.
+const ANSWER: Duration = Duration::from_secs(20);
+/// Rounds over the machines without a clear answer: a controller may be current and lose that again.
+const TRIES: usize = 20;
+/// Ports that the operating system does not give to outgoing connections by itself.
+const PORTS: std::ops::Range<u16> = 18_000..30_000;
+
+/// Three controllers of one system.
+pub struct Cluster {
+    machines: Vec<Machine>,
+    runtime: tokio::runtime::Runtime,
+}
+
+struct Machine {
+    node: String,
+    admin: SocketAddr,
+    internal: SocketAddr,
+    disk: TempDir,
+    running: Option<Running>,
+}
+
+struct Running {
+    kill: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+/// What came back: status and body.
+pub type Answered = (StatusCode, String);
+
+impl Cluster {
+    /// Three machines at their very first start.
+    pub fn bootstrap() -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let machine = |number: usize| Machine {
+            node: format!("core-{number}"),
+            admin: free_address(),
+            internal: free_address(),
+            disk: TempDir::new().unwrap(),
+            running: None,
+        };
+        let machines = (1..=3).map(machine).collect();
+        let mut cluster = Cluster { machines, runtime };
+        (0..3).for_each(|place| cluster.start(place, true));
+        cluster
+    }
+
+    /// Starts a machine with the disk that it has.
+    pub fn start(&mut self, place: usize, bootstrap: bool) {
+        let machine = &self.machines[place];
+        let settings = ReplicaSettings {
+            node: NodeId::from(machine.node.as_str()),
+            address: machine.internal,
+            folder: PathBuf::from(machine.disk.path()),
+            seeds: self.machines.iter().map(|machine| machine.internal).collect(),
+            bootstrap,
+            tolerated: 1,
+        };
+        let admin = machine.admin;
+        let (kill, killed) = oneshot::channel();
+        let thread = std::thread::spawn(move || run(settings, admin, killed));
+        self.machines[place].running = Some(Running { kill, thread });
+    }
+
+    /// Kills a machine; what it has not synced may be lost.
+    pub fn kill(&mut self, place: usize) {
+        let running = self.machines[place].running.take().unwrap();
+        // A thread that ended already needs no telling.
+        let _ = running.kill.send(());
+        running.thread.join().unwrap();
+    }
+
+    /// Gives a machine an empty disk.
+    pub fn wipe(&mut self, place: usize) {
+        self.machines[place].disk = TempDir::new().unwrap();
+    }
+
+    /// The place of the machine that heads the chain, as one of the others sees it.
+    pub fn head(&self, seen_from: usize) -> usize {
+        let (_, status) = self.call(seen_from, "GET", "/-/status", None, "").unwrap();
+        let named = |machine: &Machine| status.find(&format!("\"{}\"", machine.node));
+        let chain = status.find("\"chain\":[").unwrap();
+        let head = &status[chain..];
+        let first = |machine: &Machine| head.find(&format!("\"{}\"", machine.node));
+        assert!(self.machines.iter().any(|machine| named(machine).is_some()));
+        (0..3).min_by_key(|place| first(&self.machines[*place]).unwrap_or(usize::MAX)).unwrap()
+    }
+
+    /// One call; `None` if no answer came.
+    pub fn call(
+        &self,
+        place: usize,
+        method: &str,
+        path: &str,
+        expected: Option<u64>,
+        body: &str,
+    ) -> Option<Answered> {
+        let address = self.machines[place].admin;
+        let mut request = Request::builder().method(method).uri(path).header("Host", "controller");
+        if let Some(expected) = expected {
+            request = request.header("If-Match", expected.to_string());
+        }
+        let request = request.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+        let exchange = async { tokio::time::timeout(ANSWER, exchange(address, request)).await.ok()? };
+        self.runtime.block_on(exchange)
+    }
+
+    /// Calls the machines in turn, as the operator does, until one gives a clear answer.
+    pub fn call_until_clear(
+        &self,
+        places: &[usize],
+        method: &str,
+        path: &str,
+        expected: Option<u64>,
+        body: &str,
+    ) -> Answered {
+        for _ in 0..TRIES {
+            let mut answers =
+                places.iter().filter_map(|place| self.call(*place, method, path, expected, body));
+            let clear = answers.find(|(status, _)| *status != StatusCode::SERVICE_UNAVAILABLE);
+            if let Some(clear) = clear {
+                return clear;
+            }
+            self.wait_until_current(places);
+        }
+        panic!("no clear answer");
+    }
+
+    /// Waits until one of the machines says that it is current.
+    fn wait_until_current(&self, places: &[usize]) {
+        let addresses = places.iter().map(|place| self.machines[*place].internal).collect();
+        let waiting = async {
+            let (_keep, candidates) = watch::channel(addresses);
+            let subscription = Subscription::start(SubscriptionOptions {
+                hello: Hello::new(Channel::Feed, NodeId::from("operator")),
+                subscriber: Subscriber::Proxy,
+                candidates,
+                silence: CONTROLLER_SILENCE,
+            });
+            let mut standing = subscription.standing();
+            let current = standing.wait_for(|standing| standing.current);
+            let in_time = tokio::time::timeout(ANSWER, current).await.is_ok();
+            assert!(in_time, "no controller is current");
+        };
+        tokio::task::LocalSet::new().block_on(&self.runtime, waiting);
+    }
+
+    /// Sends a configuration until there is a clear answer.
+    pub fn put(&self, places: &[usize], expected: u64, document: &str) -> StatusCode {
+        self.call_until_clear(places, "PUT", "/-/config", Some(expected), document).0
+    }
+
+    /// Reads the configuration until there is a clear answer.
+    pub fn get(&self, place: usize) -> String {
+        self.call_until_clear(&[place], "GET", "/-/config", None, "").1
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for place in 0..self.machines.len() {
+            if self.machines[place].running.is_some() {
+                self.kill(place);
+            }
+        }
+    }
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answered> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// An address that nobody listens at, another one with every call.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let span = PORTS.end - PORTS.start;
+    // Tests of several processes begin at different places.
+    let first = (std::process::id() % u32::from(span)) as u16;
+    loop {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(first) % span;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn run(settings: ReplicaSettings, admin: SocketAddr, killed: oneshot::Receiver<()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let set = tokio::task::LocalSet::new();
+    set.block_on(&runtime, async move {
+        let (node, address) = (settings.node.clone(), settings.address);
+        let log: Log<ControlState> = start(settings).unwrap();
+        let controller = Controller::new(node, 1, log);
+        let listeners = Listeners { admin: listen(admin).unwrap(), internal: listen(address).unwrap() };
+        let (_ending, ended) = watch::channel(false);
+        start_tasks(&controller, listeners, Duration::from_millis(1_200), ended);
+        // Resolves also when the test has gone.
+        let _ = killed.await;
+    });
+}
--- /dev/null
+++ b/tier/controller/tests/three_controllers.rs
@@ -0,0 +1,68 @@
+//! The operator's orders over three controllers with their disks, while some are killed or lose a disk.
+
+mod cluster;
+mod common;
+
+use cluster::Cluster;
+use common::{configuration, configuration_with, heartbeat};
+use hyper::StatusCode;
+
+const ALL: [usize; 3] = [0, 1, 2];
+
+fn others(place: usize) -> Vec<usize> {
+    ALL.into_iter().filter(|other| *other != place).collect()
+}
+
+#[test]
+fn what_was_acknowledged_outlives_the_head_and_is_acknowledged_again() {
+    let mut cluster = Cluster::bootstrap();
+    assert_eq!(cluster.put(&ALL, 0, &configuration(5)), StatusCode::OK);
+    let head = cluster.head(0);
+    cluster.kill(head);
+    let left = others(head);
+    for place in &left {
+        assert_eq!(cluster.put(&[*place], 0, &configuration(5)), StatusCode::OK);
+        assert_eq!(cluster.get(*place), configuration(5));
+    }
+    assert_eq!(cluster.put(&left, 5, &configuration(7)), StatusCode::OK);
+    assert_eq!(cluster.put(&left, 5, &configuration_with(7, 2)), StatusCode::PRECONDITION_FAILED);
+    cluster.start(head, false);
+    assert_eq!(cluster.get(head), configuration(7));
+    assert_eq!(cluster.put(&[head], 0, &configuration(5)), StatusCode::OK);
+}
+
+#[test]
+fn a_controller_that_lost_its_disk_answers_with_the_newest() {
+    let mut cluster = Cluster::bootstrap();
+    assert_eq!(cluster.put(&ALL, 0, &configuration(5)), StatusCode::OK);
+    cluster.kill(1);
+    cluster.wipe(1);
+    cluster.start(1, false);
+    assert_eq!(cluster.get(1), configuration(5));
+    assert_eq!(cluster.put(&[1], 5, &configuration(7)), StatusCode::OK);
+}
+
+#[test]
+fn all_killed_at_once_come_back_with_what_was_acknowledged() {
+    let mut cluster = Cluster::bootstrap();
+    assert_eq!(cluster.put(&ALL, 0, &configuration(5)), StatusCode::OK);
+    let target = heartbeat("draining", 3);
+    let path = "/-/instances/i-1";
+    assert_eq!(cluster.call_until_clear(&ALL, "PUT", path, None, &target).0, StatusCode::OK);
+    ALL.into_iter().for_each(|place| cluster.kill(place));
+    ALL.into_iter().for_each(|place| cluster.start(place, false));
+    assert_eq!(cluster.put(&ALL, 5, &configuration(9)), StatusCode::OK);
+    ALL.into_iter().for_each(|place| assert_eq!(cluster.get(place), configuration(9)));
+}
+
+#[test]
+fn one_controller_alone_acknowledges_nothing() {
+    let mut cluster = Cluster::bootstrap();
+    assert_eq!(cluster.put(&ALL, 0, &configuration(5)), StatusCode::OK);
+    cluster.kill(1);
+    cluster.kill(2);
+    let answered = cluster.call(0, "PUT", "/-/config", Some(5), &configuration(7));
+    assert_eq!(answered.map(|(status, _)| status), Some(StatusCode::SERVICE_UNAVAILABLE));
+    let answered = cluster.call(0, "GET", "/-/config", None, "");
+    assert_eq!(answered.map(|(status, _)| status), Some(StatusCode::SERVICE_UNAVAILABLE));
+}
