--- a/tier/protocol/src/subscription/link.rs
+++ b/tier/protocol/src/subscription/link.rs
@@ -2,18 +2,23 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 
 use super::exchange::{Ended, Exchange};
 use super::{LinkStanding, Order, Rotation, SubscriptionOptions};
 use crate::feed::FromSubscriber;
 use crate::tables::Tables;
-use crate::transport::{dial, Connection, TransportError};
+use crate::transport::{dial, Connection, Hello, TransportError};
 
 /// Feeders learnt from a feeder that are kept.
 const MOST_FEEDERS: usize = 64;
+/// A candidate that has not answered after this time is given company: many times the way there and back.
+const STAGGER: Duration = Duration::from_millis(150);
+/// Candidates dialed at once at most.
+const DIALS_AT_ONCE: usize = 4;
 
 /// The state of a subscription's task.
 pub(super) struct Link {
@@ -38,22 +43,47 @@
     pub(super) async fn run(mut self) {
         let mut rotation = Rotation::new(&self.options.hello.node);
         while !self.orders.is_closed() {
-            let candidates = self.candidates();
-            let ended = match rotation.next(&candidates) {
-                Some(address) => self.follow(address, candidates.len()).await,
-                None => Ended::Feeder { useful: false },
-            };
+            let Some(connection) = self.connect(&mut rotation).await else { return };
+            let ended = self.follow(connection).await;
             self.stand(false, false, None);
             match ended {
                 Ended::Owner => return,
                 Ended::Feeder { useful: true } => rotation.useful(),
                 Ended::Feeder { useful: false } => {
-                    tokio::time::sleep(rotation.useless(candidates.len())).await;
+                    tokio::time::sleep(rotation.useless(self.candidates().len())).await;
                 }
             }
         }
     }
 
+    /// The first connection that comes up; None when the owner has dropped the subscription. A machine without
+    /// power says nothing, so the next candidate is dialed while the last has not answered.
+    async fn connect(&mut self, rotation: &mut Rotation) -> Option<Connection> {
+        let mut dials = JoinSet::new();
+        let mut next = Instant::now();
+        while !self.orders.is_closed() {
+            let at_once = self.candidates().len().clamp(1, DIALS_AT_ONCE);
+            tokio::select! {
+                biased;
+                Some(dialed) = dials.join_next() => match dialed {
+                    Ok(Ok(connection)) => return Some(connection),
+                    _ => next = Instant::now() + rotation.useless(self.candidates().len()),
+                },
+                () = tokio::time::sleep_until(next.into()), if dials.len() < at_once => {
+                    let candidates = self.candidates();
+                    match rotation.next(&candidates) {
+                        Some(address) => {
+                            dials.spawn_local(dial_feeder(address, self.options.hello.clone()));
+                            next = Instant::now() + STAGGER;
+                        }
+                        None => next = Instant::now() + rotation.useless(0),
+                    }
+                }
+            }
+        }
+        None
+    }
+
     /// Feeders to try besides those of the owner.
     pub(super) fn learn(&mut self, mut feeders: Vec<SocketAddr>) {
         feeders.truncate(MOST_FEEDERS);
@@ -88,25 +118,24 @@
         candidates
     }
 
-    /// One connection, from dialing to its end.
-    async fn follow(&mut self, address: SocketAddr, candidates: usize) -> Ended {
-        match self.subscribe(address).await {
-            Ok(connection) => {
-                tracing::info!(%address, "subscribed");
-                Exchange::new(self, connection.writer, address, candidates > 1).run(connection.reader).await
-            }
-            Err(error) => {
-                tracing::debug!(%address, %error, "feeder not reached");
-                Ended::Feeder { useful: false }
-            }
+    /// One connection, from its first message to its end.
+    async fn follow(&mut self, connection: Connection) -> Ended {
+        let Connection { address, reader, mut writer, .. } = connection;
+        let held = self.tables.borrow().revision;
+        let subscriber = self.options.subscriber.clone();
+        if writer.send(&FromSubscriber::Subscribe { subscriber, held }).await.is_err() {
+            return Ended::Feeder { useful: false };
         }
+        tracing::info!(%address, "subscribed");
+        let others = self.candidates().len() > 1;
+        Exchange::new(self, writer, address, others).run(reader).await
     }
+}
 
-    async fn subscribe(&self, address: SocketAddr) -> Result<Connection, TransportError> {
-        let mut connection = dial(address, &self.options.hello).await?;
-        let held = self.tables.borrow().revision;
-        let subscriber = self.options.subscriber.clone();
-        connection.writer.send(&FromSubscriber::Subscribe { subscriber, held }).await?;
-        Ok(connection)
+async fn dial_feeder(address: SocketAddr, hello: Hello) -> Result<Connection, TransportError> {
+    let dialed = dial(address, &hello).await;
+    if let Err(error) = &dialed {
+        tracing::debug!(%address, %error, "feeder not reached");
     }
+    dialed
 }
--- a/tier/protocol/src/subscription/rotation.rs
+++ b/tier/protocol/src/subscription/rotation.rs
@@ -9,7 +9,7 @@
 /// Pause after the first round in which no feeder was of use; it doubles with each further round.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between tries: well under the time within which a change must have spread.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 /// Doublings until the longest pause.
 const MOST_DOUBLINGS: usize = 3;
 
--- a/tier/protocol/tests/rotation.rs
+++ b/tier/protocol/tests/rotation.rs
@@ -29,7 +29,7 @@
 fn pauses_stay_short_and_begin_anew_after_success() {
     let mut rotation = Rotation::new(&NodeId::from("edge-1"));
     for _ in 0..1_000 {
-        assert!(rotation.useless(3) <= Duration::from_millis(400));
+        assert!(rotation.useless(3) <= Duration::from_millis(250));
     }
     rotation.useful();
     assert_eq!(rotation.useless(3), Duration::ZERO);
--- a/tier/protocol/tests/subscription.rs
+++ b/tier/protocol/tests/subscription.rs
@@ -142,3 +142,16 @@
         assert!(feeder.reader.next::<FromSubscriber>().await.is_err());
     });
 }
+
+/// A listener whose queue is full, as far as the dialing side can tell: it takes connections and says nothing.
+#[test]
+fn a_feeder_that_says_nothing_does_not_hold_up_the_others() {
+    run(async {
+        let (dark, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let _subscription = subscribe(&[&dark, &other], PATIENT);
+        let (stream, address) = other.accept().await.unwrap();
+        let mut connection = accept(stream, address, &hello()).await.unwrap();
+        let first: FromSubscriber = connection.reader.next().await.unwrap();
+        assert!(matches!(first, FromSubscriber::Subscribe { .. }));
+    });
+}
