--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -18,7 +18,7 @@
 const BOUND_SHARE: f64 = 1.25;
 const BOUND_FEW: f64 = 6.0;
 /// What is read delays all that is under way at the target: by so much more for each.
-const CROWDED_READING: f64 = 0.25;
+const CROWDED_READING: f64 = 0.6;
 /// Added to wake-ups, so that none comes a rounding error early.
 const ROUNDING: Ms = 0.01;
 
@@ -103,6 +103,8 @@
         self.holds.remove(key);
         request.is_out = true;
         known.load.sent();
+        let missing = f64::from(known.kept.missing(&request.chains));
+        known.load.reads(self.now, TOKEN_COST * missing);
         known.kept.note(&request.chains);
         self.commands.push(Command::Send {
             request: key,
--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -34,6 +34,7 @@
     reported_at: Ms,
     usual_answer: Option<Ms>,
     avoided_until: Ms,
+    reading_until: Ms,
 }
 
 impl TargetLoad {
@@ -46,6 +47,7 @@
             reported_at: 0.0,
             usual_answer: None,
             avoided_until: f64::NEG_INFINITY,
+            reading_until: f64::NEG_INFINITY,
         }
     }
 
@@ -59,6 +61,11 @@
         self.out += 1;
     }
 
+    /// A prompt that takes so long to read was sent there.
+    pub fn reads(&mut self, now: Ms, reading: Ms) {
+        self.reading_until = self.reading_until.max(now) + reading;
+    }
+
     /// A call has ended.
     pub fn ended(&mut self) {
         self.out = self.out.saturating_sub(1);
@@ -107,7 +114,8 @@
         let running = estimate.min(self.slots);
         let waiting = estimate - running;
         let avoided = if now < self.avoided_until { AVOIDED_COST } else { 0.0 };
-        all_slots * running / self.slots + waiting * self.answer_time() / self.slots + avoided
+        let reads = (self.reading_until - now).max(0.0);
+        reads + all_slots * running / self.slots + waiting * self.answer_time() / self.slots + avoided
     }
 
     /// How long a target that refused as full takes nothing: until a tenth of what it has there is done.
