Store: after a start it compares with the other stores and takes in what it missed

A store compares digests with each serving store after its start, takes what it lacks and hints what they lack; a store that missed its own write lets another keep the hint. Tests: more kinds of trouble (one-way cuts, failing disks, replaced machines, several killed, a wipe with a kill on top).

--- a/tier/store/src/figures.rs
+++ b/tier/store/src/figures.rs
@@ -16,6 +16,10 @@
 pub const HINT_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause before copying from stores that failed is tried again.
 pub const COPY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between tries to compare with the other stores after a start.
+pub const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+/// Such tries: they cover a start at which all stores come back one after the other.
+pub const CATCH_UP_ROUNDS: u32 = 25;
 /// While a turn runs its chain is kept at least this long, in milliseconds.
 pub const RUNNING_TURN_MS: u64 = 60_000;
 /// Bytes of one chain at most: what fits into one frame with room to spare.
--- a/tier/store/src/node/hints.rs
+++ b/tier/store/src/node/hints.rs
@@ -90,11 +90,12 @@
         }
         let (program, turn) = (&ended.program, &ended.turn);
         let holds = replicas(&view.serving, program, view.faults);
-        if holds.iter().any(|holder| holder.address == self.parts.me.address) {
+        let here = self.parts.me.address;
+        if member.address != here && holds.iter().any(|holder| holder.address == here) {
             self.add_hint(&member.node, program, turn);
             return;
         }
-        // This store does not hold the turn: one that does keeps the hint.
+        // This store does not hold the turn, or has missed it itself: one that holds it keeps the hint.
         let Some(holder) = holds.into_iter().find(|holder| holder.node != member.node).cloned() else {
             return;
         };
--- a/tier/store/src/node/load.rs
+++ b/tier/store/src/node/load.rs
@@ -48,7 +48,8 @@
     pub async fn run(self: Rc<Self>) {
         let view = self.view();
         let copying = self.copy_for(&view);
-        tokio::join!(copying, self.clone().run_expiry(), self.clone().run_repair());
+        let catching_up = self.catch_up();
+        tokio::join!(copying, catching_up, self.clone().run_expiry(), self.clone().run_repair());
     }
 }
 
--- a/tier/store/src/node/mod.rs
+++ b/tier/store/src/node/mod.rs
@@ -1,8 +1,10 @@
 //! One store: answers proxies and other stores, repairs what others missed, copies what belongs to it.
 
 mod begin;
+mod catch_up;
 mod chain;
 mod copy;
+mod copy_source;
 mod end;
 mod expiry;
 mod hints;
--- a/tier/store/src/node/replica.rs
+++ b/tier/store/src/node/replica.rs
@@ -54,8 +54,8 @@
                 self.add_hint(&node, &program, &turn);
                 PeerResponse::Done
             }
-            PeerRequest::ListPrograms { store, after } => {
-                self.list_programs(epoch, &store, after.as_ref()).await
+            PeerRequest::ListPrograms { set, store, after } => {
+                self.list_programs(epoch, set, &store, after.as_ref()).await
             }
             PeerRequest::OutlinePrograms { programs } => self.outline_programs(&programs),
             PeerRequest::FetchTurns { turns } => self.fetch_turns(&turns),
--- a/tier/store/src/node/serve_copies.rs
+++ b/tier/store/src/node/serve_copies.rs
@@ -2,7 +2,7 @@
 
 use plankhill_protocol::ids::{ProgramId, RequestId, StoreEpoch};
 use plankhill_protocol::tables::StoreMember;
-use plankhill_turns::peer::PeerResponse;
+use plankhill_turns::peer::{PeerResponse, StoreSet};
 use plankhill_turns::placement::holds;
 
 use super::Node;
@@ -12,21 +12,26 @@
 use crate::peers::Peers;
 
 impl<P: Peers, D: Disk, C: Clock> Node<P, D, C> {
-    /// Lists what belongs to a store in the next set. The view of that set is on disk here before the answer,
-    /// so that no write of an older one is taken any more, in this life or a later one.
+    /// Lists what belongs to a store in a set. The view is on disk here before the answer, so that no write of
+    /// an older one is taken any more, in this life or a later one.
     pub(super) async fn list_programs(
         &self,
         epoch: StoreEpoch,
+        set: StoreSet,
         store: &StoreMember,
         after: Option<&ProgramId>,
     ) -> PeerResponse {
         self.durable(epoch).await;
         let state = self.state.borrow();
         let view = &state.view;
-        let Some(next) = view.next.as_ref().filter(|_| view.epoch == epoch) else {
+        let members = match set {
+            StoreSet::Serving => Some(&view.serving),
+            StoreSet::Next => view.next.as_ref(),
+        };
+        let Some(members) = members.filter(|_| view.epoch == epoch) else {
             return PeerResponse::OldEpoch(view.clone());
         };
-        let belongs = |program: &ProgramId| holds(next, program, view.faults, store);
+        let belongs = |program: &ProgramId| holds(members, program, view.faults, store);
         PeerResponse::Programs(state.index.list(after, PAGE_PROGRAMS, belongs))
     }
 
--- a/tier/store/tests/epoch_fence.rs
+++ b/tier/store/tests/epoch_fence.rs
@@ -14,6 +14,17 @@
     NodeId::from(format!("store-{number}").as_str())
 }
 
+fn cut_off(world: &Rc<World>, number: u64, is_cut: bool) {
+    let mut network = world.network.borrow_mut();
+    if is_cut {
+        network.unheard.insert(store(number));
+        network.deafened.insert(store(number));
+    } else {
+        network.unheard.remove(&store(number));
+        network.deafened.remove(&store(number));
+    }
+}
+
 async fn reserve(world: &Rc<World>, at: u64, turn: &str) -> StoreReply {
     let address = world.machines.borrow()[&store(at)].member.address;
     let call = StoreCall::BeginTurn {
@@ -36,15 +47,15 @@
     tokio::task::spawn_local(world.clone().run_control());
     tokio::time::sleep(milliseconds(200)).await;
     world.network.borrow_mut().deaf.insert(store(1));
-    world.network.borrow_mut().cut_off.insert(store(1));
+    cut_off(&world, 1, true);
     [3, 4].into_iter().for_each(|number| world.add_machine(number));
     world.retired.borrow_mut().extend([store(1), store(2)]);
     tokio::time::sleep(milliseconds(4_000)).await;
     let serving: Vec<NodeId> = world.view.borrow().serving.iter().map(|member| member.node.clone()).collect();
     assert_eq!(serving, [store(0), store(3), store(4)]);
     let granted = reserve(&world, 3, "first").await;
-    world.network.borrow_mut().cut_off.remove(&store(1));
-    world.network.borrow_mut().cut_off.insert(store(0));
+    cut_off(&world, 1, false);
+    cut_off(&world, 0, true);
     let late = reserve(&world, 1, "second").await;
     world.ended.set(true);
     (granted, late)
--- a/tier/store/tests/world/control.rs
+++ b/tier/store/tests/world/control.rs
@@ -57,7 +57,7 @@
     fn has_copied(&self, member: &StoreMember, view: &StoreView) -> bool {
         let machines = self.machines.borrow();
         let Some(machine) = machines.get(&member.node) else { return false };
-        let reached = !self.network.borrow().cut_off.contains(&member.node);
+        let reached = !self.network.borrow().unheard.contains(&member.node);
         let copied = machine.node().and_then(|node| *node.copied_epoch().borrow());
         reached && machine.member == *member && copied == Some(view.epoch)
     }
@@ -76,7 +76,7 @@
     fn tell(self: &Rc<Self>, node: &NodeId, view: &StoreView) {
         let cut = {
             let network = self.network.borrow();
-            network.cut_off.contains(node) || network.deaf.contains(node)
+            network.deafened.contains(node) || network.deaf.contains(node)
         };
         let machines = self.machines.borrow();
         let Some(machine) = machines.get(node) else { return };
--- a/tier/store/tests/world/faults.rs
+++ b/tier/store/tests/world/faults.rs
@@ -19,28 +19,43 @@
     Wipe,
     Freeze,
     CutOff,
+    /// One hears everybody and is heard by nobody, or the other way round.
+    CutOneWay,
     SlowDisk,
+    /// The disk takes no writes for a while.
+    FailingDisk,
     Retire,
     Add,
+    /// One is replaced by an empty one at another address.
+    Replace,
     /// One hears nothing from the control plane for a while; the next trouble comes meanwhile.
     Deaf,
     /// All lose power.
     Power,
     /// One loses its disk while all others lose power.
     PowerAndWipe,
+    /// One loses its disk, and another one loses power before the first has copied anything.
+    WipeThenKill,
+    /// Several processes are killed at once.
+    KillSeveral,
 }
 
-const ALL: [Trouble; 10] = [
+const ALL: [Trouble; 15] = [
     Trouble::Kill,
     Trouble::Wipe,
     Trouble::Freeze,
     Trouble::CutOff,
+    Trouble::CutOneWay,
     Trouble::SlowDisk,
+    Trouble::FailingDisk,
     Trouble::Retire,
     Trouble::Add,
+    Trouble::Replace,
     Trouble::Deaf,
     Trouble::Power,
     Trouble::PowerAndWipe,
+    Trouble::WipeThenKill,
+    Trouble::KillSeveral,
 ];
 
 impl World {
@@ -71,13 +86,35 @@
                 self.freeze(&node, away);
                 tokio::time::sleep(milliseconds(away + CATCH_UP_MS)).await;
             }
-            Trouble::CutOff => {
-                self.network.borrow_mut().cut_off.insert(node.clone());
+            Trouble::CutOff => self.cut(&node, true, true, away).await,
+            Trouble::CutOneWay => {
+                let hears = self.chance(50);
+                self.cut(&node, !hears, hears, away).await;
+            }
+            Trouble::SlowDisk => self.slow_disk(&node, away).await,
+            Trouble::FailingDisk => self.failing_disk(&node, away).await,
+            Trouble::Replace => {
+                self.remove(&node);
                 tokio::time::sleep(milliseconds(away)).await;
-                self.network.borrow_mut().cut_off.remove(&node);
+                self.add_machine_named(number, &node);
+                tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+            }
+            Trouble::WipeThenKill => {
+                self.wipe(&node);
+                tokio::time::sleep(milliseconds(away)).await;
+                self.start(&node);
+                tokio::time::sleep(milliseconds(self.within(0..700))).await;
+                let other = nodes[self.within(0..nodes.len() as u64) as usize].clone();
+                self.kill(&other);
+                self.back_after(&other, 1_500).await;
+            }
+            Trouble::KillSeveral => {
+                let killed: Vec<NodeId> = nodes.into_iter().filter(|_| self.chance(60)).collect();
+                killed.iter().for_each(|node| self.kill(node));
+                tokio::time::sleep(milliseconds(self.within(20..1_000))).await;
+                killed.iter().for_each(|node| self.start(node));
                 tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
             }
-            Trouble::SlowDisk => self.slow_disk(&node, away).await,
             Trouble::Retire => self.retire(&node).await,
             Trouble::Add => {
                 self.add_machine(number);
@@ -97,6 +134,29 @@
         });
     }
 
+    async fn cut(&self, node: &NodeId, to: bool, from: bool, away: u64) {
+        {
+            let mut network = self.network.borrow_mut();
+            network.unheard.extend(from.then(|| node.clone()));
+            network.deafened.extend(to.then(|| node.clone()));
+        }
+        tokio::time::sleep(milliseconds(away)).await;
+        self.network.borrow_mut().unheard.remove(node);
+        self.network.borrow_mut().deafened.remove(node);
+        tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+    }
+
+    /// The process notices a disk that fails, ends, and starts anew once the disk is well.
+    async fn failing_disk(self: &Rc<Self>, node: &NodeId, away: u64) {
+        let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
+        let Some(disk) = disk else { return };
+        disk.set_failing(true);
+        tokio::time::sleep(milliseconds(away)).await;
+        self.kill(node);
+        disk.set_failing(false);
+        self.back_after(node, 100).await;
+    }
+
     async fn slow_disk(&self, node: &NodeId, away: u64) {
         let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
         let Some(disk) = disk else { return };
--- a/tier/store/tests/world/machine.rs
+++ b/tier/store/tests/world/machine.rs
@@ -83,19 +83,23 @@
 impl World {
     pub fn add_machine(self: &Rc<Self>, number: u64) {
         let name = format!("store-{number}");
+        self.add_machine_named(number, &NodeId::from(name.as_str()));
+    }
+
+    /// A machine with an empty disk at the address that goes with the number.
+    pub fn add_machine_named(self: &Rc<Self>, number: u64, node: &NodeId) {
         let ip = Ipv4Addr::new(10, 0, 0, 1 + number as u8);
         let member = StoreMember {
-            node: NodeId::from(name.as_str()),
+            node: node.clone(),
             incarnation: Incarnation(1_000 * number + 1),
             address: SocketAddr::from((ip, 7_000)),
             zone: ZoneName::from(format!("zone-{}", number % 3).as_str()),
         };
-        let node = member.node.clone();
         let disk = MemoryDisk::new(milliseconds(self.within(2..10)));
         disk.set_ignores_syncs(self.plant == Plant::DisksIgnoreSyncs);
         let machine = Machine { member, disk, frozen_until: None, life: None };
         self.machines.borrow_mut().insert(node.clone(), machine);
-        self.start(&node);
+        self.start(node);
     }
 
     pub fn node_at(&self, address: SocketAddr) -> Option<NodeId> {
--- a/tier/store/tests/world/mod.rs
+++ b/tier/store/tests/world/mod.rs
@@ -37,7 +37,7 @@
     DisksIgnoreSyncs,
     /// Stores are told that no store may be lost.
     NoSpareCopies,
-    /// A store whose disk is empty calls itself what it was before.
+    /// A store whose disk is empty calls itself what it was before, and copies nothing.
     SameIncarnation,
     /// The control plane does not wait for copies.
     SwitchesAtOnce,
@@ -47,7 +47,7 @@
     FastClocks,
     /// Stores do not refuse calls of older views.
     NoFence,
-    /// What stores send to others as repairs is lost.
+    /// What stores send to others as repairs is lost, and they copy nothing.
     NoRepairs,
 }
 
--- a/tier/store/tests/world/network.rs
+++ b/tier/store/tests/world/network.rs
@@ -18,8 +18,10 @@
 
 #[derive(Default)]
 pub struct Network {
-    /// Machines that reach nobody; "control" and proxies are never cut off themselves.
-    pub cut_off: BTreeSet<NodeId>,
+    /// Machines that nobody hears.
+    pub unheard: BTreeSet<NodeId>,
+    /// Machines that hear nobody.
+    pub deafened: BTreeSet<NodeId>,
     /// Machines that hear nothing from the control plane.
     pub deaf: BTreeSet<NodeId>,
     /// Lost messages in a hundred.
@@ -71,7 +73,8 @@
         tokio::time::sleep(milliseconds(self.within(1..5))).await;
         let lost = {
             let network = self.network.borrow();
-            let cut = [from, to].into_iter().flatten().any(|node| network.cut_off.contains(node));
+            let cut = from.is_some_and(|from| network.unheard.contains(from))
+                || to.is_some_and(|to| network.deafened.contains(to));
             cut || self.chance(network.loss)
         };
         if lost {
@@ -104,11 +107,11 @@
     }
 
     fn harmed_answer(&self, mut answer: StoreAnswer) -> StoreAnswer {
-        if let (Plant::AccountsUntold, StoreAnswer::Peer(PeerReply { body, .. })) = (self.plant, &mut answer)
-        {
-            if let PeerResponse::Account(account) = body {
-                *account = Account::default();
-            }
+        let StoreAnswer::Peer(PeerReply { body, .. }) = &mut answer else { return answer };
+        match (self.plant, body) {
+            (Plant::AccountsUntold, PeerResponse::Account(account)) => *account = Account::default(),
+            (Plant::SameIncarnation | Plant::NoRepairs, PeerResponse::Programs(programs)) => programs.clear(),
+            _ => {}
         }
         answer
     }
--- a/tier/turns/src/peer.rs
+++ b/tier/turns/src/peer.rs
@@ -62,8 +62,10 @@
         /// The turn.
         turn: RequestId,
     },
-    /// List the programs that belong to the caller in the next set, in the order of their names.
+    /// List the programs that belong to the caller in a set, in the order of their names.
     ListPrograms {
+        /// The set.
+        set: StoreSet,
         /// The caller.
         store: StoreMember,
         /// Where to go on; None to begin.
@@ -83,6 +85,15 @@
     TakeView(StoreView),
 }
 
+/// One of the sets of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreSet {
+    /// Those that hold everything.
+    Serving,
+    /// Those that take over.
+    Next,
+}
+
 /// What became of a turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedTurn {
