--- a/tier/control/src/targets.rs
+++ b/tier/control/src/targets.rs
@@ -51,9 +51,10 @@
 
     /// Whether the report tells nothing that [`Targets::set`] would change.
     pub fn is_known(&self, report: &Target) -> bool {
-        let late_or_same =
-            |held: &Arc<Target>| report.sequence <= held.sequence || says_the_same(held, report);
-        self.has_ended(&report.id) || self.registered.get(&report.id).is_some_and(late_or_same)
+        match self.registered.get(&report.id) {
+            Some(held) => report.sequence <= held.sequence || says_the_same(held, report),
+            None => self.has_ended(&report.id),
+        }
     }
 
     /// Takes a report. A report of an ended target, a late one, and one that says nothing new change nothing.
