Proxy: memory bound, SIGHUP, last bytes before the end, promises of targets checked

Cause: SIGHUP ended the process; the process could end between a stream's last piece and its writing; bodies were bounded one by one but not together; a 503 of a target without Not-Executed would have been passed on as a promise. Change: Signals catches both; a body holds the work until it is sent; Memory bounds bodies, chains and outputs; such an answer counts as broken. A client's Last-Event-Id bounds the ids of a stream from below.

--- a/tier/proxy/src/body.rs
+++ b/tier/proxy/src/body.rs
@@ -7,6 +7,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::process::Work;
+
 /// A stream broke: the connection to the client is to end without the end of the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
@@ -27,7 +29,12 @@
     /// Known whole; taken once.
     Whole(Option<Bytes>),
     /// Pieces as they come. A sender that goes away without [`Piece::End`] cuts the body off.
-    Pieces(mpsc::Receiver<Piece>),
+    Pieces {
+        /// What comes.
+        pieces: mpsc::Receiver<Piece>,
+        /// The process does not end before the body has been sent.
+        work: Work,
+    },
 }
 
 impl AnswerBody {
@@ -47,7 +54,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            AnswerBody::Pieces(pieces) => pieces.poll_recv(context).map(|piece| match piece {
+            AnswerBody::Pieces { pieces, .. } => pieces.poll_recv(context).map(|piece| match piece {
                 Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(Piece::End) => None,
                 None => Some(Err(Cut)),
@@ -64,7 +71,7 @@
             AnswerBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            AnswerBody::Pieces(_) => SizeHint::default(),
+            AnswerBody::Pieces { .. } => SizeHint::default(),
         }
     }
 }
--- a/tier/proxy/src/exchange.rs
+++ b/tier/proxy/src/exchange.rs
@@ -13,11 +13,11 @@
 use plankhill_protocol::ids::RequestId;
 use tokio::time::{timeout_at, Instant};
 
-use crate::admission::Call;
 use crate::clock::Clock;
 use crate::connect::connect;
 use crate::facts::{number, text};
 use crate::headers;
+use crate::orders::Call;
 use crate::target_pool::{OpenPermit, TargetConnection, TargetPool};
 
 /// A connection that takes longer to come up counts as failed: far more than any way to a target.
@@ -192,10 +192,21 @@
         // Over a new connection no other answer can be on its way.
         None => !connection.reused,
     };
-    let stamped = head.headers.contains_key(headers::UPSTREAM_SIGNATURE);
-    let success = head.status.is_success();
-    if !ours || head.status.is_informational() || (success && !stamped) {
+    if !ours || head.status.is_informational() || !is_plausible(head.status, &head.headers) {
         return Err(Fate::Reset);
     }
     Ok(TargetHead { status: head.status, headers: head.headers, body, connection })
 }
+
+/// A success has the target's stamp. A status that promises that the request has not run says so in its
+/// headers; without that it can be passed on neither as it is nor with another status.
+fn is_plausible(status: StatusCode, headers: &HeaderMap) -> bool {
+    let stamped = headers.contains_key(headers::UPSTREAM_SIGNATURE);
+    let not_executed = headers.contains_key(headers::NOT_EXECUTED);
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT => {
+            not_executed
+        }
+        _ => stamped || !status.is_success(),
+    }
+}
--- a/tier/proxy/src/intake.rs
+++ b/tier/proxy/src/intake.rs
@@ -1,24 +1,25 @@
 //! Reads a client's request whole and finds out what is to be done with it.
 
-use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, StatusCode, Uri};
 use plankhill_configuration::{Route, RouteTable};
 use plankhill_dispatch::{Ms, NewRequest, Repeats, RequestKey};
-use plankhill_protocol::ids::ServiceName;
+use plankhill_protocol::ids::{RequestId, ServiceName};
+use tokio::time::Instant;
 
 use crate::clock::milliseconds;
 use crate::exchange::Outgoing;
 use crate::facts::Facts;
 use crate::headers::strip_connection_headers;
+use crate::memory::Portion;
+use crate::process::Proxy;
+use crate::reading::{read_whole, ReadError};
 use crate::snapshot::Snapshot;
 
-/// The objective where a route states none: its time-out.
+/// The last rank that a request can have.
 const LOWEST_PRIORITY: u32 = 9;
 /// Connections to a target are bounded by this share of what it accepts, divided by the proxies: it accepts
 /// fewer while its queue is long.
@@ -42,6 +43,8 @@
     pub most_connections: usize,
     /// Tokens in each event of a stream.
     pub tokens_per_event: u64,
+    /// What it holds in memory.
+    pub memory: Portion,
 }
 
 impl Job {
@@ -63,27 +66,41 @@
     }
 }
 
+/// Why a request is answered by the proxy itself. It has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// With this status.
+    Final(StatusCode),
+    /// The client may come back soon.
+    Overloaded,
+}
+
 /// Reads the request; its time runs from `arrived` on.
 ///
 /// # Errors
-/// The status with which it is answered instead.
+/// How it is answered instead, and the name that it gave itself.
 pub async fn take_in(
+    proxy: &Proxy,
     request: Request<Incoming>,
     snapshot: &Snapshot,
-    routes: &Rc<RouteTable>,
+    routes: &RouteTable,
     arrived: Ms,
-) -> Result<Job, (StatusCode, Facts)> {
+) -> Result<Job, (Rejection, Option<RequestId>)> {
     let (head, body) = request.into_parts();
     let facts = Facts::of(&head.headers);
-    let body = match read_whole(body, routes.limits().max_body_bytes).await {
+    let mut memory = proxy.memory.portion();
+    let limits = routes.limits();
+    let most = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    let body_until = Instant::now() + limits.idle_timeout;
+    let body = match read_whole(body, most, body_until, &mut memory).await {
         Ok(body) => body,
-        Err(status) => return Err((status, facts)),
+        Err(error) => return Err((error.into(), facts.request_id)),
     };
     let Some(route) = find(routes, &head.headers, &head.uri) else {
-        return Err((StatusCode::NOT_FOUND, facts));
+        return Err((Rejection::Final(StatusCode::NOT_FOUND), facts.request_id));
     };
     let Some(request_id) = facts.request_id.clone() else {
-        return Err((StatusCode::BAD_REQUEST, facts));
+        return Err((Rejection::Final(StatusCode::BAD_REQUEST), None));
     };
     let name = service_of(&route, &facts, request_id.as_str());
     let service = routes.service(&name);
@@ -110,16 +127,18 @@
         route,
         facts,
         deadline,
+        memory,
     })
 }
 
-/// Reads a body of at most `most` bytes. A longer one is answered with 413, one that breaks off with 400.
-async fn read_whole(body: Incoming, most: u64) -> Result<Bytes, StatusCode> {
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    match Limited::new(body, most).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
+impl From<ReadError> for Rejection {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::TooLarge => Rejection::Final(StatusCode::PAYLOAD_TOO_LARGE),
+            ReadError::OutOfMemory => Rejection::Overloaded,
+            ReadError::TimedOut => Rejection::Final(StatusCode::REQUEST_TIMEOUT),
+            ReadError::Broken => Rejection::Final(StatusCode::BAD_REQUEST),
+        }
     }
 }
 
--- a/tier/proxy/src/listener.rs
+++ b/tier/proxy/src/listener.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::AnswerBody;
-use crate::intake::{take_in, Job};
+use crate::intake::{take_in, Job, Rejection};
 use crate::process::Proxy;
 use crate::snapshot::Snapshot;
 use crate::{answer, plain, stream};
@@ -24,6 +24,8 @@
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// What a client is told while the tables are not there yet, in milliseconds.
 const PAUSE_UNTIL_READY: f64 = 200.0;
+/// What a client is told while there is no memory for its request, in milliseconds.
+const PAUSE_WHEN_FULL: f64 = 300.0;
 /// Largest head while no configuration says otherwise.
 const MOST_HEADER_BYTES: usize = 64 * 1024;
 /// The smallest buffer that the HTTP library takes.
@@ -62,10 +64,11 @@
     }
 }
 
-/// The library's time for a head also covers the rest between two requests, so that the longer of both holds.
+/// The library's time for a head also covers the rest between two requests. Later configurations may allow a
+/// longer rest than the one at the connection's start, so that it is generous.
 fn builder(snapshot: &Snapshot) -> http1::Builder {
     let limits = snapshot.routes.as_ref().map(|routes| *routes.limits());
-    let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
+    let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout) * 2);
     let head = limits.map_or(MOST_HEADER_BYTES, |limits| {
         usize::try_from(limits.max_header_bytes).unwrap_or(MOST_HEADER_BYTES)
     });
@@ -81,9 +84,10 @@
     let snapshot = proxy.snapshots.newest();
     let mut response = match snapshot.routes.as_ref().filter(|_| proxy.life.is_current()) {
         None => answer::refused(PAUSE_UNTIL_READY, None),
-        Some(routes) => match take_in(request, &snapshot, routes, arrived).await {
+        Some(routes) => match take_in(&proxy, request, &snapshot, routes, arrived).await {
             Ok(job) => answer_to(&proxy, job).await,
-            Err((status, facts)) => answer::empty(status, facts.request_id.as_ref()),
+            Err((Rejection::Final(status), id)) => answer::empty(status, id.as_ref()),
+            Err((Rejection::Overloaded, id)) => answer::refused(PAUSE_WHEN_FULL, id.as_ref()),
         },
     };
     if proxy.life.is_ending() {
@@ -97,6 +101,6 @@
     if job.route.is_streaming() {
         stream::serve(proxy, job).await
     } else {
-        plain::serve(proxy, &job).await
+        plain::serve(proxy, job).await
     }
 }
--- a/tier/proxy/src/ping.rs
+++ b/tier/proxy/src/ping.rs
@@ -12,10 +12,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{timeout_at, Instant};
 
-use crate::admission::PingOrder;
 use crate::connect::connect;
 use crate::facts::text;
 use crate::headers::INSTANCE_ID;
+use crate::orders::PingOrder;
 use crate::process::Proxy;
 use crate::snapshot::Snapshot;
 
--- a/tier/proxy/src/plain.rs
+++ b/tier/proxy/src/plain.rs
@@ -5,18 +5,19 @@
 use hyper::Response;
 use plankhill_dispatch::{Ended, Fate};
 
-use crate::admission::{Call, Order};
 use crate::answer;
 use crate::body::AnswerBody;
 use crate::intake::Job;
+use crate::orders::{Call, Order};
 use crate::process::Proxy;
 use crate::whole::WholeAnswer;
 
 /// Has the request answered. Dropping the future gives the request up.
-pub async fn serve(proxy: &Rc<Proxy>, job: &Job) -> Response<AnswerBody> {
+pub async fn serve(proxy: &Rc<Proxy>, mut job: Job) -> Response<AnswerBody> {
     let mut admitted = proxy.admission.admit(job.for_dispatch(proxy.admission.next_key()));
     let mut failure: Option<WholeAnswer> = None;
-    let request_id = Some(&job.outgoing.request_id);
+    let request_id = Some(job.outgoing.request_id.clone());
+    let request_id = request_id.as_ref();
     loop {
         let call = match admitted.next_order().await {
             Order::Call(call) => call,
@@ -29,7 +30,7 @@
             }
         };
         let sent = proxy.clock.now();
-        let outcome = whole_answer(proxy, job, &call).await;
+        let outcome = whole_answer(proxy, &mut job, &call).await;
         let took = proxy.clock.now() - sent;
         match outcome {
             Ok(answer) => {
@@ -45,7 +46,8 @@
     }
 }
 
-async fn whole_answer(proxy: &Rc<Proxy>, job: &Job, call: &Call) -> Result<WholeAnswer, Fate> {
+async fn whole_answer(proxy: &Proxy, job: &mut Job, call: &Call) -> Result<WholeAnswer, Fate> {
     let head = proxy.targets.exchange(call, &job.outgoing, job.most_connections).await?;
-    WholeAnswer::read(head, &proxy.targets.pool, proxy.clock.instant(call.deadline)).await
+    let deadline = proxy.clock.instant(call.deadline);
+    WholeAnswer::read(head, &proxy.targets.pool, deadline, &mut job.memory).await
 }
--- a/tier/proxy/src/process.rs
+++ b/tier/proxy/src/process.rs
@@ -8,6 +8,7 @@
 use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::exchange::Targets;
+use crate::memory::Memory;
 use crate::snapshot::SnapshotCell;
 use crate::turn_store::TurnStore;
 
@@ -23,6 +24,8 @@
     pub targets: Targets,
     /// Turns and budgets.
     pub turns: Rc<dyn TurnStore>,
+    /// Memory for bodies.
+    pub memory: Rc<Memory>,
     /// Where the process stands in its life.
     pub life: Rc<Life>,
 }
--- a/tier/proxy/src/run.rs
+++ b/tier/proxy/src/run.rs
@@ -13,17 +13,22 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use crate::admission::{Admission, PingOrder};
+use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::exchange::Targets;
+use crate::memory::Memory;
+use crate::orders::PingOrder;
 use crate::process::{Life, Proxy};
+use crate::shutdown::Signals;
 use crate::snapshot::SnapshotCell;
 use crate::target_pool::TargetPool;
-use crate::{feed, listener, ping, ready, shutdown};
+use crate::{feed, listener, ping, ready};
 
 /// Descriptors that are left for connections to targets, to stores and to the agent, as a share of all.
 const SHARE_FOR_OTHERS: f64 = 0.4;
 
+/// Bodies may take up this share of the process's memory; the rest is for connections and tables.
+const SHARE_FOR_BODIES: f64 = 0.4;
 /// Requests held or out at once: each holds some kilobytes, and more could not be served in time.
 const MOST_REQUESTS: usize = 2_000;
 
@@ -58,6 +63,7 @@
 async fn serve(settings: Settings) -> Result<(), RunError> {
     let clients = settings.listeners_map.http.ok_or(RunError::NoListener("http"))?;
     let readiness = settings.listeners_map.readiness.ok_or(RunError::NoListener("readiness"))?;
+    let signals = Signals::catch()?;
     let clients = bound(clients)?;
     let readiness = bound(readiness)?;
     let (pings, ping_orders) = mpsc::unbounded_channel();
@@ -70,7 +76,7 @@
     tokio::task::spawn_local(ready::serve(proxy.clone(), readiness));
     tokio::task::spawn_local(listener::serve(proxy.clone(), clients, most_clients(&settings)));
     tracing::info!(node = %settings.node_id, "proxy started");
-    shutdown::ended(proxy, settings.bounds).await?;
+    signals.ended(proxy, settings.bounds).await;
     Ok(())
 }
 
@@ -88,6 +94,7 @@
         admission,
         targets: Targets { clock, pool },
         turns: Rc::new(StoreClient::new(node, zone)),
+        memory: Rc::new(Memory::new(memory_for_bodies(settings))),
         life: Rc::new(Life::default()),
     })
 }
@@ -101,6 +108,10 @@
     listen(address).map_err(|source| RunError::Listen { address, source })
 }
 
+fn memory_for_bodies(settings: &Settings) -> usize {
+    (settings.limits.memory_bytes() as f64 * SHARE_FOR_BODIES) as usize
+}
+
 fn most_clients(settings: &Settings) -> usize {
     let most = settings.limits.max_fds as f64 * (1.0 - SHARE_FOR_OTHERS);
     (most as usize).max(1)
--- a/tier/proxy/src/stream/client.rs
+++ b/tier/proxy/src/stream/client.rs
@@ -6,9 +6,10 @@
 
 use crate::answer;
 use crate::body::{AnswerBody, Piece};
+use crate::process::Work;
 
 /// Pieces that wait for a client that reads slowly; then the target's stream is not read either.
-const WAITING_PIECES: usize = 32;
+const WAITING_PIECES: usize = 16;
 
 /// Where a stream's answer goes.
 #[derive(Debug)]
@@ -20,15 +21,16 @@
 /// Where a stream's answer comes from.
 #[derive(Debug)]
 pub struct Answer {
+    work: Work,
     head: oneshot::Receiver<Response<Option<AnswerBody>>>,
     pieces: mpsc::Receiver<Piece>,
 }
 
-/// Both ends of an answer.
-pub fn channel() -> (Client, Answer) {
+/// Both ends of an answer; the process does not end before it was sent.
+pub fn channel(work: Work) -> (Client, Answer) {
     let (head_sender, head) = oneshot::channel();
     let (pieces_sender, pieces) = mpsc::channel(WAITING_PIECES);
-    (Client { head: Some(head_sender), pieces: pieces_sender }, Answer { head, pieces })
+    (Client { head: Some(head_sender), pieces: pieces_sender }, Answer { work, head, pieces })
 }
 
 impl Client {
@@ -71,9 +73,9 @@
 impl Answer {
     /// Waits for the head.
     pub async fn head(self) -> Response<AnswerBody> {
-        let Answer { head, pieces } = self;
+        let Answer { work, head, pieces } = self;
         match head.await {
-            Ok(response) => response.map(|whole| whole.unwrap_or(AnswerBody::Pieces(pieces))),
+            Ok(response) => response.map(|whole| whole.unwrap_or(AnswerBody::Pieces { pieces, work })),
             Err(_) => answer::empty(StatusCode::BAD_GATEWAY, None),
         }
     }
--- a/tier/proxy/src/stream/events.rs
+++ b/tier/proxy/src/stream/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The largest event, in bytes; a stream with a larger one is broken off.
-pub const MOST_EVENT_BYTES: usize = 256 * 1024;
+pub const MOST_EVENT_BYTES: usize = 64 * 1024;
 
 /// An event of more than [`MOST_EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/tier/proxy/src/stream/mod.rs
+++ b/tier/proxy/src/stream/mod.rs
@@ -17,7 +17,7 @@
 /// Has the request answered event by event. Dropping the future, or the body of its answer, gives the request
 /// up.
 pub async fn serve(proxy: &Rc<Proxy>, job: Job) -> Response<AnswerBody> {
-    let (mut client, answer) = client::channel();
+    let (mut client, answer) = client::channel(proxy.life.begin_work());
     let (proxy, work) = (proxy.clone(), proxy.life.begin_work());
     tokio::task::spawn_local(async move {
         let mut job = job;
--- a/tier/proxy/src/stream/relay.rs
+++ b/tier/proxy/src/stream/relay.rs
@@ -12,6 +12,7 @@
 use super::events::EventSplitter;
 use crate::clock::milliseconds;
 use crate::headers::strip_connection_headers;
+use crate::memory::Portion;
 use crate::turn::Handed;
 
 /// The media type of a series of events.
@@ -40,8 +41,8 @@
     pub handed: &'stream mut Handed,
     /// What was passed on so far.
     pub passed: &'stream mut Passed,
-    /// Whether the data of the events is kept.
-    pub keep_output: bool,
+    /// Where the data of the events is accounted for, if it is kept.
+    pub memory: Option<&'stream mut Portion>,
 }
 
 impl Relay<'_> {
@@ -90,7 +91,8 @@
             }
             self.passed.last_id = event.id.or(self.passed.last_id);
             self.handed.events += 1;
-            if self.keep_output {
+            if let Some(memory) = &mut self.memory {
+                memory.grow(event.bytes.len()).map_err(|_| Fate::Cancelled)?;
                 event.append_data(&mut self.handed.output);
             }
             joined.extend_from_slice(&event.bytes);
--- a/tier/proxy/src/stream/run.rs
+++ b/tier/proxy/src/stream/run.rs
@@ -8,10 +8,11 @@
 
 use super::client::Client;
 use super::relay::{is_stream, Passed, Relay};
-use crate::admission::{Admitted, Call, Order};
+use crate::admission::Admitted;
 use crate::answer;
 use crate::exchange::TargetHead;
 use crate::intake::Job;
+use crate::orders::{Call, Order};
 use crate::process::Proxy;
 use crate::turn::{Handed, Turn, TurnRefusal};
 use crate::whole::WholeAnswer;
@@ -40,6 +41,10 @@
         let now = proxy.clock.now();
         let until = now + (job.deadline - now) * SHARE_FOR_BEGIN;
         match turn.begin(proxy.clock.instant(until)).await {
+            Ok(body) if job.memory.grow(body.len() - job.outgoing.body.len()).is_err() => {
+                client.answer(answer::refused(PAUSE_FOR_STORES, Some(&job.outgoing.request_id)));
+                return;
+            }
             Ok(body) => job.outgoing.body = body,
             Err(refusal) => {
                 ending.settled = refusal == TurnRefusal::BudgetSpent;
@@ -54,7 +59,10 @@
         }
     }
     let admitted = proxy.admission.admit(job.for_dispatch(proxy.admission.next_key()));
-    let mut stream = StreamRun { proxy, job, client, ending, passed: Passed::default(), failure: None };
+    // Where the client takes a stream up again, nothing that it has may come a second time.
+    let last_id = job.facts.last_event_id.filter(|_| job.route.resumable);
+    let passed = Passed { last_id, ..Passed::default() };
+    let mut stream = StreamRun { proxy, job, client, ending, passed, failure: None };
     if stream.dispatch(admitted).await {
         stream.finish().await;
     }
@@ -113,7 +121,8 @@
             return Ok(Ended { longest_pause, ..ended(Fate::Delivered) });
         }
         let deadline = self.proxy.clock.instant(call.deadline);
-        let answer = WholeAnswer::read(head, &self.proxy.targets.pool, deadline).await.map_err(ended)?;
+        let answer = WholeAnswer::read(head, &self.proxy.targets.pool, deadline, &mut self.job.memory).await;
+        let answer = answer.map_err(ended)?;
         let mut told = answer.ended(took);
         match answer.fate() {
             Fate::Delivered if self.client.has_begun() => told.fate = Fate::Error,
@@ -138,7 +147,7 @@
             client: &mut *self.client,
             handed: &mut self.ending.handed,
             passed: &mut self.passed,
-            keep_output: self.ending.turn.as_ref().is_some_and(Turn::is_kept),
+            memory: self.ending.turn.as_ref().is_some_and(Turn::is_kept).then_some(&mut self.job.memory),
         };
         relay.pass_on(status, &headers, &mut body, deadline).await?;
         self.proxy.targets.pool.put_back(connection, &headers, Instant::now());
--- a/tier/proxy/src/target_pool.rs
+++ b/tier/proxy/src/target_pool.rs
@@ -148,6 +148,12 @@
         drop(unusable);
     }
 
+    /// Idle connections that can still be used.
+    pub fn usable(&self, now: Instant) -> usize {
+        let targets = self.targets.borrow();
+        targets.values().flat_map(|of_target| &of_target.idle).filter(|idle| usable(idle, now)).count()
+    }
+
     /// Connections open to all targets.
     pub fn open(&self) -> usize {
         self.targets.borrow().values().map(|of_target| of_target.open).sum()
--- a/tier/proxy/src/whole.rs
+++ b/tier/proxy/src/whole.rs
@@ -1,15 +1,16 @@
 //! Answers of targets that are passed on whole.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Response, StatusCode};
 use plankhill_dispatch::{Ended, Fate, Ms, UpstreamLoad};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 use crate::body::AnswerBody;
 use crate::exchange::TargetHead;
 use crate::headers::strip_connection_headers;
+use crate::memory::Portion;
+use crate::reading::{read_whole, ReadError};
 use crate::target_pool::TargetPool;
 
 /// The largest answer that is held whole, in bytes.
@@ -31,14 +32,20 @@
     ///
     /// # Errors
     /// How the call ended if the answer does not come whole in time.
-    pub async fn read(head: TargetHead, pool: &TargetPool, deadline: Instant) -> Result<Self, Fate> {
+    pub async fn read(
+        head: TargetHead,
+        pool: &TargetPool,
+        deadline: Instant,
+        memory: &mut Portion,
+    ) -> Result<Self, Fate> {
         let (fate, load, retry_after) = (head.fate(), head.load(), head.retry_after());
         let bounded = is_bounded(&head);
-        let body = Limited::new(head.body, MOST_ANSWER_BYTES).collect();
-        let body = match timeout_at(deadline, body).await {
-            Err(_) => return Err(Fate::TimedOut),
-            Ok(Err(_)) => return Err(Fate::Reset),
-            Ok(Ok(body)) => body.to_bytes(),
+        let body = match read_whole(head.body, MOST_ANSWER_BYTES, deadline, memory).await {
+            Ok(body) => body,
+            Err(ReadError::TimedOut) => return Err(Fate::TimedOut),
+            Err(ReadError::Broken) => return Err(Fate::Reset),
+            // Another target's answer would be no smaller.
+            Err(ReadError::TooLarge | ReadError::OutOfMemory) => return Err(Fate::Cancelled),
         };
         if !bounded {
             // It ended with its connection: nobody can tell whether that was its end.
--- /dev/null
+++ b/tier/proxy/tests/limits.rs
@@ -0,0 +1,57 @@
+//! What one client may send, and what all may make the proxy hold.
+
+mod support;
+
+use support::on_one_thread;
+use support::peer::Listening;
+use support::world::{answer, World};
+use tokio::join;
+
+fn post(id: &str, body: &str) -> String {
+    format!(
+        "POST /once/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+#[test]
+fn requests_that_cannot_be_served_get_the_status_that_says_why() {
+    on_one_thread(async {
+        let target = Listening::start().await;
+        let world = World::with_targets(&[&target]).await;
+        let cases = [
+            ("GET /none/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: r1\r\n\r\n".to_owned(), 404),
+            ("GET /once/x HTTP/1.1\r\nHost: other.example\r\nRequest-Id: r1\r\n\r\n".to_owned(), 404),
+            ("GET /once/x HTTP/1.1\r\nHost: host.example\r\n\r\n".to_owned(), 400),
+            (post("r1", &"x".repeat(100_001)), 413),
+            (format!("GET /once/x HTTP/1.1\r\nHost: host.example\r\nA: {}\r\n\r\n", "x".repeat(17_000)), 431),
+        ];
+        for (request, status) in cases {
+            assert_eq!(world.ask(&request).await.expect("an answer").status(), status);
+        }
+    });
+}
+
+#[test]
+fn bodies_beyond_the_memory_are_refused_and_the_memory_comes_back() {
+    on_one_thread(async {
+        let target = Listening::start().await;
+        let world = World::with_targets(&[&target]).await;
+        let before = world.proxy.memory.left();
+        let large = "x".repeat(90_000);
+        let (one, two, three) = (post("r1", &large), post("r2", &large), post("r3", &large));
+        let serve = async {
+            let (mut first, _) = target.request().await;
+            let (mut second, _) = target.request().await;
+            // Both are under way: there is no memory for a third.
+            let refused = world.ask(&three).await.expect("an answer");
+            assert_eq!(refused.status(), 503);
+            assert!(refused.header("retry-after").is_some());
+            for peer in [&mut first, &mut second] {
+                peer.send(&answer("200 OK", "r1", "", "")).await;
+            }
+        };
+        join!(world.ask(&one), world.ask(&two), serve);
+        assert_eq!(world.proxy.memory.left(), before);
+    });
+}
--- a/tier/proxy/tests/plain.rs
+++ b/tier/proxy/tests/plain.rs
@@ -6,6 +6,7 @@
 use support::peer::Listening;
 use support::world::{answer, get, World};
 use tokio::join;
+use tokio::time::Instant;
 
 #[test]
 fn request_and_answer_pass_unchanged() {
@@ -82,7 +83,8 @@
 }
 
 /// Everything that says nothing of whether the request has run.
-const TROUBLES: [(&str, bool); 8] = [
+const TROUBLES: [(&str, bool); 9] = [
+    ("HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n", false),
     ("", false),
     ("", true),
     ("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUps", false),
@@ -139,3 +141,74 @@
         assert_eq!(got.header("request-id"), Some("r1"));
     });
 }
+
+#[test]
+fn bytes_after_a_whole_answer_belong_to_no_request() {
+    on_one_thread(async {
+        let target = Listening::start().await;
+        let world = World::with_targets(&[&target]).await;
+        let (first, second) = (get("once", "r1"), get("once", "r2"));
+        let serve = async {
+            let (mut peer, _) = target.request().await;
+            let surplus = answer("200 OK", "r0", "", "surplus");
+            let whole = answer("200 OK", "r1", "Keep-Alive: timeout=9\r\n", "one");
+            peer.send(&(whole + &surplus)).await;
+            let (mut next, request) = target.request().await;
+            assert_eq!(request.header("request-id"), Some("r2"));
+            next.send(&answer("200 OK", "r2", "", "two")).await;
+            (peer, next)
+        };
+        let ask = async {
+            assert_eq!(world.ask(&first).await.expect("an answer").text(), "one");
+            assert_eq!(world.ask(&second).await.expect("an answer").text(), "two");
+        };
+        join!(ask, serve);
+    });
+}
+
+#[test]
+fn a_late_answer_in_the_place_of_the_next_is_not_passed_on() {
+    on_one_thread(async {
+        let target = Listening::start().await;
+        let world = World::with_targets(&[&target]).await;
+        let (first, second) = (get("once", "r1"), get("once", "r2"));
+        let serve = async {
+            let (mut peer, _) = target.request().await;
+            peer.send(&answer("200 OK", "r1", "Keep-Alive: timeout=9\r\n", "one")).await;
+            let request = peer.receive().await.expect("over the same connection");
+            assert_eq!(request.header("request-id"), Some("r2"));
+            peer.send(&answer("200 OK", "r1", "", "late")).await;
+            peer
+        };
+        let ask = async {
+            assert_eq!(world.ask(&first).await.expect("an answer").text(), "one");
+            assert_eq!(world.ask(&second).await.expect("an answer").status(), 502);
+        };
+        join!(ask, serve);
+    });
+}
+
+#[test]
+fn a_connection_that_the_target_closed_costs_no_request() {
+    on_one_thread(async {
+        let target = Listening::start().await;
+        let world = World::with_targets(&[&target]).await;
+        let (first, second) = (get("once", "r1"), get("once", "r2"));
+        let serve = async {
+            let (mut peer, _) = target.request().await;
+            peer.send(&answer("200 OK", "r1", "Keep-Alive: timeout=9\r\n", "one")).await;
+            drop(peer);
+            let (mut next, _) = target.request().await;
+            next.send(&answer("200 OK", "r2", "", "two")).await;
+            next
+        };
+        let ask = async {
+            assert_eq!(world.ask(&first).await.expect("an answer").text(), "one");
+            while world.proxy.targets.pool.usable(Instant::now()) > 0 {
+                tokio::task::yield_now().await;
+            }
+            assert_eq!(world.ask(&second).await.expect("an answer").text(), "two");
+        };
+        join!(ask, serve);
+    });
+}
--- a/tier/proxy/tests/streams.rs
+++ b/tier/proxy/tests/streams.rs
@@ -187,3 +187,25 @@
         }
     });
 }
+
+#[test]
+fn a_stream_taken_up_by_the_client_repeats_nothing() {
+    on_one_thread(async {
+        let (first, second) = (Listening::start().await, Listening::start().await);
+        let world = World::with_targets(&[&first, &second]).await;
+        let request = get("resume", "r1").replace("\r\n\r\n", "\r\nLast-Event-Id: 7\r\n\r\n");
+        let serve = async {
+            let (mut peer, request) = first.request().await;
+            assert_eq!(request.header("last-event-id"), Some("7"));
+            send_stream(&mut peer, "one", &[&event(7, "again")]).await;
+            let (mut other, request) = second.request().await;
+            assert_eq!(request.header("last-event-id"), Some("7"));
+            send_stream(&mut other, "two", &[&event(8, "next")]).await;
+            other.send(LAST_CHUNK).await;
+            (peer, other)
+        };
+        let (got, _peers) = join!(world.ask(&request), serve);
+        let got = got.expect("an answer");
+        assert_eq!((got.text(), got.header("upstream-signature")), (event(8, "next"), Some("two")));
+    });
+}
--- a/tier/proxy/tests/support/world.rs
+++ b/tier/proxy/tests/support/world.rs
@@ -9,6 +9,7 @@
 use plankhill_proxy::admission::Admission;
 use plankhill_proxy::clock::Clock;
 use plankhill_proxy::exchange::Targets;
+use plankhill_proxy::memory::Memory;
 use plankhill_proxy::process::{Life, Proxy};
 use plankhill_proxy::snapshot::SnapshotCell;
 use plankhill_proxy::target_pool::TargetPool;
@@ -23,6 +24,9 @@
 /// Connections of clients at once.
 const MOST_CLIENTS: usize = 64;
 
+/// Memory for bodies, in bytes.
+const MEMORY: usize = 250_000;
+
 /// A proxy with its addresses.
 pub struct World {
     pub proxy: Rc<Proxy>,
@@ -45,6 +49,7 @@
             admission: Rc::new(Admission::new(clock, decisions, pool.clone(), pings)),
             targets: Targets { clock, pool },
             turns: Rc::new(InMemory(stores.clone())),
+            memory: Rc::new(Memory::new(MEMORY)),
             life: Rc::new(Life::default()),
         });
         let (client_listener, clients) = listening().await;
