--- a/tier/store/tests/world/mod.rs
+++ b/tier/store/tests/world/mod.rs
@@ -37,7 +37,7 @@
     DisksIgnoreSyncs,
     /// Stores are told that no store may be lost.
     NoSpareCopies,
-    /// A store whose disk is empty calls itself what it was before.
+    /// A store whose disk is empty calls itself what it was before, and copies nothing.
     SameIncarnation,
     /// The control plane does not wait for copies.
     SwitchesAtOnce,
@@ -47,7 +47,7 @@
     FastClocks,
     /// Stores do not refuse calls of older views.
     NoFence,
-    /// What stores send to others as repairs is lost.
+    /// What stores send to others as repairs is lost, and they copy nothing.
     NoRepairs,
 }
 
@@ -62,6 +62,8 @@
     pub faults: u32,
     pub started: Instant,
     pub ended: Cell<bool>,
+    /// Whether retired machines stay for a while.
+    pub keeps_retired: Cell<bool>,
 }
 
 impl World {
@@ -77,6 +79,7 @@
             faults,
             started: Instant::now(),
             ended: Cell::new(false),
+            keeps_retired: Cell::new(false),
         });
         (0..stores).for_each(|number| world.add_machine(number));
         world.found();
