--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -44,6 +44,7 @@
         key,
         held,
         wants_updates: true,
+        wants_snapshot: false,
         told: Vec::new(),
         beat: Instant::now(),
         heard: Instant::now(),
@@ -65,6 +66,8 @@
     held: Revision,
     /// Whether it takes updates from here; otherwise it is only told that the revision rose.
     wants_updates: bool,
+    /// Whether it asked for a snapshot: changes do not fit what it holds.
+    wants_snapshot: bool,
     /// The controllers' addresses that it was told.
     told: Vec<SocketAddr>,
     /// When the next heartbeat is due.
@@ -122,7 +125,7 @@
             FromSubscriber::Applied(revision) => {
                 self.controller.subscribers.borrow_mut().applied(self.key, revision);
             }
-            FromSubscriber::WantsSnapshot => self.held = Revision::default(),
+            FromSubscriber::WantsSnapshot => self.wants_snapshot = true,
             FromSubscriber::StoreSynced(epoch) => {
                 if let Some(MachineLife { node, incarnation }) = self.life.clone() {
                     self.controller.submit(Operation::StoreSynced { node, incarnation, epoch });
@@ -147,7 +150,7 @@
     /// Sends what the subscriber lacks and, after an update or when one is due, a heartbeat.
     async fn send_due(&mut self) -> bool {
         let mut messages = Vec::new();
-        let update = self.controller.changes.borrow().update_since(self.held);
+        let update = self.next_update();
         let now = Instant::now();
         if let Some(update) = update {
             self.held = end_of(&update);
@@ -166,6 +169,14 @@
         matches!(timeout(WRITE_LIMIT, self.writer.send_all(&messages)).await, Ok(Ok(())))
     }
 
+    fn next_update(&mut self) -> Option<TablesUpdate> {
+        let changes = self.controller.changes.borrow();
+        if std::mem::take(&mut self.wants_snapshot) {
+            return Some(changes.snapshot());
+        }
+        changes.update_since(self.held)
+    }
+
     /// A subscriber may hold more than is known here; it must see that this controller is behind.
     fn held_or_newest(&self) -> Revision {
         self.held.min(self.controller.changes.borrow().newest().revision)
--- a/tier/protocol/src/subscription/exchange.rs
+++ b/tier/protocol/src/subscription/exchange.rs
@@ -103,6 +103,7 @@
                 Ok(())
             }
             Step::Leave => self.not_current(revision).await,
+            Step::Broken => Err(Stop),
         }
     }
 
--- a/tier/protocol/src/subscription/progress.rs
+++ b/tier/protocol/src/subscription/progress.rs
@@ -11,6 +11,9 @@
 /// Heartbeats in a row by which a feeder may be behind what is held: one may just have overtaken the change.
 const BEHIND_HEARTBEATS: u32 = 2;
 
+/// Heartbeats that may come instead of what was asked for: one may have been under way, the next may have
+/// crossed the question.
+const WAITED_HEARTBEATS: u32 = 3;
 /// How long a home may lag behind the revision that the feeder has announced: some ten times the way over one
 /// more machine, and a small part of the time within which a change must have spread.
 pub const HOME_LAG: Duration = Duration::from_millis(150);
@@ -30,6 +33,8 @@
     Feeders(Vec<SocketAddr>),
     /// The feeder is not current: another one is to be asked.
     Leave,
+    /// What was asked for does not come: the connection is to begin anew.
+    Broken,
 }
 
 /// Where updates come from.
@@ -49,6 +54,8 @@
     asked_snapshot: bool,
     /// The feeder was asked for updates that have not come yet.
     asked_updates: bool,
+    /// Heartbeats that came instead of what was asked for.
+    waited: u32,
     behind: u32,
     source: Source,
     announced: Revision,
@@ -114,7 +121,7 @@
         if !Arc::make_mut(tables).apply(update) {
             return if self.is_by_home() { self.behind_the_feeder(now) } else { self.snapshot_once() };
         }
-        (self.asked_snapshot, self.asked_updates) = (false, false);
+        (self.asked_snapshot, self.asked_updates, self.waited) = (false, false, 0);
         if tables.revision == before {
             Step::Unconfirmed
         } else {
@@ -142,15 +149,17 @@
         }
     }
 
+    /// The feeder has announced more than is held.
     fn behind_the_feeder(&mut self, now: Instant) -> Step {
-        match &mut self.source {
-            Source::Feeder if self.asked_updates => Step::Unconfirmed,
-            Source::Feeder => self.snapshot_once(),
-            Source::Home { lags_since } => {
-                lags_since.get_or_insert(now);
-                Step::Unconfirmed
-            }
+        if let Source::Home { lags_since } = &mut self.source {
+            lags_since.get_or_insert(now);
+            return Step::Unconfirmed;
+        }
+        if self.asked_updates || self.asked_snapshot {
+            self.waited += 1;
+            return if self.waited < WAITED_HEARTBEATS { Step::Unconfirmed } else { Step::Broken };
         }
+        self.snapshot_once()
     }
 
     fn snapshot_once(&mut self) -> Step {
--- a/tier/protocol/tests/tables.rs
+++ b/tier/protocol/tests/tables.rs
@@ -88,6 +88,23 @@
     assert_eq!(Progress::default().take(ahead, &mut held, Instant::now()), Step::WantsSnapshot);
 }
 
+/// A feeder that answers with what does not fit is not waited for for ever.
+#[test]
+fn a_snapshot_that_does_not_come_breaks_the_connection() {
+    let mut held = Arc::new(tables(3));
+    let mut progress = Progress::default();
+    let gap = TablesUpdate::Changes { from: Revision(0), to: Revision(5), changes: Vec::new() };
+    let beat = ToSubscriber::Heartbeat { revision: Revision(5), current: true };
+    let step = progress.take(ToSubscriber::Update(gap.clone()), &mut held, Instant::now());
+    assert_eq!(step, Step::WantsSnapshot);
+    let mut steps = Vec::new();
+    for _ in 0..3 {
+        progress.take(ToSubscriber::Update(gap.clone()), &mut held, Instant::now());
+        steps.push(progress.take(beat.clone(), &mut held, Instant::now()));
+    }
+    assert_eq!(steps, [Step::Unconfirmed, Step::Unconfirmed, Step::Broken]);
+}
+
 #[test]
 fn only_equal_and_current_confirms() {
     let mut held = Arc::new(tables(3));
