--- a/tier/controller/tests/feed.rs
+++ b/tier/controller/tests/feed.rs
@@ -9,13 +9,14 @@
 use common::{block_on, edge, register, store, MemoryLog};
 use plankhill_control::Operation;
 use plankhill_controller::internal::serve_internal;
+use plankhill_controller::log::ControlLog;
 use plankhill_controller::process::publish_states;
 use plankhill_controller::Controller;
-use plankhill_protocol::feed::{FromSubscriber, Subscriber};
-use plankhill_protocol::ids::NodeId;
+use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
+use plankhill_protocol::ids::{NodeId, Revision};
 use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
-use plankhill_protocol::tables::Tables;
-use plankhill_protocol::transport::{listen, Channel, Hello};
+use plankhill_protocol::tables::{Tables, TablesUpdate};
+use plankhill_protocol::transport::{dial, listen, Channel, Connection, Hello};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -93,6 +94,64 @@
     });
 }
 
+/// A connection on which the test speaks for the subscriber.
+async fn connect(address: SocketAddr, held: Revision) -> Connection {
+    let hello = Hello::new(Channel::Feed, NodeId::from("subscriber"));
+    let mut connection = dial(address, &hello).await.unwrap();
+    let first = FromSubscriber::Subscribe { subscriber: Subscriber::Proxy, held };
+    connection.writer.send(&first).await.unwrap();
+    connection
+}
+
+/// Waits for a heartbeat.
+async fn next_heartbeat(connection: &mut Connection) {
+    while !matches!(connection.reader.next().await.unwrap(), ToSubscriber::Heartbeat { .. }) {}
+}
+
+/// The next message that is no heartbeat of a revision that was announced before.
+async fn next(connection: &mut Connection, announced: Revision) -> ToSubscriber {
+    loop {
+        match connection.reader.next().await.unwrap() {
+            ToSubscriber::Heartbeat { revision, .. } if revision <= announced => {}
+            ToSubscriber::Controllers(_) => {}
+            message => return message,
+        }
+    }
+}
+
+#[test]
+fn whoever_asks_for_a_snapshot_gets_one_whatever_the_log_reaches_back_to() {
+    block_on(async {
+        let (log, _controller, address) = start();
+        log.commit(&put(0, 5));
+        let newest = log.state().borrow().revision;
+        let mut connection = connect(address, newest).await;
+        connection.writer.send(&FromSubscriber::WantsSnapshot).await.unwrap();
+        let answer = next(&mut connection, newest).await;
+        assert!(matches!(answer, ToSubscriber::Update(TablesUpdate::Snapshot(_))), "{answer:?}");
+    });
+}
+
+#[test]
+fn whoever_follows_a_home_is_told_of_revisions_only_until_it_asks_for_updates() {
+    block_on(async {
+        let (log, _controller, address) = start();
+        let held = log.state().borrow().revision;
+        let mut connection = connect(address, held).await;
+        connection.writer.send(&FromSubscriber::HeartbeatsOnly).await.unwrap();
+        // A heartbeat that answers nothing: what was sent before it has been read by then.
+        next_heartbeat(&mut connection).await;
+        next_heartbeat(&mut connection).await;
+        log.commit(&put(0, 5));
+        let newest = log.state().borrow().revision;
+        let told = next(&mut connection, held).await;
+        assert!(matches!(told, ToSubscriber::Heartbeat { revision, .. } if revision == newest), "{told:?}");
+        connection.writer.send(&FromSubscriber::Updates { held }).await.unwrap();
+        let update = next(&mut connection, newest).await;
+        assert!(matches!(update, ToSubscriber::Update(_)), "{update:?}");
+    });
+}
+
 #[test]
 fn a_controller_that_is_cut_off_is_not_taken_as_current() {
     block_on(async {
