--- a/tier/store-client/src/choice.rs
+++ b/tier/store-client/src/choice.rs
@@ -1,9 +1,10 @@
 //! Which store is asked next.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use plankhill_protocol::ids::{NodeId, ZoneName};
 use plankhill_protocol::tables::{StoreMember, StoreView};
+use tokio::time::Instant;
 
 /// A store that failed is asked last for this time: long enough to skip a dead store, short enough to come
 /// back to the one in the own zone soon after its return.
--- a/tier/store-client/src/client.rs
+++ b/tier/store-client/src/client.rs
@@ -1,118 +1,69 @@
 //! The client itself.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use plankhill_protocol::ids::{NodeId, ProgramId, RequestId, StoreEpoch, ZoneName};
-use plankhill_protocol::tables::StoreView;
-use plankhill_protocol::transport::{Caller, Channel, Hello};
-use plankhill_protocol::turns::{Reservation, StoreCall, StoreReply, TurnPlace, TurnRecord};
-use plankhill_turns::wire::{StoreAnswer, StoreRequest};
+use plankhill_protocol::ids::{NodeId, StoreEpoch, ZoneName};
+use plankhill_protocol::tables::{StoreMember, StoreView};
+use plankhill_protocol::turns::{StoreCall, StoreReply};
+use tokio::sync::mpsc;
+use tokio::time::{timeout_at, Instant};
 
+use crate::calls::{StoreCalls, TcpStores};
 use crate::choice::StoreChoice;
+use crate::turns::{BeginOutcome, BeginTurn, EndOutcome, EndTurn};
 
-/// The longest that one store is waited for before the next one is asked: several round trips with syncs of
-/// a slow disk, and a small part of the time that a turn has.
+/// The longest that one store is waited for: it gives up by itself a little earlier.
 const LONGEST_CALL: Duration = Duration::from_millis(700);
+/// After this time without an answer the next store is asked as well: many times what a store takes.
+const HEDGE_AFTER: Duration = Duration::from_millis(200);
 /// Pause after all stores were asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Answers that wait to be read.
+const ANSWERS: usize = 64;
 
-/// What a turn needs before it may run.
-#[derive(Clone, Debug)]
-pub struct BeginTurn {
-    /// The program.
-    pub program: ProgramId,
-    /// The turn's try.
-    pub turn: RequestId,
-    /// None on a route without budgets.
-    pub reservation: Option<Reservation>,
-    /// The `Request-Id` that `Previous` names.
-    pub previous: Option<RequestId>,
-}
-
-/// How [`StoreClient::begin_turn`] ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BeginOutcome {
-    /// The turn may run; the caller ends it with [`StoreClient::end_turn`] whatever becomes of it.
-    Begun {
-        /// Inputs and outputs of the chain, joined from the oldest on.
-        history: Arc<[u8]>,
-        /// What the turn's own record names as its previous turn.
-        previous: Option<TurnPlace>,
-    },
-    /// 402.
-    BudgetSpent,
-    /// 404.
-    NoSuchTurn,
-    /// 503. If a reservation was asked for it may stand: the caller settles it with 0 tokens.
-    Unsure,
-}
-
-/// What is to be kept of a turn that ended.
-#[derive(Clone, Debug)]
-pub struct EndTurn {
-    /// The program.
-    pub program: ProgramId,
-    /// The turn's try.
-    pub turn: RequestId,
-    /// Tokens handed to the client; Some(0) for a turn that surely has not run; None without a reservation.
-    pub tokens: Option<u64>,
-    /// What later turns go on from; only for a turn answered whole on a retained route.
-    pub record: Option<TurnRecord>,
-}
-
-/// How [`StoreClient::end_turn`] ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndOutcome {
-    /// On enough disks.
-    Ended,
-    /// Not known; the answer's last byte must not go to the client.
-    Unsure,
+/// Calls the stores. Clones share everything. For one thread, inside a `LocalSet`.
+pub struct StoreClient<C = TcpStores> {
+    shared: Rc<Shared<C>>,
 }
 
-type StoreCaller = Caller<StoreRequest, StoreAnswer>;
-
-/// Calls the stores. Clones share everything. For one thread, inside a `LocalSet`.
-#[derive(Clone)]
-pub struct StoreClient {
-    shared: Rc<Shared>,
+impl<C> Clone for StoreClient<C> {
+    fn clone(&self) -> Self {
+        StoreClient { shared: self.shared.clone() }
+    }
 }
 
-struct Shared {
-    node: NodeId,
+struct Shared<C> {
     zone: ZoneName,
-    epoch: RefCell<StoreEpoch>,
+    epoch: Cell<StoreEpoch>,
     choice: RefCell<StoreChoice>,
-    callers: RefCell<HashMap<SocketAddr, StoreCaller>>,
+    calls: C,
 }
 
 impl StoreClient {
     /// A client of the proxy on this machine; it knows no stores before [`StoreClient::set_view`].
     pub fn new(node: NodeId, zone: ZoneName) -> Self {
-        let shared = Shared {
-            node,
-            zone,
-            epoch: RefCell::default(),
-            choice: RefCell::default(),
-            callers: RefCell::default(),
-        };
+        StoreClient::with_calls(TcpStores::new(node), zone)
+    }
+}
+
+impl<C: StoreCalls> StoreClient<C> {
+    /// A client that reaches the stores in its own way.
+    pub fn with_calls(calls: C, zone: ZoneName) -> Self {
+        let shared = Shared { zone, epoch: Cell::default(), choice: RefCell::default(), calls };
         StoreClient { shared: Rc::new(shared) }
     }
 
     /// Takes the present view of the stores; older ones than the one held are ignored.
     pub fn set_view(&self, view: &StoreView) {
-        let mut epoch = self.shared.epoch.borrow_mut();
-        if view.epoch < *epoch {
+        if view.epoch < self.shared.epoch.get() {
             return;
         }
-        *epoch = view.epoch;
+        self.shared.epoch.set(view.epoch);
         self.shared.choice.borrow_mut().set_view(view, &self.shared.zone);
-        let known = |address: &SocketAddr| view.serving.iter().any(|member| member.address == *address);
-        self.shared.callers.borrow_mut().retain(|address, _| known(address));
+        let addresses: Vec<_> = view.serving.iter().map(|member| member.address).collect();
+        self.shared.calls.keep_only(&addresses);
     }
 
     /// Whether any store is known.
@@ -122,14 +73,7 @@
 
     /// Reserves the turn's most and fetches what it goes on from; ends within `budget`.
     pub async fn begin_turn(&self, begin: BeginTurn, budget: Duration) -> BeginOutcome {
-        let call = |epoch| StoreCall::BeginTurn {
-            epoch,
-            program: begin.program.clone(),
-            turn: begin.turn.clone(),
-            reservation: begin.reservation.clone(),
-            previous: begin.previous.clone(),
-        };
-        match self.ask(call, budget).await {
+        match self.ask(|epoch| begin.call(epoch), budget).await {
             Some(StoreReply::Begun { history, previous }) => BeginOutcome::Begun { history, previous },
             Some(StoreReply::BudgetSpent) => BeginOutcome::BudgetSpent,
             Some(StoreReply::NoSuchTurn) => BeginOutcome::NoSuchTurn,
@@ -139,54 +83,85 @@
 
     /// Settles the turn and keeps its record; ends within `budget`.
     pub async fn end_turn(&self, end: EndTurn, budget: Duration) -> EndOutcome {
-        let call = |epoch| StoreCall::EndTurn {
-            epoch,
-            program: end.program.clone(),
-            turn: end.turn.clone(),
-            tokens: end.tokens,
-            record: end.record.clone(),
-        };
-        match self.ask(call, budget).await {
+        match self.ask(|epoch| end.call(epoch), budget).await {
             Some(StoreReply::Ended) => EndOutcome::Ended,
             _ => EndOutcome::Unsure,
         }
     }
 
-    /// Asks one store after the other until one knows; None when the time is up.
+    /// Asks the stores until one knows; None when the time is up.
     async fn ask(&self, call: impl Fn(StoreEpoch) -> StoreCall, budget: Duration) -> Option<StoreReply> {
         let ends = Instant::now() + budget;
+        let (answers, mut answered) = mpsc::channel(ANSWERS);
+        let mut asking = 0_usize;
         loop {
             let order = self.shared.choice.borrow().order(Instant::now());
             for member in order {
-                let left = ends.saturating_duration_since(Instant::now());
-                if left.is_zero() {
+                if Instant::now() >= ends {
                     return None;
                 }
-                let epoch = *self.shared.epoch.borrow();
-                let request = StoreRequest::Proxy(call(epoch));
-                let caller = self.caller(member.address);
-                match caller.call(request, left.min(LONGEST_CALL)).await {
-                    Ok(StoreAnswer::Proxy(StoreReply::Unsure | StoreReply::OldEpoch(_))) => {}
-                    Ok(StoreAnswer::Proxy(reply)) => {
-                        self.shared.choice.borrow_mut().answered(&member.node);
-                        return Some(reply);
-                    }
-                    Ok(StoreAnswer::Peer(_)) | Err(_) => {
-                        self.shared.choice.borrow_mut().failed(&member.node, Instant::now());
+                self.start(member, call(self.shared.epoch.get()), answers.clone());
+                asking += 1;
+                let hedge = ends.min(Instant::now() + HEDGE_AFTER);
+                if let Ok(Some(answer)) = timeout_at(hedge, answered.recv()).await {
+                    asking -= 1;
+                    if answer.is_some() {
+                        return answer;
                     }
                 }
             }
-            let left = ends.saturating_duration_since(Instant::now());
-            if left <= ROUND_PAUSE {
+            // All have been asked; those that have not answered yet may still know.
+            while asking > 0 {
+                let answer = timeout_at(ends, answered.recv()).await.ok()?;
+                asking -= 1;
+                if let Some(Some(reply)) = answer {
+                    return Some(reply);
+                }
+            }
+            let pause_ends = Instant::now() + ROUND_PAUSE;
+            if pause_ends >= ends {
                 return None;
             }
-            tokio::time::sleep(ROUND_PAUSE).await;
+            tokio::time::sleep_until(pause_ends).await;
         }
     }
 
-    fn caller(&self, address: SocketAddr) -> StoreCaller {
-        let mut callers = self.shared.callers.borrow_mut();
-        let fresh = || Caller::new(address, Hello::new(Channel::Store, self.shared.node.clone()));
-        callers.entry(address).or_insert_with(fresh).clone()
+    /// Asks one store. The answer is None if it does not know, or none came.
+    fn start(&self, member: StoreMember, call: StoreCall, answers: mpsc::Sender<Option<StoreReply>>) {
+        let shared = self.shared.clone();
+        let calling = shared.calls.call(member.address, call, LONGEST_CALL);
+        tokio::task::spawn_local(async move {
+            let slow_at = Instant::now() + HEDGE_AFTER;
+            let mut calling = std::pin::pin!(calling);
+            let reply = match timeout_at(slow_at, &mut calling).await {
+                Ok(reply) => reply,
+                Err(_) => {
+                    // Others are asked first until it answers again.
+                    shared.note(&member.node, false);
+                    calling.await
+                }
+            };
+            let known = reply.ok().filter(is_known);
+            shared.note(&member.node, known.is_some());
+            // The caller may have heard from another store.
+            let _ = answers.send(known).await;
+        });
     }
 }
+
+impl<C> Shared<C> {
+    /// Notes whether a store knew. One that did not, or was slow, is asked last for a while.
+    fn note(&self, node: &NodeId, knew: bool) {
+        let mut choice = self.choice.borrow_mut();
+        if knew {
+            choice.answered(node);
+        } else {
+            choice.failed(node, Instant::now());
+        }
+    }
+}
+
+/// Whether a store knew.
+fn is_known(reply: &StoreReply) -> bool {
+    !matches!(reply, StoreReply::Unsure | StoreReply::OldEpoch(_))
+}
--- a/tier/store/src/node/chain.rs
+++ b/tier/store/src/node/chain.rs
@@ -112,13 +112,14 @@
         let holders = replicas(&view.serving, &place.program, view.faults);
         let first = holders.into_iter().find(|member| member.address != *here).cloned();
         if let Some(first) = first {
-            let timeout = FIRST_READ_TIMEOUT;
-            if let Some(part) = self.part_of(&view, &first, &place.turn, timeout).await {
+            let reading = self.part_of(&view, &first, &place.turn);
+            // The connection is good for longer than this one answer is waited for.
+            if let Ok(Some(part)) = tokio::time::timeout(FIRST_READ_TIMEOUT, reading).await {
                 return Ok(part);
             }
         }
         let located = self.locate(&view, &place.turn).await?;
-        let part = self.part_of(&view, &located, &place.turn, PEER_TIMEOUT).await;
+        let part = self.part_of(&view, &located, &place.turn).await;
         part.ok_or(NoPart::Unsure)
     }
 
@@ -127,10 +128,9 @@
         view: &StoreView,
         member: &StoreMember,
         turn: &RequestId,
-        timeout: std::time::Duration,
     ) -> Option<ChainPart> {
         let request = PeerRequest::Chain { turn: turn.clone() };
-        match self.ask(view, member, &request, timeout).await.ok()?.body {
+        match self.ask(view, member, &request, PEER_TIMEOUT).await.ok()?.body {
             PeerResponse::Chain { turns, rest } if !turns.is_empty() => Some(ChainPart { turns, rest }),
             _ => None,
         }
--- a/tier/store/tests/world/control.rs
+++ b/tier/store/tests/world/control.rs
@@ -47,7 +47,7 @@
             Some(next) if *next == wanted => {
                 let copied = next.iter().all(|member| self.has_copied(member, &view));
                 let switches = copied || self.plant == Plant::SwitchesAtOnce;
-                switches.then(|| StoreView { epoch, serving: wanted, next: None, ..view })
+                switches.then_some(StoreView { epoch, serving: wanted, next: None, ..view })
             }
             None if view.serving == wanted => None,
             _ => Some(StoreView { epoch, next: Some(wanted), ..view }),
--- a/tier/store/tests/world/proxy.rs
+++ b/tier/store/tests/world/proxy.rs
@@ -1,31 +1,35 @@
 //! Proxies and the clients before them.
 
-use std::rc::Rc;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
-use plankhill_protocol::ids::{ProgramId, RequestId};
+use plankhill_protocol::ids::{ProgramId, RequestId, ZoneName};
+use plankhill_protocol::transport::CallError;
 use plankhill_protocol::turns::{Reservation, StoreCall, StoreReply, TurnPlace, TurnRecord};
+use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn, StoreCalls, StoreClient};
 use plankhill_turns::wire::{StoreAnswer, StoreRequest};
 use tokio::time::Instant;
 
 use super::programs::{Answered, RETENTION};
 use super::{milliseconds, World};
 
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 const BEGIN_TIME: Duration = Duration::from_millis(1_500);
 const END_TIME: Duration = Duration::from_millis(2_500);
 
 impl World {
     /// A client that takes turns, one after the other.
     pub async fn run_client(self: Rc<Self>, name: u64, turns: u64) {
+        let client = self.store_client(name % 3);
         for number in 0..turns {
             if self.ended.get() {
                 return;
             }
             let turn = RequestId::from(format!("turn-{name}-{number}").as_str());
             let program = ProgramId::from(format!("program-{}", self.within(0..12)).as_str());
-            self.take_turn(&program, &turn).await;
+            self.take_turn(&client, &program, &turn).await;
             tokio::time::sleep(milliseconds(self.within(5..150))).await;
         }
     }
@@ -44,7 +48,12 @@
         self.rng.borrow_mut().pick(&names).cloned()
     }
 
-    async fn take_turn(self: &Rc<Self>, program: &ProgramId, turn: &RequestId) {
+    async fn take_turn(
+        self: &Rc<Self>,
+        client: &StoreClient<WorldStores>,
+        program: &ProgramId,
+        turn: &RequestId,
+    ) {
         let most = self.within(20..60);
         let budget = {
             let budget = self.within(80..500);
@@ -53,31 +62,30 @@
             *programs.budgets.entry(program.clone()).or_insert(budget)
         };
         let previous = self.choose_previous(program);
-        let begin = StoreCall::BeginTurn {
-            epoch: self.view.borrow().epoch,
+        let begin = BeginTurn {
             program: program.clone(),
             turn: turn.clone(),
             reservation: Some(Reservation { budget, most }),
             previous: previous.clone(),
         };
         let counted = self.programs.borrow().counted(program);
-        match self.ask(begin, BEGIN_TIME).await {
-            StoreReply::Begun { history, previous: place } => {
+        match client.begin_turn(begin, BEGIN_TIME).await {
+            BeginOutcome::Begun { history, previous: place } => {
                 self.programs.borrow_mut().began(previous.as_ref(), &history);
-                self.run_turn(program, turn, most, &history, place).await;
+                self.run_turn(client, program, turn, most, &history, place).await;
             }
-            StoreReply::BudgetSpent => {
+            BeginOutcome::BudgetSpent => {
                 self.programs.borrow_mut().refused(program, turn, &counted);
             }
-            StoreReply::NoSuchTurn => {
+            BeginOutcome::NoSuchTurn => {
                 if let Some(previous) = &previous {
                     self.programs.borrow().absent(previous);
                 }
             }
-            _ => {
+            BeginOutcome::Unsure => {
                 self.programs.borrow_mut().unsure += 1;
-                let end = self.end_call(program, turn, Some(0), None);
-                if self.ask(end, END_TIME).await == StoreReply::Ended {
+                let end = end_turn(program, turn, 0, None);
+                if client.end_turn(end, END_TIME).await == EndOutcome::Ended {
                     self.programs.borrow_mut().turn(program, turn).settled = true;
                 }
             }
@@ -86,6 +94,7 @@
 
     async fn run_turn(
         self: &Rc<Self>,
+        client: &StoreClient<WorldStores>,
         program: &ProgramId,
         turn: &RequestId,
         most: u64,
@@ -119,8 +128,8 @@
             history: [history, &record.input, &record.output].concat(),
             at: Instant::now(),
         };
-        let end = self.end_call(program, turn, Some(tokens), is_whole.then_some(record));
-        if self.ask(end, END_TIME).await == StoreReply::Ended {
+        let end = end_turn(program, turn, tokens, is_whole.then_some(record));
+        if client.end_turn(end, END_TIME).await == EndOutcome::Ended {
             let mut programs = self.programs.borrow_mut();
             programs.turn(program, turn).settled = true;
             if is_whole {
@@ -129,42 +138,49 @@
         }
     }
 
-    fn end_call(
-        &self,
-        program: &ProgramId,
-        turn: &RequestId,
-        tokens: Option<u64>,
-        record: Option<TurnRecord>,
-    ) -> StoreCall {
-        let (program, turn) = (program.clone(), turn.clone());
-        StoreCall::EndTurn { epoch: self.view.borrow().epoch, program, turn, tokens, record }
+    /// A proxy's client; it hears of views late.
+    pub fn store_client(self: &Rc<Self>, zone: u64) -> StoreClient<WorldStores> {
+        let calls = WorldStores { world: Rc::downgrade(self) };
+        let client = StoreClient::with_calls(calls, ZoneName::from(format!("zone-{zone}").as_str()));
+        let (world, follower) = (self.clone(), client.clone());
+        client.set_view(&self.view.borrow());
+        tokio::task::spawn_local(async move {
+            while !world.ended.get() {
+                tokio::time::sleep(milliseconds(world.within(5..300))).await;
+                follower.set_view(&world.view.borrow());
+            }
+        });
+        client
     }
+}
 
-    /// Asks one store after the other, as the proxies' client does.
-    pub async fn ask(self: &Rc<Self>, call: StoreCall, time: Duration) -> StoreReply {
-        let ends = Instant::now() + time;
-        loop {
-            let serving = self.view.borrow().serving.clone();
-            let first = self.within(0..serving.len() as u64) as usize;
-            for at in 0..serving.len() {
-                let left = ends.saturating_duration_since(Instant::now());
-                if left.is_zero() {
-                    return StoreReply::Unsure;
-                }
-                let address = serving[(first + at) % serving.len()].address;
-                let request = StoreRequest::Proxy(call.clone());
-                match self.call(None, address, request, left.min(STORE_TIMEOUT)).await {
-                    Ok(StoreAnswer::Proxy(StoreReply::Unsure | StoreReply::OldEpoch(_))) => {}
-                    Ok(StoreAnswer::Proxy(reply)) => return reply,
-                    _ => {}
-                }
-            }
-            tokio::time::sleep(milliseconds(60)).await;
-            if Instant::now() >= ends {
-                return StoreReply::Unsure;
+/// The network as a proxy sees it.
+pub struct WorldStores {
+    world: Weak<World>,
+}
+
+impl StoreCalls for WorldStores {
+    fn call(
+        &self,
+        address: SocketAddr,
+        call: StoreCall,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<StoreReply, CallError>> + 'static {
+        let world = self.world.upgrade();
+        async move {
+            let world = world.ok_or(CallError::NotSent)?;
+            match world.call(None, address, StoreRequest::Proxy(call), timeout).await? {
+                StoreAnswer::Proxy(reply) => Ok(reply),
+                StoreAnswer::Peer(_) => Err(CallError::NoAnswer),
             }
         }
     }
+
+    fn keep_only(&self, _: &[SocketAddr]) {}
+}
+
+fn end_turn(program: &ProgramId, turn: &RequestId, tokens: u64, record: Option<TurnRecord>) -> EndTurn {
+    EndTurn { program: program.clone(), turn: turn.clone(), tokens: Some(tokens), record }
 }
 
 fn bytes(text: String, padding: u64) -> Arc<[u8]> {
--- a/tier/store/tests/world/scenario.rs
+++ b/tier/store/tests/world/scenario.rs
@@ -6,12 +6,13 @@
 
 use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::tables::StoreMember;
-use plankhill_protocol::turns::{StoreCall, StoreReply};
+use plankhill_store_client::{BeginOutcome, BeginTurn, StoreClient};
 use plankhill_turns::placement::{replicas, Quorum};
 
 use super::faults::Trouble;
 use super::machine::Machine;
 use super::programs::RETENTION;
+use super::proxy::WorldStores;
 use super::{milliseconds, run, Plant, World};
 
 /// What a story consists of.
@@ -95,16 +96,17 @@
 
 /// Each turn that was answered whole is found, and one that never was is known not to be.
 async fn check_found(world: &Rc<World>) {
+    let client = world.store_client(0);
     let answered = world.programs.borrow().answered.clone();
     for turn in answered.iter().filter(|turn| turn.at.elapsed() < RETENTION - Duration::from_secs(3)) {
-        let reply = read(world, &turn.program, &turn.turn).await;
-        let StoreReply::Begun { history, .. } = reply else {
+        let reply = read(&client, &turn.program, &turn.turn).await;
+        let BeginOutcome::Begun { history, .. } = reply else {
             panic!("LOST: {} of {} at the end: {reply:?}", turn.turn, turn.program);
         };
         assert!(history == Arc::from(turn.history.as_slice()), "UNASKED: another history for {}", turn.turn);
     }
-    let reply = read(world, &ProgramId::from("program-0"), &RequestId::from("nobody's")).await;
-    assert!(reply == StoreReply::NoSuchTurn, "UNSURE: of a turn that never was: {reply:?}");
+    let reply = read(&client, &ProgramId::from("program-0"), &RequestId::from("nobody's")).await;
+    assert!(reply == BeginOutcome::NoSuchTurn, "UNSURE: of a turn that never was: {reply:?}");
 }
 
 /// Nothing is left to be delivered, and each turn lies on all of its replicas' disks, but for those whose
@@ -127,13 +129,12 @@
     assert!(short * 20 <= answered.len(), "REPAIR: {short} of {} turns lack a copy", answered.len());
 }
 
-async fn read(world: &Rc<World>, program: &ProgramId, turn: &RequestId) -> StoreReply {
-    let call = StoreCall::BeginTurn {
-        epoch: world.view.borrow().epoch,
+async fn read(client: &StoreClient<WorldStores>, program: &ProgramId, turn: &RequestId) -> BeginOutcome {
+    let begin = BeginTurn {
         program: program.clone(),
         turn: RequestId::from("reader"),
         reservation: None,
         previous: Some(turn.clone()),
     };
-    world.ask(call, milliseconds(3_000)).await
+    client.begin_turn(begin, milliseconds(3_000)).await
 }
