--- a/tier/store/src/disk/fjall.rs
+++ b/tier/store/src/disk/fjall.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -45,7 +46,7 @@
     /// Opens the database in this folder, or makes one.
     ///
     /// # Errors
-    /// [`DiskError::Failed`] when there is one that cannot be read.
+    /// [`DiskError::Unreadable`] when there is one that is broken, [`DiskError::Failed`] when the disk fails.
     pub fn open(folder: &Path) -> Result<Self, DiskError> {
         let builder = Database::builder(folder)
             .worker_threads(1)
@@ -53,9 +54,9 @@
             .max_cached_files(Some(OPEN_FILES))
             .max_journaling_size(JOURNAL_BYTES)
             .manual_journal_persist(true);
-        let database = builder.open().map_err(failed)?;
+        let database = builder.open().map_err(opening)?;
         let options = || KeyspaceCreateOptions::default().max_memtable_size(MEMTABLE_BYTES);
-        let rows = database.keyspace(KEYSPACE, options).map_err(failed)?;
+        let rows = database.keyspace(KEYSPACE, options).map_err(opening)?;
         let (commits, queue) = channel();
         let writer = Writer { database, rows: rows.clone(), queue };
         let thread = std::thread::Builder::new().name("disk".into());
@@ -174,6 +175,22 @@
     DiskError::Failed(error.to_string())
 }
 
+/// Tells a broken database from a disk that fails for a while, as a full one does: the former never gets well.
+fn opening(error: fjall::Error) -> DiskError {
+    let io = match &error {
+        fjall::Error::Io(io) | fjall::Error::Storage(fjall::LsmError::Io(io)) => Some(io.kind()),
+        fjall::Error::Locked => return failed(error),
+        _ => None,
+    };
+    let text = error.to_string();
+    match io {
+        None | Some(ErrorKind::NotFound | ErrorKind::UnexpectedEof | ErrorKind::InvalidData) => {
+            DiskError::Unreadable(text)
+        }
+        Some(_) => DiskError::Failed(text),
+    }
+}
+
 fn ended() -> DiskError {
     DiskError::Failed("the writing thread has ended".into())
 }
--- a/tier/store/src/disk/folder.rs
+++ b/tier/store/src/disk/folder.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::path::Path;
+use std::time::Duration;
 
 use plankhill_protocol::ids::Incarnation;
 use plankhill_turns::rows::{incarnation_row, read_row, Table, INCARNATION_KEY};
@@ -17,6 +18,9 @@
 /// Made and synced once the incarnation is in the database.
 const READY: &str = "ready";
 
+/// Pause before a disk that fails is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// What a folder holds.
 pub struct OpenedFolder {
     /// The rows.
@@ -25,25 +29,35 @@
     pub incarnation: Incarnation,
 }
 
-/// Opens a folder; `fresh` is the incarnation if it is empty.
+/// Opens a folder; `fresh` is the incarnation if it is empty. Waits while the disk fails: what lies on it is
+/// given up only if it can never be read.
 ///
 /// # Errors
-/// [`DiskError::Failed`] when nothing can be made there.
+/// [`DiskError::Failed`] when nothing can be made in an empty folder.
 pub async fn open_folder(folder: &Path, fresh: Incarnation) -> Result<OpenedFolder, DiskError> {
-    if folder.join(READY).exists() {
-        match open_existing(&folder.join(DATABASE)) {
+    while folder.join(READY).exists() {
+        match open_existing(&folder.join(DATABASE)).await {
             Ok(opened) => return Ok(opened),
-            Err(error) => tracing::error!(%error, "database cannot be read; starting as an empty store"),
+            Err(DiskError::Unreadable(error)) => {
+                tracing::error!(%error, "database cannot be read; starting as an empty store");
+                break;
+            }
+            Err(error) => {
+                tracing::warn!(%error, "disk fails; trying again");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
     make_new(folder, fresh).await
 }
 
-fn open_existing(folder: &Path) -> Result<OpenedFolder, DiskError> {
+/// Opens a database that takes writes: one on a full disk opens, and fails later.
+async fn open_existing(folder: &Path) -> Result<OpenedFolder, DiskError> {
     let disk = FjallDisk::open(folder)?;
     let row = disk.read(Table::Own, INCARNATION_KEY)?;
     let incarnation = row.and_then(|row| read_row(&row));
-    let incarnation = incarnation.ok_or_else(|| DiskError::Failed("no incarnation".into()))?;
+    let incarnation = incarnation.ok_or_else(|| DiskError::Unreadable("no incarnation".into()))?;
+    disk.commit(vec![incarnation_row(incarnation)]).await?;
     Ok(OpenedFolder { disk, incarnation })
 }
 
--- a/tier/store/src/disk/mod.rs
+++ b/tier/store/src/disk/mod.rs
@@ -18,6 +18,9 @@
     /// Too much waits to be written already.
     #[error("too much waits to be written")]
     Busy,
+    /// What lies on the disk is no database of this kind, or a broken one.
+    #[error("unreadable database: {0}")]
+    Unreadable(String),
     /// The disk or the database failed; nothing more can be written until the process starts anew.
     #[error("disk: {0}")]
     Failed(String),
