--- a/tier/controller/src/duties.rs
+++ b/tier/controller/src/duties.rs
@@ -18,8 +18,10 @@
 /// Edges and joining stores that are silent for this long are gone: above the contact bound of deployments
 /// (3 s), so that a short cut does not remove them.
 const MACHINE_SILENCE: Duration = Duration::from_secs(4);
-/// A serving store that is silent for this long is done without although nobody replaced it.
-const STORE_LOST: Duration = Duration::from_secs(30);
+/// A serving store that is silent for this long is done without although nobody just joined, if enough others
+/// serve: its successor may have joined before it ended, and while it counts the next loss is one too many. Well
+/// above the cuts and freezes that stores come back from with their disks.
+const STORE_LOST: Duration = Duration::from_secs(8);
 /// Stores start within 0.3 s of each other; fewer than 2f+1 after this time are all that there are.
 const FOUNDING_GRACE: Duration = Duration::from_secs(4);
 /// Targets expired by one operation at most.
--- a/tier/controller/tests/duties.rs
+++ b/tier/controller/tests/duties.rs
@@ -135,6 +135,35 @@
     assert_eq!(world.due(), [drop]);
 }
 
+/// Its successor joined before it ended: nobody joins afterwards.
+#[test]
+fn a_silent_store_is_dropped_after_a_while_if_enough_others_serve() {
+    let mut world = World::new();
+    for number in 1..=4 {
+        world.log.commit(&register(&store(&format!("s{number}"), number)));
+    }
+    let epoch = world.log.control().stores().view().epoch;
+    for number in 1..=4 {
+        let (node, incarnation) = (NodeId::from(format!("s{number}").as_str()), Incarnation(number));
+        world.log.commit(&Operation::StoreSynced { node, incarnation, epoch });
+    }
+    assert_eq!(world.log.control().stores().view().serving.len(), 4);
+    world.due();
+    for _ in 0..7 {
+        world.pass(1);
+        for number in 1..=3 {
+            world.hear_store(&format!("s{number}"), number);
+        }
+        assert!(world.due().is_empty());
+    }
+    world.pass(1);
+    for number in 1..=3 {
+        world.hear_store(&format!("s{number}"), number);
+    }
+    let drop = Duty::DropStore { node: NodeId::from("s4"), incarnation: Incarnation(4) };
+    assert_eq!(world.due(), [drop]);
+}
+
 #[test]
 fn a_joining_store_that_falls_silent_is_dropped() {
     let mut world = World::new();
