--- a/tier/dispatch/tests/fleet.rs
+++ b/tier/dispatch/tests/fleet/world.rs
@@ -1,18 +1,16 @@
-//! Several proxies that share no state, before targets with slots and queues, in virtual time.
-
-mod common;
+//! Proxies and targets with slots and queues, in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 
-use common::*;
+use crate::common::*;
 use plankhill_dispatch::*;
 use plankhill_protocol::ids::InstanceId;
 use plankhill_protocol::tables::{Target, TargetState};
 
 const ZONES: [&str; 3] = ["x", "y", "z"];
 const WAY: Ms = 1.0;
-const OTHER_ZONE_WAY: Ms = 2.4;
+pub const OTHER_ZONE_WAY: Ms = 2.4;
 const SHARED_TOKENS: u32 = 2_560;
 const TOKENS_PER_MS: f64 = 38.4;
 
@@ -50,7 +48,7 @@
     Wakes(usize, Ms),
 }
 
-struct Fleet {
+pub struct Fleet {
     now: Ms,
     draws: u64,
     work: Ms,
@@ -59,16 +57,16 @@
     agenda: BinaryHeap<Reverse<(u64, u64)>>,
     due: HashMap<u64, Happens>,
     count: u64,
-    subjects: Option<u64>,
+    pub subjects: Option<u64>,
     subject_of: HashMap<u64, u64>,
-    answered: Vec<Ms>,
-    refused: usize,
+    pub answered: Vec<Ms>,
+    pub refused: usize,
     /// Shared parts that some target read.
-    shared_reads: usize,
+    pub shared_reads: usize,
 }
 
 impl Fleet {
-    fn new(proxies: usize, servers: usize, slots: usize, queue: usize, work: Ms) -> Self {
+    pub fn new(proxies: usize, servers: usize, slots: usize, queue: usize, work: Ms) -> Self {
         let server = |at: usize| Server {
             id: InstanceId::from(format!("i-{at}").as_str()),
             zone: at % ZONES.len(),
@@ -127,7 +125,7 @@
     }
 
     /// Requests arrive at that rate a second, for some seconds.
-    fn run(&mut self, rate: f64, seconds: f64) {
+    pub fn run(&mut self, rate: f64, seconds: f64) {
         let mut when = 0.0;
         let mut key = 0;
         while when < seconds * 1_000.0 {
@@ -247,49 +245,4 @@
         let way = self.way(call.proxy, at);
         self.at(self.now + way, Happens::Answered(at, call, ended));
     }
-
-    fn print(&mut self) {
-        let shares = [0.5, 0.9, 0.99, 0.999];
-        let times: Vec<Ms> = shares.iter().map(|share| self.percentile(*share).round()).collect();
-        println!("{} answered in {times:?} ms at {shares:?}", self.answered.len());
-        println!("{} refused, {} shared reads", self.refused, self.shared_reads);
-    }
-
-    fn percentile(&mut self, share: f64) -> Ms {
-        self.answered.sort_by(f64::total_cmp);
-        self.answered[(share * (self.answered.len() - 1) as f64) as usize]
-    }
-}
-
-#[test]
-fn plain_services_at_six_tenths_of_their_capacity_refuse_nothing_and_queue_little() {
-    let mut fleet = Fleet::new(6, 11, 6, 24, 60.0);
-    fleet.run(0.6 * 66.0 / 0.060, 20.0);
-    fleet.print();
-    assert_eq!(fleet.refused, 0);
-    // Without any queue the answer times would be those of the work alone.
-    let work_alone = -60.0 * 0.01f64.ln() + 2.0 * OTHER_ZONE_WAY;
-    assert!(fleet.percentile(0.99) < 1.25 * work_alone);
-}
-
-#[test]
-fn plain_services_beyond_their_capacity_are_kept_busy() {
-    let mut fleet = Fleet::new(6, 11, 6, 24, 60.0);
-    let capacity = 66.0 / 0.060;
-    fleet.run(1.5 * capacity, 10.0);
-    fleet.print();
-    assert!(fleet.answered.len() as f64 > 0.95 * capacity * 10.0);
-}
-
-#[test]
-fn shared_parts_of_prompts_are_read_by_few_targets() {
-    let (servers, subjects) = (18, 6);
-    for rate in [32.0, 200.0] {
-        let mut fleet = Fleet::new(6, servers, 32, 96, 300.0);
-        fleet.subjects = Some(subjects);
-        fleet.run(rate, 34.0);
-        fleet.print();
-        assert_eq!(fleet.refused, 0);
-        assert!(fleet.shared_reads < servers * subjects as usize);
-    }
 }
