--- a/tier/store-client/tests/client.rs
+++ b/tier/store-client/tests/client.rs
@@ -36,16 +36,23 @@
     vec![member(1, "west"), member(2, "east"), member(3, "north")]
 }
 
+/// When a store answers, and what; nothing if it is silent.
+#[derive(Clone)]
+struct Answer {
+    after_ms: u64,
+    reply: Option<StoreReply>,
+}
+
 /// Stores that answer after a time, or not at all.
 #[derive(Clone, Default)]
 struct Stores {
-    answers: Rc<RefCell<BTreeMap<SocketAddr, (u64, Option<StoreReply>)>>>,
+    answers: Rc<RefCell<BTreeMap<SocketAddr, Answer>>>,
     asked: Rc<RefCell<Vec<SocketAddr>>>,
 }
 
 impl Stores {
     fn set(&self, number: u8, after_ms: u64, reply: Option<StoreReply>) {
-        self.answers.borrow_mut().insert(address(number), (after_ms, reply));
+        self.answers.borrow_mut().insert(address(number), Answer { after_ms, reply });
     }
 
     fn take_asked(&self) -> Vec<SocketAddr> {
@@ -63,7 +70,7 @@
         self.asked.borrow_mut().push(address);
         let answer = self.answers.borrow().get(&address).cloned();
         async move {
-            let Some((after_ms, reply)) = answer else { return Err(CallError::NotSent) };
+            let Some(Answer { after_ms, reply }) = answer else { return Err(CallError::NotSent) };
             let answering = async {
                 tokio::time::sleep(Duration::from_millis(after_ms)).await;
                 match reply {
