Chain: a log behind what is committed orders nothing, said so instead of by overflow

Cause: in debug builds two planted faults (disks that lie, lost disks that keep their votes) ended the simulated world by an overflowing subtraction; release builds wrapped to a number above the bound and ordered nothing, as now.

--- a/tier/chain/src/member/replication.rs
+++ b/tier/chain/src/member/replication.rs
@@ -56,7 +56,8 @@
 
     fn order(&mut self, entry: Entry) {
         let committed = self.replicated.revision();
-        let under_way = self.log.last().0 - committed.0;
+        // A log behind what is committed has lost what it had: nothing can be ordered on top of it.
+        let Some(under_way) = self.log.last().0.checked_sub(committed.0) else { return };
         if under_way < UNCOMMITTED && !self.log.holds_after(committed, &entry.request) {
             self.append(vec![entry]);
         }
