Fleet tests: an event sent again is over behind its last call, not by an answer nobody read

The verdict had put the end of an event whose answer may never have been read at the last answer, so the call behind it counted as sent after the end. Ruled out: a fault of the forwarder (its ledger says the call may have run, the event may be repeated). Change: such an end stands behind the last call of its event; where that call is over without a delivery there is no end, and the story waits for one. Seen failing before: still_out, failed (both OneEnd).

--- a/fleet-tests/src/book.rs
+++ b/fleet-tests/src/book.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins saw, under one monotonic clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -181,22 +181,25 @@
         self.count(|seen| matches!(seen, Seen::Notice { event, .. } if *event == number)) > 0
     }
 
-    /// The events that were promised and have neither a call that was answered with 200 nor a notice.
+    /// The events that were promised and have neither a notice nor, as their last call, one that was answered with
+    /// 200: an answer that its reader may not have read is followed by another call.
     pub fn open(&self) -> Vec<u64> {
-        let pages = self.pages();
-        let mut calls = HashMap::new();
+        let all = self.all();
+        let mut last_call = HashMap::new();
+        let mut delivered = HashSet::new();
+        let mut noticed = HashSet::new();
         let mut open = Vec::new();
-        let mut over = std::collections::HashSet::new();
-        for (_, seen) in &pages.seen {
+        for (_, seen) in &all {
             match seen {
                 Seen::Answered { event, status: 202 } => open.push(*event),
-                Seen::Began { call, event, .. } => drop(calls.insert(*call, *event)),
-                Seen::Replied { call, status: 200 } => over.extend(calls.get(call)),
-                Seen::Notice { event, .. } => drop(over.insert(*event)),
+                Seen::Began { call, event, .. } => drop(last_call.insert(*event, *call)),
+                Seen::Replied { call, status: 200 } => drop(delivered.insert(*call)),
+                Seen::Notice { event, .. } => drop(noticed.insert(*event)),
                 _ => (),
             }
         }
-        open.retain(|event| !over.contains(event));
+        let is_delivered = |event: &u64| last_call.get(event).is_some_and(|call| delivered.contains(call));
+        open.retain(|event| !noticed.contains(event) && !is_delivered(event));
         open
     }
 }
--- a/fleet-tests/src/verdict.rs
+++ b/fleet-tests/src/verdict.rs
@@ -47,7 +47,7 @@
     let all = book.all();
     all.iter().for_each(|(at, seen)| story.read(*at, seen));
     story.place_late_calls(&all);
-    story.ends(&all);
+    story.ends(&all, book.now());
     let mut facts = std::mem::take(&mut story.facts);
     facts.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut checker = Checker::new(Bounds { after_halt: LATE, heir_within, ..Bounds::default() });
@@ -116,7 +116,7 @@
     }
 
     /// All that follows from the whole of what was seen.
-    fn ends(&mut self, all: &[(Ms, Seen)]) {
+    fn ends(&mut self, all: &[(Ms, Seen)], now: Ms) {
         let mut sure = HashMap::new();
         let mut maybe: HashMap<u64, (Ms, usize)> = HashMap::new();
         let mut facts = Vec::new();
@@ -173,6 +173,7 @@
         }
         // Delivered, though nobody may know: an end where there is no other.
         maybe.retain(|event, _| !sure.contains_key(event) && !noticed.contains_key(event));
+        maybe.retain(|event, end| self.follows_last_call(*event, end, now));
         for (event, (at, instance)) in sure.into_iter().chain(maybe) {
             let forwarder = instance as u32;
             facts.push((at, Fact::Ended { forwarder, event, end: End::Completed, by_notice: false }));
--- a/fleet-tests/src/verdict/calls.rs
+++ b/fleet-tests/src/verdict/calls.rs
@@ -49,6 +49,17 @@
         !hindered && !given_up && at < call.began + call.time_out
     }
 
+    /// Moves the end of an event whose delivery nobody may know of behind its last call. No end follows a last call
+    /// that is over without a delivery: the event is still owed.
+    pub(super) fn follows_last_call(&self, event: u64, end: &mut (Ms, usize), now: Ms) -> bool {
+        let whole = self.calls.values().filter(|call| call.event == event && call.whole.is_some());
+        let Some(last) = whole.max_by(|a, b| a.began.total_cmp(&b.began)) else { return true };
+        let delivered = matches!(last.replied, Some((_, 200)));
+        let is_out = last.replied.is_none() && last.gone.is_none() && now < last.began + last.time_out;
+        end.0 = end.0.max(self.over_at(last));
+        delivered || is_out
+    }
+
     /// When the call was over for whoever made it.
     pub(super) fn over_at(&self, call: &Call) -> Ms {
         let timed_out = call.began + call.time_out;
--- a/fleet-tests/tests/verdict.rs
+++ b/fleet-tests/tests/verdict.rs
@@ -45,6 +45,28 @@
     assert_eq!(broken, rules);
 }
 
+/// Guards a resend whose call is out when the verdict is read: the answer before it may never have been read, so
+/// that the event is not over before its last call is.
+#[rstest]
+#[case::still_out(vec![began(2, 0), Seen::Whole { call: 2 }], &[])]
+#[case::delivered(called(2, 0, 200), &[])]
+#[case::failed(called(2, 0, 500), &[Rule::NothingLost])]
+fn an_event_is_sent_again_whose_answer_was_never_read(#[case] after: Vec<Seen>, #[case] rules: &[Rule]) {
+    let book = Book::default();
+    let asked = Seen::Asked {
+        instance: 0,
+        event: 0,
+        origin: 0,
+        effect: Effect::Retriable,
+        key: None,
+        patience: 60_000.0,
+    };
+    let before = [asked, TAKEN].into_iter().chain(called(1, 0, 200)).chain(hindered());
+    before.chain(after).enumerate().for_each(|(at, seen)| book.note_at(at as f64, seen));
+    let broken: Vec<Rule> = breaches(&book, None).iter().map(|breach| breach.rule).collect();
+    assert_eq!(broken, rules);
+}
+
 /// With copies off, a lost disk loses what was promised: the verdict over real processes says so.
 #[rstest]
 fn a_folder_lost_without_copies_is_found() {
