Dispatch: shared prompts get targets by their share of the requests, the same at all proxies

Change: rendezvous hashing with bounded loads over the mix that a proxy sees; sessions take their place among a text's targets by their own hash and stay there.

--- a/tier/dispatch/src/bridge.rs
+++ b/tier/dispatch/src/bridge.rs
@@ -1,8 +1,11 @@
 //! Takes the module's decisions of one round and makes commands of them.
 
-use plankhill::interface::{Decisions, EventId, Ms, TargetId};
+use std::collections::HashMap;
+
+use plankhill::interface::{Decisions, DestinationId, EventId, Ms, TargetId};
 
 use crate::admission;
+use crate::allocation::Allocator;
 use crate::holds::Holds;
 use crate::interface::{Command, RequestKey};
 use crate::placement::{cheapest, reading_time};
@@ -17,6 +20,7 @@
     pub(crate) now: Ms,
     pub(crate) requests: &'a mut Requests,
     pub(crate) targets: &'a mut Targets,
+    pub(crate) allocators: &'a mut HashMap<DestinationId, Allocator>,
     pub(crate) holds: &'a mut Holds,
     pub(crate) commands: &'a mut Vec<Command>,
     pub(crate) draws: &'a mut u64,
@@ -53,9 +57,16 @@
             // Of those that cost alike any may be it: proxies that all took the first would meet there.
             let start = (draw(self.draws) * open.len() as f64) as usize;
             let turned: Vec<&KnownTarget> = open[start..].iter().chain(&open[..start]).copied().collect();
-            return cheapest(self.now, &request.chains, &turned).map(|at| (at + start) % open.len());
+            return cheapest(self.now, &request.chains, &turned, &[])
+                .map(|place| (place.at + start) % open.len());
         }
-        cheapest(self.now, &request.chains, &open)
+        let service = request.service;
+        let allocator = self.allocators.entry(service).or_default();
+        let allocation = allocator.current(self.now, || self.targets.running_hashes(service));
+        let keepers = request.chains.text().map_or(&[][..], |text| allocation.keepers(text));
+        let place = cheapest(self.now, &request.chains, &open, keepers)?;
+        self.requests.get_mut(key_of(event)?)?.at_keeper = place.keeps_text;
+        Some(place.at)
     }
 
     fn send(&mut self, event: &EventId, target: &TargetId, _: Ms, _: Ms) {
@@ -66,7 +77,7 @@
         self.holds.remove(key);
         request.is_out = true;
         known.load.sent();
-        known.load.reads(self.now, reading_time(known, &request.chains));
+        known.load.reads(self.now, reading_time(known, &request.chains, request.at_keeper));
         known.kept.note(&request.chains);
         self.commands.push(Command::Send {
             request: key,
--- a/tier/dispatch/src/dispatcher.rs
+++ b/tier/dispatch/src/dispatcher.rs
@@ -1,14 +1,16 @@
 //! The dispatcher: what the proxy hands in is gathered, and one round of the decision module makes commands
 //! of it.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 
 use plankhill::decide::Forwarder;
-use plankhill::interface::{Fate, Ms, OrderKey};
+use plankhill::interface::{DestinationId, Fate, Ms, OrderKey};
 use plankhill_protocol::ids::InstanceId;
 use plankhill_protocol::tables::Target;
 
 use crate::admission::{self, HeldFor};
+use crate::allocation::Allocator;
 use crate::bridge::Bridge;
 use crate::holds::Holds;
 use crate::inputs::Input;
@@ -30,6 +32,8 @@
     inputs: Vec<Input>,
     requests: Requests,
     targets: Targets,
+    /// What prompts each service is asked for, and which targets keep them.
+    allocators: HashMap<DestinationId, Allocator>,
     holds: Holds,
     settle: SettleTime,
     rests: SessionRests,
@@ -52,6 +56,7 @@
             inputs: Vec::new(),
             requests: Requests::default(),
             targets: Targets::default(),
+            allocators: HashMap::new(),
             holds: Holds::default(),
             settle,
             rests: SessionRests::default(),
@@ -65,6 +70,9 @@
     /// id at an old address inherits nothing.
     pub fn tables_changed(&mut self, targets: &[Target]) {
         let changes = self.targets.replace(&self.settings.zone, targets);
+        if !changes.is_empty() {
+            self.allocators.values_mut().for_each(Allocator::targets_changed);
+        }
         self.inputs.extend(changes.into_iter().map(Input::Relisted));
     }
 
@@ -78,7 +86,11 @@
         let service = self.targets.service(&new.service);
         let hold_until = self.first_hold(now, &new);
         self.holds.set(key, hold_until);
-        self.requests.insert(key, Request::new(&new, service, priority));
+        let request = Request::new(&new, service, priority);
+        if let Some(text) = request.chains.text() {
+            self.allocators.entry(service).or_default().note(now, text);
+        }
+        self.requests.insert(key, request);
         self.inputs.push(Input::Taken {
             key,
             service,
@@ -204,6 +216,7 @@
             now,
             requests: &mut self.requests,
             targets: &mut self.targets,
+            allocators: &mut self.allocators,
             holds: &mut self.holds,
             commands: &mut commands,
             draws: &mut self.draws,
--- a/tier/dispatch/src/lib.rs
+++ b/tier/dispatch/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod admission;
 pub mod affinity;
+pub mod allocation;
 mod bridge;
+pub mod demand;
 mod dispatcher;
 mod holds;
 mod inputs;
--- a/tier/dispatch/src/requests.rs
+++ b/tier/dispatch/src/requests.rs
@@ -20,6 +20,8 @@
     pub(crate) priority: u8,
     pub(crate) chains: Chains,
     pub(crate) attempts: Attempts,
+    /// The target chosen for its last call is one of those that keep the text of its prompt.
+    pub(crate) at_keeper: bool,
     /// A call is out.
     pub(crate) is_out: bool,
     /// Its end is decided, or its client has left.
@@ -38,6 +40,7 @@
             priority,
             chains: Chains::of(&new.prefix),
             attempts: Attempts::default(),
+            at_keeper: false,
             is_out: false,
             is_over: false,
         }
--- a/tier/dispatch/src/targets.rs
+++ b/tier/dispatch/src/targets.rs
@@ -118,6 +118,12 @@
         Some(Relisted { target: id, service, zone, listing })
     }
 
+    /// The hashes of the service's targets that take new requests.
+    pub(crate) fn running_hashes(&self, service: DestinationId) -> Vec<u64> {
+        let of_service = self.by_id.values().filter(|known| known.service == service);
+        of_service.filter(|known| known.listing == Listing::Running).map(|known| known.hash).collect()
+    }
+
     /// When the first target that refused takes calls again; none where no wait runs.
     pub(crate) fn opens_at(&self, service: DestinationId, now: Ms) -> Option<Ms> {
         let of_service = self.by_id.values().filter(|known| known.service == service);
--- a/tier/dispatch/tests/affinity.rs
+++ b/tier/dispatch/tests/affinity.rs
@@ -7,6 +7,8 @@
 use arbtest::arbtest;
 use common::*;
 use plankhill_dispatch::affinity::{rank_costs, target_hash, Chains, Kept};
+use plankhill_dispatch::allocation::Allocation;
+use plankhill_dispatch::demand::TextShare;
 use plankhill_dispatch::*;
 use plankhill_protocol::ids::InstanceId;
 
@@ -26,16 +28,16 @@
 fn a_part_is_kept_only_behind_all_parts_before_it() {
     let mut kept = Kept::default();
     kept.note(&chains(&[(1, 100), (2, 10)]));
-    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 10)])), 0);
-    assert_eq!(kept.missing(&chains(&[(1, 100), (3, 10)])), 10);
-    assert_eq!(kept.missing(&chains(&[(3, 100), (2, 10)])), 110);
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 10)]), false), 0);
+    assert_eq!(kept.missing(&chains(&[(1, 100), (3, 10)]), false), 10);
+    assert_eq!(kept.missing(&chains(&[(3, 100), (2, 10)]), false), 110);
 }
 
 #[test]
 fn of_a_part_that_has_grown_only_the_growth_is_missing() {
     let mut kept = Kept::default();
     kept.note(&chains(&[(1, 100), (2, 10)]));
-    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 25)])), 15);
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 25)]), false), 15);
 }
 
 #[test]
@@ -45,8 +47,8 @@
     for session in 10..5_000 {
         kept.note(&chains(&[shared, (session, 10)]));
     }
-    assert_eq!(kept.missing(&chains(&[shared, (4_999, 10)])), 0);
-    assert_eq!(kept.missing(&chains(&[shared, (10, 10)])), 10, "the shared part was used ever since");
+    assert_eq!(kept.missing(&chains(&[shared, (4_999, 10)]), false), 0);
+    assert_eq!(kept.missing(&chains(&[shared, (10, 10)]), false), 10, "the shared part was used ever since");
 }
 
 #[test]
@@ -67,6 +69,26 @@
     }
 }
 
+/// Guards turns that move as the mix of the prompts changes: what the session has said would be read again.
+#[test]
+fn a_session_stays_while_the_share_of_its_text_grows() {
+    let mut proxy = Proxy::with(&["a", "b", "c", "d", "e", "f", "g", "h"]);
+    let mut now = 0.0;
+    for session in 0..10u64 {
+        let mut targets = HashSet::new();
+        for turn in 0..6 {
+            let (key, tokens) = (10 * session + turn, 300 + 10 * turn as u32);
+            now += 100.0;
+            let new = prompt(key, now, session, &[(7, 2_000), (100 + session, tokens)]);
+            let target = proxy.takes(now, new).expect("sent");
+            now += 100.0;
+            proxy.ends(now, key, &target, Fate::Delivered);
+            targets.insert(target);
+        }
+        assert_eq!(targets.len(), 1, "session {session}");
+    }
+}
+
 #[test]
 fn proxies_that_know_nothing_agree() {
     let names = ["a", "b", "c", "d", "e", "f"];
@@ -109,6 +131,14 @@
     assert_eq!(proxy.takes(3.0, prompt(2, 3.0, 1, &[(7, 4_000), (8, 20)])).as_deref(), Some("a2"));
 }
 
+#[test]
+fn a_text_that_targets_keep_for_others_is_not_missing_there() {
+    let mut kept = Kept::default();
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 10)]), true), 10);
+    kept.note(&chains(&[(1, 100), (2, 10)]));
+    assert_eq!(kept.missing(&chains(&[(1, 100), (2, 25)]), true), 15);
+}
+
 #[test]
 fn ranks_are_a_permutation_whatever_the_order_of_the_targets() {
     arbtest(|u| {
@@ -117,12 +147,20 @@
         let hashes: Vec<u64> =
             names.iter().map(|name| target_hash(&InstanceId::from(name.as_str()))).collect();
         let prompt = chains(&[(u.arbitrary()?, 10), (u.arbitrary()?, 10)]);
-        let costs = rank_costs(&prompt, &hashes);
+        let text = prompt.text().expect("two parts");
+        let shares = vec![TextShare { text, share: u.int_in_range(1..=100)? as f64 / 100.0 }];
+        let allocation = Allocation::of(shares, &hashes);
+        let keepers = allocation.keepers(text);
+        let costs = rank_costs(&prompt, &hashes, keepers);
         let turned: Vec<u64> = hashes.iter().rev().copied().collect();
-        let mut turned_costs = rank_costs(&prompt, &turned);
+        let mut turned_costs = rank_costs(&prompt, &turned, keepers);
         turned_costs.reverse();
         assert_eq!(costs, turned_costs);
-        assert_eq!(costs.iter().filter(|cost| **cost == 0.0).count(), 1);
+        assert_eq!(costs.iter().filter(|rank| rank.cost == 0.0).count(), 1);
+        assert_eq!(costs.iter().filter(|rank| rank.keeps_text).count(), keepers.len());
+        let dearest_keeper =
+            costs.iter().filter(|rank| rank.keeps_text).map(|rank| rank.cost).fold(0.0, f64::max);
+        assert!(costs.iter().all(|rank| rank.keeps_text || rank.cost > dearest_keeper));
         Ok(())
     })
     .budget_ms(500);
@@ -136,7 +174,7 @@
             let list: Vec<(u64, u32)> = u.arbitrary()?;
             let prompt = chains(&list);
             let all = list.iter().take(64).fold(0u32, |sum, part| sum.saturating_add(part.1));
-            assert!(kept.missing(&prompt) <= all);
+            assert!(kept.missing(&prompt, false) <= all);
             kept.note(&prompt);
         }
         Ok(())
--- a/tier/dispatch/tests/fleet/main.rs
+++ b/tier/dispatch/tests/fleet/main.rs
@@ -12,7 +12,8 @@
         let shares = [0.5, 0.9, 0.99, 0.999];
         let times: Vec<Ms> = shares.iter().map(|share| self.percentile(*share).round()).collect();
         println!("{} answered in {times:?} ms at {shares:?}", self.answered.len());
-        println!("{} refused, {} shared reads", self.refused, self.shared_reads);
+        let busiest = self.busiest();
+        println!("{} refused, {} shared reads, busiest {busiest:.2}", self.refused, self.shared_reads);
     }
 
     fn percentile(&mut self, share: f64) -> Ms {
@@ -53,3 +54,16 @@
         assert!(fleet.shared_reads < servers * subjects as usize);
     }
 }
+
+/// Guards many proxies of which each sees little of the load: all of them put a new prompt at the same few targets.
+#[test]
+fn many_proxies_with_little_traffic_each_spread_shared_prompts_over_the_targets() {
+    let (servers, subjects) = (60, 6);
+    let mut fleet = Fleet::new(77, servers, 24, 72, 300.0);
+    fleet.subjects = Some(subjects);
+    fleet.run(346.0, 20.0);
+    fleet.print();
+    assert_eq!(fleet.refused, 0);
+    assert!(fleet.busiest() < 1.7);
+    assert!(fleet.shared_reads < servers * subjects as usize * 2 / 3);
+}
--- a/tier/dispatch/tests/fleet/world.rs
+++ b/tier/dispatch/tests/fleet/world.rs
@@ -38,6 +38,7 @@
     running: usize,
     waiting: VecDeque<Call>,
     read: HashSet<u64>,
+    served: usize,
 }
 
 enum Happens {
@@ -75,6 +76,7 @@
             running: 0,
             waiting: VecDeque::new(),
             read: HashSet::new(),
+            served: 0,
         };
         let servers: Vec<Server> = (0..servers).map(server).collect();
         let listed: Vec<Target> = servers
@@ -109,6 +111,13 @@
         }
     }
 
+    /// Calls that the busiest server served, as a multiple of the mean.
+    pub fn busiest(&self) -> f64 {
+        let served = self.servers.iter().map(|server| server.served);
+        let (most, all) = served.fold((0, 0), |(most, all), served| (most.max(served), all + served));
+        most as f64 * self.servers.len() as f64 / all as f64
+    }
+
     fn draw(&mut self) -> f64 {
         self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         (self.draws >> 11) as f64 / (1u64 << 53) as f64
@@ -229,6 +238,7 @@
     fn done(&mut self, at: usize, call: Call) {
         self.answers(at, call, Fate::Delivered);
         self.servers[at].running -= 1;
+        self.servers[at].served += 1;
         if let Some(next) = self.servers[at].waiting.pop_front() {
             self.starts(at, next);
         }
