--- a/tier/chain/src/member/mod.rs
+++ b/tier/chain/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod attempt;
 mod catch_up;
+mod effects;
 mod presence;
 mod proposals;
 mod reads;
@@ -15,7 +16,7 @@
 
 use plankhill_protocol::ids::Revision;
 
-use crate::durable::{Acceptor, Durable, Snapshot, Write};
+use crate::durable::{Acceptor, Durable, Snapshot};
 use crate::effect::{Deferred, Effect, Millis, Ticket};
 use crate::log::Log;
 use crate::machine::{BadSnapshot, Replicated, StateMachine};
@@ -188,47 +189,6 @@
         &self.me
     }
 
-    fn carry_out(&mut self, deferred: Deferred) {
-        match deferred {
-            Deferred::Nothing => {}
-            Deferred::Send(to, message) => self.send(to, message),
-            Deferred::Vote(message) => {
-                let me = self.me.identity.clone();
-                self.on_vote(&me, message);
-            }
-            Deferred::View(number, last) => {
-                self.durable = (number, last);
-                self.send_heartbeats();
-            }
-            Deferred::Position(view, last) => {
-                self.durable = (view, last);
-                self.on_position(view);
-            }
-        }
-    }
-
-    fn persist(&mut self, writes: Vec<Write>, then: Deferred) {
-        self.tickets.0 += 1;
-        self.deferred.push_back((self.tickets, self.now, then));
-        self.effects.push(Effect::Persist { ticket: self.tickets, writes });
-    }
-
-    fn send(&mut self, to: SocketAddr, message: Message) {
-        self.effects.push(Effect::Send { to, message });
-    }
-
-    /// Sends to a machine that was heard or that the view names.
-    fn send_to(&mut self, to: &Identity, message: Message) {
-        if let Some(address) = self.address_of(to) {
-            self.send(address, message);
-        }
-    }
-
-    fn address_of(&self, identity: &Identity) -> Option<SocketAddr> {
-        let heard = self.peers.get(identity).map(|peer| peer.heartbeat.member.address);
-        heard.or_else(|| self.view.voter(identity).map(|voter| voter.address))
-    }
-
     /// Whether this member has promised to help with the next view, and takes no operations in this one.
     fn is_sealed(&self) -> bool {
         self.acceptor.promised.is_some()
--- a/tier/controller/src/run.rs
+++ b/tier/controller/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the process and runs it until the platform ends it.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -116,12 +116,7 @@
 
 /// The seeds' machines at the controllers' internal port, which is the same on all machines.
 fn seeds(settings: &Settings) -> Vec<SocketAddr> {
-    let ports = PortRange { first: settings.port_range.first };
-    let ips = settings.seed_nodes.iter().filter_map(|seed| match seed.ip() {
-        IpAddr::V4(ip) => Some(ip),
-        IpAddr::V6(_) => None,
-    });
-    ips.map(|ip| ports.controller(ip)).collect()
+    PortRange { first: settings.port_range.first }.controllers(&settings.seed_nodes)
 }
 
 fn listen_at(address: SocketAddr) -> Result<TcpListener, RunError> {
--- a/tier/protocol/src/ports.rs
+++ b/tier/protocol/src/ports.rs
@@ -1,6 +1,6 @@
 //! Which port of the machines' common range carries what. All machines of a deployment share one range.
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 
 /// Offset of the controllers' own port: chain, subscriptions of agents, registrations of stores.
 const CONTROLLER: u16 = 0;
@@ -24,6 +24,16 @@
         self.at(ip, CONTROLLER)
     }
 
+    /// Where the controllers on the seeds' machines listen for other processes of the tier; a seed without an IPv4
+    /// address is left out.
+    pub fn controllers(self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let ips = seeds.iter().filter_map(|seed| match seed.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        ips.map(|ip| self.controller(ip)).collect()
+    }
+
     /// Where the store on a machine listens.
     pub fn store(self, ip: Ipv4Addr) -> SocketAddr {
         self.at(ip, STORE)
--- a/tier/protocol/src/tables.rs
+++ b/tier/protocol/src/tables.rs
@@ -1,6 +1,8 @@
 //! What the control plane tells the data plane: targets, stores, edges, configuration. Snapshots are
 //! immutable and replaced whole; [`TablesUpdate`] carries the changes between two revisions.
 
+mod order;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,6 +10,9 @@
 
 use crate::ids::{Incarnation, InstanceId, NodeId, Revision, ServiceName, StoreEpoch, ZoneName};
 
+use order::{differences, replace_at, same_place};
+pub use order::{edge_order, target_order};
+
 /// Whether a target takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
@@ -216,36 +221,3 @@
         }
     }
 }
-
-/// The order of [`Tables::targets`].
-pub fn target_order(one: &Target, other: &Target) -> std::cmp::Ordering {
-    (&one.service, &one.id).cmp(&(&other.service, &other.id))
-}
-
-/// The order of [`Tables::edges`].
-pub fn edge_order(one: &Edge, other: &Edge) -> std::cmp::Ordering {
-    one.node.cmp(&other.node)
-}
-
-/// What stands in `list` and not, just so, in `other`; both in `order`.
-fn differences<'a, T: PartialEq>(
-    list: &'a [T],
-    other: &'a [T],
-    order: fn(&T, &T) -> std::cmp::Ordering,
-) -> impl Iterator<Item = &'a T> {
-    list.iter().filter(move |one| match other.binary_search_by(|held| order(held, one)) {
-        Ok(at) => other[at] != **one,
-        Err(_) => true,
-    })
-}
-
-fn same_place<T>(list: &[T], one: &T, order: fn(&T, &T) -> std::cmp::Ordering) -> bool {
-    list.binary_search_by(|held| order(held, one)).is_ok()
-}
-
-fn replace_at<T>(list: &mut Vec<T>, place: Result<usize, usize>, value: T) {
-    match place {
-        Ok(at) => list[at] = value,
-        Err(at) => list.insert(at, value),
-    }
-}
--- a/tier/store/src/process.rs
+++ b/tier/store/src/process.rs
@@ -3,7 +3,6 @@
 use std::future::Future;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -63,7 +62,7 @@
     let listener = listen(ports.store(settings.ip))?;
     let me = node.me().clone();
     tracing::info!(node = %me.node, incarnation = me.incarnation.0, address = %me.address, "store started");
-    let controllers = controllers(&settings, ports);
+    let controllers = ports.controllers(&settings.seed_nodes);
     tokio::task::spawn_local(node.clone().run());
     tokio::task::spawn_local(follow(node.clone(), controllers));
     let serving = tokio::task::spawn_local(answer_calls(node.clone(), listener));
@@ -123,15 +122,6 @@
     })
 }
 
-/// The controllers' ports on the machines that the settings name as seeds.
-fn controllers(settings: &Settings, ports: PortRange) -> Vec<SocketAddr> {
-    let addresses = settings.seed_nodes.iter().filter_map(|seed| match seed.ip() {
-        IpAddr::V4(ip) => Some(ports.controller(ip)),
-        IpAddr::V6(_) => None,
-    });
-    addresses.collect()
-}
-
 /// A number that no other life of a disk has: from the system's random source and the time of day.
 fn draw_incarnation() -> Incarnation {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
