Forwarders are drained by numbered orders: control state, node states, rolls, command line

Orders are operations of the chain (412 on an older number, repeats acknowledged, 409 where under half of a zone or of all would stay) and travel in the tables; a node's states and the plan of a roll are state machines without I/O (tier/draining). The proxy says not ready, ends each connection behind its next answer, closes those at rest after the longest rest, and reports empty under its order's number. SIGTERM cuts what outlasts the grace time a quarter of a second earlier and settles it by what was handed out (a turn cut at the end counted at its most before).

--- a/tier/agent/src/feeder.rs
+++ b/tier/agent/src/feeder.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use plankhill_protocol::feed::{FromSubscriber, ToSubscriber};
+use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
 use plankhill_protocol::feeder::Held;
 use plankhill_protocol::subscription::LinkStanding;
 use plankhill_protocol::tables::Tables;
 use plankhill_protocol::transport::{accept, FrameReader, FrameWriter, Hello, TransportError};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, Instant};
 
 /// Whom a feeder serves.
@@ -42,6 +42,8 @@
     pub tables: watch::Receiver<Arc<Tables>>,
     /// How the link to the controllers stands.
     pub standing: watch::Receiver<LinkStanding>,
+    /// What subscribers say to the controllers.
+    pub upwards: mpsc::Sender<FromSubscriber>,
 }
 
 /// Accepts subscribers for ever; `connected` tells how many there are.
@@ -78,19 +80,24 @@
     writer: FrameWriter,
     source: Source,
     held: Held,
+    /// Whether it is the proxy of this machine, which speaks for it.
+    is_proxy: bool,
     heartbeat: Duration,
     beat: Instant,
 }
 
 impl Feed {
     fn new(writer: FrameWriter, source: Source, heartbeat: Duration) -> Self {
-        Feed { writer, source, held: Held::Nothing, heartbeat, beat: Instant::now() }
+        Feed { writer, source, held: Held::Nothing, is_proxy: false, heartbeat, beat: Instant::now() }
     }
 
     /// Feeds until the connection ends; says why it did.
     async fn run(mut self, mut reader: FrameReader) -> &'static str {
         match timeout(WRITE_LIMIT, reader.next()).await {
-            Ok(Ok(FromSubscriber::Subscribe { held, .. })) => self.held = Held::Revision(held),
+            Ok(Ok(FromSubscriber::Subscribe { subscriber, held })) => {
+                self.held = Held::Revision(held);
+                self.is_proxy = subscriber == Subscriber::Proxy;
+            }
             _ => return "no subscription",
         }
         let mut reading = Box::pin(receive(reader));
@@ -102,6 +109,10 @@
                 (reader, message) = &mut reading => {
                     match message {
                         Ok(FromSubscriber::WantsSnapshot) => self.held = Held::Nothing,
+                        // It is said again until the tables show it, so one that finds no room may be lost.
+                        Ok(emptied @ FromSubscriber::Emptied { .. }) if self.is_proxy => {
+                            let _ = self.source.upwards.try_send(emptied);
+                        }
                         Ok(_) => {}
                         Err(_) => return "connection closed",
                     }
--- a/tier/agent/src/run.rs
+++ b/tier/agent/src/run.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use plankhill_protocol::feed::Subscriber;
+use plankhill_protocol::feed::{FromSubscriber, Subscriber};
 use plankhill_protocol::subscription::{Subscription, SubscriptionOptions, CONTROLLER_SILENCE};
 use plankhill_protocol::tables::Edge;
 use plankhill_protocol::transport::{listen, Channel, Hello};
 use plankhill_settings::Settings;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 use crate::controllers::{controllers, ports};
@@ -21,6 +21,9 @@
 use crate::peers::monitor_peers;
 use crate::signals::{Request, Signals};
 
+/// Messages of the proxy that wait to be passed on.
+const UPWARDS: usize = 8;
+
 /// Why the agent could not run.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -60,7 +63,9 @@
         candidates: watched,
         silence: CONTROLLER_SILENCE,
     }));
-    let source = Source { tables: subscription.tables(), standing: subscription.standing() };
+    let (upwards, messages) = mpsc::channel(UPWARDS);
+    tokio::task::spawn_local(pass_upwards(messages, subscription.clone()));
+    let source = Source { tables: subscription.tables(), standing: subscription.standing(), upwards };
     let proxies = start_feeder(loopback, Channel::Feed, &me, &source, PROXY);
     start_feeder(peers, Channel::Peer, &me, &source, PEERS);
     tokio::task::spawn_local(monitor_peers(datagrams, me.node.clone(), subscription.clone()));
@@ -73,6 +78,15 @@
     Ok(())
 }
 
+/// Passes what the proxy says on to a controller, if one is connected; it is said again otherwise.
+async fn pass_upwards(mut messages: mpsc::Receiver<FromSubscriber>, subscription: Rc<Subscription>) {
+    while let Some(message) = messages.recv().await {
+        if subscription.standing().borrow().address.is_some() {
+            subscription.send(message);
+        }
+    }
+}
+
 /// Feeds one kind of subscribers; how many are connected.
 fn start_feeder(
     listener: TcpListener,
--- a/tier/agent/tests/feeding.rs
+++ b/tier/agent/tests/feeding.rs
@@ -14,7 +14,7 @@
 use plankhill_protocol::tables::{Edge, Tables, TablesChange, TablesUpdate};
 use plankhill_protocol::transport::{accept, listen, Channel, Connection, Hello};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet};
 
 /// Far beyond anything that a test waits for.
@@ -90,7 +90,8 @@
 ) -> (SocketAddr, JoinHandle<()>) {
     let listener = listen(any_port()).unwrap();
     let address = listener.local_addr().unwrap();
-    let source = Source { tables: of.tables(), standing: of.standing() };
+    let (upwards, _) = mpsc::channel(1);
+    let source = Source { tables: of.tables(), standing: of.standing(), upwards };
     let (connected, _) = watch::channel(0);
     let serving = serve(listener, hello("edge-1"), source, audience, connected);
     (address, tokio::task::spawn_local(serving))
--- a/tier/command/src/arguments.rs
+++ b/tier/command/src/arguments.rs
@@ -1,11 +1,16 @@
 //! The command line.
 
+mod draining;
+
 use std::ffi::OsString;
 use std::path::PathBuf;
 
 use lexopt::{Arg, Parser, ValueExt};
 use thiserror::Error;
 
+use draining::{parse_drain, parse_drains, parse_roll};
+pub use draining::{DrainArguments, RollArguments};
+
 /// Programs of the demo unless the command line says otherwise: enough to be under way at both kills.
 const DEFAULT_DEMO_PROGRAMS: u32 = 40;
 
@@ -41,6 +46,17 @@
         /// Number of programs sent through it.
         programs: u32,
     },
+    /// Take forwarders out of service, or back.
+    Drain(DrainArguments),
+    /// Show which forwarders are out of service.
+    Drains {
+        /// Address of the controller, as `IP:PORT`.
+        address: String,
+        /// Print the answer as received.
+        json: bool,
+    },
+    /// Take forwarders out of service and back, a few at a time.
+    Roll(RollArguments),
     /// Ask a controller for its status.
     Status {
         /// Address of the controller, as `IP:PORT`.
@@ -99,6 +115,14 @@
     /// The number of programs is none, or out of bounds.
     #[error("--programs is a number from 1 to {MAX_DEMO_PROGRAMS}, not {0:?}")]
     ProgramCount(String),
+    /// The option's value is no number, or none from 1 on.
+    #[error("{option} is a number from 1 on, not {text:?}")]
+    NoCount {
+        /// The option.
+        option: &'static str,
+        /// Its value.
+        text: String,
+    },
     /// The form of log lines is unknown.
     #[error("--log-format is text or json, not {0:?}")]
     UnknownLogFormat(String),
@@ -124,6 +148,10 @@
             "proxy" => parse_role(parser, Role::Proxy),
             "store" => parse_role(parser, Role::Store),
             "check" => parse_check(parser),
+            "drain" => parse_drain(parser, true),
+            "undrain" => parse_drain(parser, false),
+            "drains" => parse_drains(parser),
+            "roll" => parse_roll(parser),
             "status" => parse_status(parser),
             "demo" => parse_demo(parser),
             _ => Err(UsageError::UnknownCommand(name)),
--- /dev/null
+++ b/tier/command/src/controller_call.rs
@@ -0,0 +1,103 @@
+//! Calls of a controller's interface for operators.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// Longest wait for a whole answer; a controller in service answers within milliseconds.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest answer read, in bytes: a status of ten thousand machines stays below it.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Why no answer came.
+#[derive(Debug, Error)]
+pub(crate) enum CallError {
+    /// The runtime or the connection could not be set up.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] io::Error),
+    /// The exchange broke off.
+    #[error("the call failed: {0}")]
+    Call(#[from] hyper::Error),
+    /// The request could not be built.
+    #[error("the call failed: {0}")]
+    Request(#[from] hyper::http::Error),
+    /// The controller refused the call.
+    #[error("the controller answered {status}{}", reason_text(.reason))]
+    Refused {
+        /// Its status.
+        status: StatusCode,
+        /// Its reason, if it gave one.
+        reason: Option<String>,
+    },
+    /// The body broke off or is too large.
+    #[error("the answer could not be read: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// The answer is no JSON.
+    #[error("the answer is no JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// No whole answer came in time.
+    #[error("no answer within {} s", TIMEOUT.as_secs())]
+    TimedOut(#[from] tokio::time::error::Elapsed),
+}
+
+/// A call of a controller.
+pub(crate) struct ControllerCall {
+    method: Method,
+    path: &'static str,
+    body: Bytes,
+}
+
+impl ControllerCall {
+    /// Reads what stands at a path.
+    pub(crate) fn get(path: &'static str) -> Self {
+        ControllerCall { method: Method::GET, path, body: Bytes::new() }
+    }
+
+    /// Sends an order.
+    pub(crate) fn post(path: &'static str, order: &Value) -> Self {
+        ControllerCall { method: Method::POST, path, body: order.to_string().into() }
+    }
+
+    /// Calls the controller at `address`; the body of its answer.
+    pub(crate) fn send(self, address: SocketAddr) -> Result<Bytes, CallError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(async { tokio::time::timeout(TIMEOUT, self.exchange(address)).await? })
+    }
+
+    async fn exchange(self, address: SocketAddr) -> Result<Bytes, CallError> {
+        let stream = TcpStream::connect(address).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        let request = Request::builder().method(self.method).uri(self.path);
+        let request = request.header(HOST, address.to_string()).body(Full::new(self.body))?;
+        let answer = sender.send_request(request).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(CallError::Body)?.to_bytes();
+        if status != StatusCode::OK {
+            return Err(CallError::Refused { status, reason: reason_of(&body) });
+        }
+        Ok(body)
+    }
+}
+
+/// The reason in the body of a refusal.
+fn reason_of(body: &[u8]) -> Option<String> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    body.get("error")?.as_str().map(str::to_owned)
+}
+
+fn reason_text(reason: &Option<String>) -> String {
+    reason.as_ref().map_or_else(String::new, |reason| format!(": {reason}"))
+}
--- a/tier/command/src/lib.rs
+++ b/tier/command/src/lib.rs
@@ -2,19 +2,21 @@
 
 mod arguments;
 mod check;
+mod controller_call;
 mod demo;
+mod drains;
 mod exit;
 mod logging;
 mod render;
 mod role;
+mod roll;
 mod status;
-mod status_call;
 mod usage;
 
 use std::ffi::OsString;
 use std::io::Write;
 
-pub use arguments::{Command, LogFormat, Role, UsageError};
+pub use arguments::{Command, DrainArguments, LogFormat, Role, RollArguments, UsageError};
 pub use exit::ExitStatus;
 pub use render::render;
 
@@ -37,6 +39,9 @@
         Command::CheckSettings { file } => check::settings(&file),
         Command::CheckConfiguration { file } => check::configuration(&file),
         Command::Demo { programs } => demo::show(programs),
+        Command::Drain(order) => drains::order(&order),
+        Command::Drains { address, json } => drains::show(&address, json),
+        Command::Roll(plan) => roll::run(&plan),
         Command::Status { address, json } => status::show(&address, json),
     }
 }
--- a/tier/command/src/usage.rs
+++ b/tier/command/src/usage.rs
@@ -14,6 +14,15 @@
       Checks a configuration as an operator would send it and prints each fault with its key.
   plankhill-tier status ADDRESS [--json]
       Asks the controller at ADDRESS (IP:PORT) for its status; --json prints it as received.
+  plankhill-tier drain ADDRESS NODE... [--zone ZONE]
+  plankhill-tier undrain ADDRESS NODE... [--zone ZONE]
+      Takes forwarders out of service, or back, by an order to the controller at ADDRESS: those named
+      and all of ZONE. Half of a zone has to stay, or its clients go to the nearest zone with all of it.
+  plankhill-tier drains ADDRESS [--json]
+      Shows which forwarders are out of service, and which of them are empty.
+  plankhill-tier roll ADDRESS [NODE...] [--most N] [--empty-within S] [--back-within S]
+      Drains forwarders (all, if none is named) a few at a time (default 1), says when each may be
+      started anew, and takes it back once it is. Stops where a machine is lost or one stays behind.
   plankhill-tier demo [--programs N]
       Starts a small tier on loopback addresses (Linux), sends N programs (default 40) through it,
       kills a controller and a proxy, and prints what clients saw. Takes under a minute. All
--- a/tier/command/tests/arguments.rs
+++ b/tier/command/tests/arguments.rs
@@ -2,7 +2,9 @@
 
 use std::ffi::OsString;
 
-use plankhill_tier::{Command, LogFormat, Role, UsageError};
+use std::time::Duration;
+
+use plankhill_tier::{Command, DrainArguments, LogFormat, Role, RollArguments, UsageError};
 
 fn parse(line: &str) -> Result<Command, UsageError> {
     Command::parse(line.split_whitespace().map(OsString::from))
@@ -51,6 +53,39 @@
     assert_eq!(understood("status --json 127.0.0.1:9001"), Command::Status { address, json: true });
 }
 
+#[test]
+fn orders_name_machines_or_a_zone() {
+    let order = |leave, nodes: &[&str], zone: Option<&str>| {
+        Command::Drain(DrainArguments {
+            address: "127.0.0.1:9001".to_owned(),
+            leave,
+            nodes: nodes.iter().map(ToString::to_string).collect(),
+            zone: zone.map(str::to_owned),
+        })
+    };
+    assert_eq!(understood("drain 127.0.0.1:9001 a b"), order(true, &["a", "b"], None));
+    assert_eq!(understood("undrain 127.0.0.1:9001 --zone z a"), order(false, &["a"], Some("z")));
+    assert!(parse("drain 127.0.0.1:9001").is_err_and(|error| error.to_string().contains("--zone")));
+    assert!(parse("drain").is_err_and(|error| error.to_string().contains("address")));
+}
+
+#[test]
+fn a_roll_has_bounds() {
+    let roll = |nodes: &[&str], most_out, empty: u64, back: u64| {
+        Command::Roll(RollArguments {
+            address: "127.0.0.1:9001".to_owned(),
+            nodes: nodes.iter().map(ToString::to_string).collect(),
+            most_out,
+            empty_within: Duration::from_secs(empty),
+            back_within: Duration::from_secs(back),
+        })
+    };
+    assert_eq!(understood("roll 127.0.0.1:9001"), roll(&[], 1, 120, 600));
+    let line = "roll 127.0.0.1:9001 a --most 4 --empty-within 30 --back-within 60 b";
+    assert_eq!(understood(line), roll(&["a", "b"], 4, 30, 60));
+    assert!(parse("roll 127.0.0.1:9001 --most 0").is_err_and(|error| error.to_string().contains("--most")));
+}
+
 #[test]
 fn the_demo_takes_a_number_of_programs() {
     assert_eq!(understood("demo"), Command::Demo { programs: 40 });
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! depends on nothing but the state and the operation: no clock, no random numbers, no I/O.
 
 mod configuration;
+mod drains;
 mod edges;
 mod operation;
 mod retirements;
@@ -13,6 +14,7 @@
 mod targets;
 
 pub use configuration::ConfigurationHistory;
+pub use drains::{DrainOrder, Drains};
 pub use edges::Edges;
 pub use operation::{Duty, ExpiredTarget, Operation, Outcome};
 pub use retirements::{Retirement, Retirements};
--- a/tier/control/src/operation.rs
+++ b/tier/control/src/operation.rs
@@ -6,6 +6,8 @@
 use plankhill_protocol::tables::{Edge, StoreMember, Target};
 use serde::{Deserialize, Serialize};
 
+use crate::drains::DrainOrder;
+
 /// One change of the control state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Operation {
@@ -50,6 +52,15 @@
     },
     /// The operator wants a store emptied.
     RetireStore(NodeId),
+    /// The operator takes edges out of service, or back.
+    OrderDrain(DrainOrder),
+    /// An edge that is out of service says that it is empty.
+    EdgeEmptied {
+        /// The machine.
+        node: NodeId,
+        /// The number of the order that took it out.
+        number: u64,
+    },
     /// Housekeeping by the head of the chain, fenced by the number of its view.
     Duty {
         /// The view in which the sender is the head.
@@ -100,9 +111,9 @@
     Repeated,
     /// Nothing to change: older than what is known, known already, or meant for an earlier epoch.
     Ignored,
-    /// Another configuration is current.
+    /// Another configuration, or another order, came before.
     Conflict {
-        /// The current version.
+        /// The current version, or the number of the last order.
         current: u64,
     },
     /// The configuration builds on the current one, but its version is not above it.
@@ -114,6 +125,10 @@
     UnknownStore,
     /// Too few stores would be left.
     TooFewStores,
+    /// No edge of that name.
+    UnknownEdge,
+    /// Too few edges would stay in service.
+    TooFewEdges,
     /// A table is full.
     Full,
     /// The duty comes from the head of an older view.
--- a/tier/control/src/state.rs
+++ b/tier/control/src/state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::ConfigurationHistory;
+use crate::drains::Drains;
 use crate::edges::Edges;
 use crate::operation::{Duty, Operation, Outcome};
 use crate::retirements::Retirements;
@@ -21,6 +22,7 @@
     retirements: Retirements,
     /// The newest view whose head has done a duty.
     duty_view: u64,
+    drains: Drains,
 }
 
 impl ControlState {
@@ -44,6 +46,8 @@
                 self.stores.synced(node, *incarnation, *epoch)
             }
             Operation::RetireStore(node) => self.retirements.start(node, &mut self.stores),
+            Operation::OrderDrain(order) => self.drains.order(order, &self.edges),
+            Operation::EdgeEmptied { node, number } => self.drains.emptied(node, *number),
             Operation::Duty { view, duty } => self.apply_duty(*view, duty),
         }
     }
@@ -86,6 +90,11 @@
         &self.stores
     }
 
+    /// The edges that the operator has taken out of service.
+    pub fn drains(&self) -> &Drains {
+        &self.drains
+    }
+
     /// The stores that the operator wants emptied.
     pub fn retirements(&self) -> &Retirements {
         &self.retirements
--- a/tier/control/src/tables.rs
+++ b/tier/control/src/tables.rs
@@ -18,6 +18,7 @@
         targets,
         stores: state.stores().view().clone(),
         edges: state.edges().iter().map(|edge| (**edge).clone()).collect(),
+        drains: state.drains().iter().cloned().collect(),
     }
 }
 
@@ -30,6 +31,9 @@
         changes.push(TablesChange::Stores(after.stores().view().clone()));
     }
     edge_changes(before, after, &mut changes);
+    if before.drains().iter().ne(after.drains().iter()) {
+        changes.push(TablesChange::Drains(after.drains().iter().cloned().collect()));
+    }
     changes
 }
 
--- a/tier/controller/src/admin.rs
+++ b/tier/controller/src/admin.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod body;
 mod configuration;
+mod drains;
 mod heartbeat;
 mod instances;
 mod retire;
--- a/tier/controller/src/admin/router.rs
+++ b/tier/controller/src/admin/router.rs
@@ -17,6 +17,10 @@
     Retire(NodeId),
     /// How far the emptying is.
     RetireProgress(NodeId),
+    /// Take edges out of service, or back.
+    OrderDrain,
+    /// What is out of service.
+    ListDrains,
     /// A heartbeat.
     Heartbeat(InstanceId),
     /// A target ends.
@@ -37,6 +41,13 @@
             _ => Err(StatusCode::METHOD_NOT_ALLOWED),
         };
     }
+    if path == "/-/drains" {
+        return match *method {
+            Method::POST => Ok(Call::OrderDrain),
+            Method::GET => Ok(Call::ListDrains),
+            _ => Err(StatusCode::METHOD_NOT_ALLOWED),
+        };
+    }
     if path == "/-/status" {
         return if *method == Method::GET { Ok(Call::Status) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
     }
--- a/tier/controller/src/admin/server.rs
+++ b/tier/controller/src/admin/server.rs
@@ -14,7 +14,7 @@
 use super::answer::{failure, Answer};
 use super::body::{BodyBudget, ReadableBody};
 use super::router::{route, Call};
-use super::{configuration, instances, retire, status};
+use super::{configuration, drains, instances, retire, status};
 use crate::log::ControlLog;
 use crate::process::Controller;
 
@@ -105,6 +105,8 @@
         Call::GetConfiguration => configuration::get(controller).await,
         Call::Retire(node) => retire::start(controller, node, request.into_body()).await,
         Call::RetireProgress(node) => retire::progress(controller, node).await,
+        Call::OrderDrain => drains::order(controller, request.into_body()).await,
+        Call::ListDrains => drains::list(controller).await,
         Call::Heartbeat(id) => instances::heartbeat(controller, id, request.into_body()).await,
         Call::Deregister(id) => instances::deregister(controller, id).await,
         Call::Status => status::status(controller),
--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -139,6 +139,12 @@
                 }
                 return true;
             }
+            FromSubscriber::Emptied { number } => {
+                if let (Subscriber::Edge(edge), Some(_)) = (&self.subscriber, &self.life) {
+                    let node = edge.node.clone();
+                    self.controller.submit(Operation::EdgeEmptied { node, number });
+                }
+            }
             FromSubscriber::HeartbeatsOnly => self.wants_updates = false,
             FromSubscriber::Updates { held } => (self.wants_updates, self.held) = (true, held),
             // Only the first message of a connection may be one.
--- a/tier/demo/src/control_plane.rs
+++ b/tier/demo/src/control_plane.rs
@@ -37,6 +37,12 @@
         Order { method: Method::PUT, path: "/-/config".to_owned(), base: Some(base), body }
     }
 
+    /// An order with a JSON body.
+    pub(crate) fn post(path: &str, body: &serde_json::Value) -> Order {
+        let body = Bytes::from(body.to_string());
+        Order { method: Method::POST, path: path.to_owned(), base: None, body }
+    }
+
     /// A question without a body.
     pub(crate) fn get(path: &str) -> Order {
         Order { method: Method::GET, path: path.to_owned(), base: None, body: Bytes::new() }
--- a/tier/demo/src/lib.rs
+++ b/tier/demo/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 pub mod configuration;
 mod control_plane;
+mod drain;
 mod error;
 pub mod events;
 mod fleet;
--- a/tier/demo/src/report.rs
+++ b/tier/demo/src/report.rs
@@ -11,6 +11,8 @@
     pub(crate) counts: Counts,
     /// Requests that targets ran again.
     pub(crate) run_again: usize,
+    /// Time from the order that drained a proxy until it was empty.
+    pub(crate) empty_after: Duration,
     /// Time from the acknowledgement of the second configuration until every ready proxy served it.
     pub(crate) spread: Option<Duration>,
     /// Whether the operator read back what was acknowledged.
@@ -53,6 +55,7 @@
             "  budget spent   {} (one program has a budget of two turns)",
             counts.budget_refusals
         )?;
+        writeln!(formatter, "  drained        a proxy was empty after {} ms", self.empty_after.as_millis())?;
         match self.spread {
             Some(time) => writeln!(
                 formatter,
--- a/tier/demo/src/scenario.rs
+++ b/tier/demo/src/scenario.rs
@@ -44,6 +44,7 @@
     stage.wait_for_proxies().await?;
     let programs = stage.start_programs(options.programs);
     sleep(AWAY).await;
+    let empty_after = stage.drain_proxy().await?;
     let spread = stage.kill_controller().await?;
     stage.kill_proxy().await?;
     for program in programs {
@@ -51,7 +52,7 @@
         let _ = program.await;
     }
     stage.narration.say("all programs have ended");
-    let report = stage.end(spread).await;
+    let report = stage.end(empty_after, spread).await;
     stage.keep_logs_unless(report.is_whole());
     Ok(report)
 }
@@ -155,13 +156,21 @@
     }
 
     /// Reads back the configuration, stops all processes and puts the report together.
-    async fn end(&mut self, spread: Option<Duration>) -> Report {
+    async fn end(&mut self, empty_after: Duration, spread: Option<Duration>) -> Report {
         let read_back = self.reads_back(&configuration::second()).await;
         let ended = self.fleet.ended();
         let killed_at_end = self.fleet.stop().await;
         self.narration.say("all processes have ended");
         let run_again = self.runs.repeated();
-        Report { counts: self.tally.counts(), run_again, spread, read_back, ended, killed_at_end }
+        Report {
+            counts: self.tally.counts(),
+            run_again,
+            empty_after,
+            spread,
+            read_back,
+            ended,
+            killed_at_end,
+        }
     }
 
     async fn reads_back(&self, expected: &Value) -> bool {
--- /dev/null
+++ b/tier/draining/src/lib.rs
@@ -0,0 +1,6 @@
+//! Taking forwarders out of service, without I/O: the states that one node goes through, whether enough others
+//! stay, and the plan of a roll over many.
+
+pub mod node;
+pub mod roll;
+pub mod room;
--- /dev/null
+++ b/tier/draining/tests/room.rs
@@ -0,0 +1,52 @@
+//! Who may leave: half of a zone stays, or none of it, and half of all.
+
+use arbtest::arbtest;
+use plankhill_draining::room::{check, Member, NoRoom};
+use plankhill_protocol::ids::ZoneName;
+
+fn members(zones: &[(&str, usize, usize)]) -> Vec<Member> {
+    let of_zone = |(zone, all, leaving): &(&str, usize, usize)| {
+        let (zone, leaving) = (ZoneName::from(*zone), *leaving);
+        (0..*all).map(move |at| Member { zone: zone.clone(), leaves: at < leaving }).collect::<Vec<_>>()
+    };
+    zones.iter().flat_map(of_zone).collect()
+}
+
+#[test]
+fn one_of_two_in_a_zone_may_leave() {
+    assert_eq!(check(&members(&[("a", 2, 1), ("b", 2, 0), ("c", 2, 0)])), Ok(()));
+}
+
+#[test]
+fn more_than_half_of_a_zone_may_not_but_the_whole_zone_may() {
+    let refused = check(&members(&[("a", 5, 3), ("b", 5, 0), ("c", 5, 0)]));
+    assert_eq!(refused, Err(NoRoom::Zone(ZoneName::from("a"))));
+    assert_eq!(check(&members(&[("a", 5, 5), ("b", 5, 0), ("c", 5, 0)])), Ok(()));
+}
+
+#[test]
+fn all_zones_at_once_may_not() {
+    assert_eq!(check(&members(&[("a", 4, 4), ("b", 4, 4), ("c", 4, 0)])), Err(NoRoom::All));
+    assert_eq!(check(&members(&[("a", 1, 1)])), Err(NoRoom::All));
+}
+
+#[test]
+fn what_may_leave_leaves_half() {
+    arbtest(|u| {
+        let zones: [(usize, usize); 4] = [(); 4].map(|()| {
+            let all = u.int_in_range(0..=6).unwrap_or(0);
+            (all, u.int_in_range(0..=all).unwrap_or(0))
+        });
+        let names = ["a", "b", "c", "d"];
+        let zones: Vec<_> =
+            zones.iter().zip(names).map(|((all, leaving), name)| (name, *all, *leaving)).collect();
+        let members = members(&zones);
+        if check(&members).is_ok() {
+            let staying = members.iter().filter(|member| !member.leaves).count();
+            assert!(staying * 2 >= members.len());
+            assert!(zones.iter().all(|(_, all, leaving)| leaving == all || (all - leaving) * 2 >= *all));
+        }
+        Ok(())
+    })
+    .budget_ms(300);
+}
--- a/tier/protocol/src/feed.rs
+++ b/tier/protocol/src/feed.rs
@@ -41,6 +41,12 @@
     Suspects(NodeId),
     /// An orderly end: the edge is to be forgotten at once.
     Leaving,
+    /// This edge, taken out of service by the order of this number, is empty: no client is connected and nothing is
+    /// under way. Said by the proxy to its agent, and by that to a controller.
+    Emptied {
+        /// The order's number.
+        number: u64,
+    },
     /// The home of its zone sends it updates from now on. It wants heartbeats only, and one at once whenever the
     /// feeder's revision rises.
     HeartbeatsOnly,
--- a/tier/protocol/src/tables.rs
+++ b/tier/protocol/src/tables.rs
@@ -116,6 +116,19 @@
     pub stores: StoreView,
     /// The live edges, in the order of their names.
     pub edges: Vec<Edge>,
+    /// The edges that the operator has taken out of service, in the order of their names.
+    pub drains: Vec<Drain>,
+}
+
+/// An edge that the operator has taken out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The machine.
+    pub node: NodeId,
+    /// The number of the order.
+    pub number: u64,
+    /// Whether it was empty since.
+    pub empty: bool,
 }
 
 /// One step from a revision to a later one.
@@ -133,6 +146,8 @@
     EdgeRemoved(NodeId),
     /// The configuration was replaced.
     Configuration(ConfigurationText),
+    /// Other edges are out of service: all of them.
+    Drains(Vec<Drain>),
 }
 
 /// What brings a receiver up to date.
@@ -201,6 +216,9 @@
         {
             changes.push(TablesChange::Configuration(text.clone()));
         }
+        if self.drains != older.drains {
+            changes.push(TablesChange::Drains(self.drains.clone()));
+        }
         changes
     }
 
@@ -218,6 +236,7 @@
             }
             TablesChange::EdgeRemoved(node) => self.edges.retain(|edge| edge.node != node),
             TablesChange::Configuration(text) => self.configuration = Some(text),
+            TablesChange::Drains(drains) => self.drains = drains,
         }
     }
 }
--- a/tier/protocol/src/transport/mod.rs
+++ b/tier/protocol/src/transport/mod.rs
@@ -20,7 +20,7 @@
 use crate::ids::NodeId;
 
 /// Version of everything in this package. Other versions are refused at the start of a connection.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 /// Unacknowledged bytes break a connection after this time; well under the contact bound of deployments (3 s).
 pub const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A connection that takes longer to come up counts as failed.
--- a/tier/protocol/tests/common/mod.rs
+++ b/tier/protocol/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use plankhill_protocol::ids::{Incarnation, InstanceId, NodeId, Revision, ServiceName, StoreEpoch, ZoneName};
 use plankhill_protocol::tables::{
-    edge_order, target_order, ConfigurationText, Edge, StoreView, Tables, Target, TargetState,
+    edge_order, target_order, ConfigurationText, Drain, Edge, StoreView, Tables, Target, TargetState,
 };
 use tokio::task::LocalSet;
 
@@ -58,7 +58,10 @@
     let version = draw.int_in_range(1..=3)?;
     let document = Arc::from(&b"{}"[..]);
     let configuration = Some(ConfigurationText { version, document });
-    Ok(Tables { revision: Revision(revision), configuration, targets, stores, edges })
+    let drain =
+        Drain { node: NodeId::from("edge-0"), number: draw.int_in_range(1..=2)?, empty: draw.arbitrary()? };
+    let drains = if draw.arbitrary()? { vec![drain] } else { Vec::new() };
+    Ok(Tables { revision: Revision(revision), configuration, targets, stores, edges, drains })
 }
 
 fn any_target(draw: &mut Unstructured<'_>, number: u8) -> Result<Target> {
--- a/tier/proxy/src/body.rs
+++ b/tier/proxy/src/body.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::process::Work;
+use crate::life::Work;
 
 /// A stream broke: the connection to the client is to end without the end of the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/tier/proxy/src/feed.rs
+++ b/tier/proxy/src/feed.rs
@@ -25,7 +25,7 @@
 }
 
 /// Puts each change of the tables in force. Ends with the subscription.
-pub async fn follow(proxy: Rc<Proxy>, subscription: Subscription) {
+pub async fn follow(proxy: Rc<Proxy>, subscription: Rc<Subscription>) {
     let (mut tables, mut standing) = (subscription.tables(), subscription.standing());
     loop {
         tokio::select! {
--- a/tier/proxy/src/listener.rs
+++ b/tier/proxy/src/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts clients and serves their connections.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::facts::{number, Facts};
 use crate::headers::DEADLINE_MS;
 use crate::intake::{take_in, Job, Rejection};
+use crate::life::Connections;
 use crate::process::Proxy;
 use crate::snapshot::Snapshot;
 use crate::{answer, plain, stream};
@@ -63,12 +65,26 @@
     if tune(&stream).is_err() {
         return;
     }
+    let _open = proxy.life.begin_connection();
+    let (mut idle, mut cut) = (proxy.life.connections(), proxy.life.connections());
     let builder = builder(&proxy.snapshots.newest());
     let service = service_fn(|request| {
         let proxy = proxy.clone();
         async move { Ok::<_, Infallible>(respond(proxy, request).await) }
     });
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        _ = idle.wait_for(|wanted| *wanted >= Connections::CloseIdle) => {
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                biased;
+                _ = cut.wait_for(|wanted| *wanted == Connections::Cut) => return,
+                ended = &mut connection => ended,
+            }
+        }
+    };
+    if let Err(error) = ended {
         tracing::debug!(%error, "connection of a client ended");
     }
 }
@@ -91,7 +107,7 @@
     let work = proxy.life.begin_work();
     let arrived = proxy.clock.now();
     let mut response = answered(&proxy, request, arrived).await;
-    if proxy.life.is_ending() {
+    if proxy.life.turns_away() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     drop(work);
--- a/tier/proxy/src/ready.rs
+++ b/tier/proxy/src/ready.rs
@@ -42,7 +42,7 @@
 /// Whether new clients are welcome.
 pub fn is_ready(proxy: &Proxy) -> bool {
     let life = &proxy.life;
-    life.is_current() && !life.is_ending() && proxy.snapshots.newest().routes.is_some()
+    life.is_current() && !life.turns_away() && proxy.snapshots.newest().routes.is_some()
 }
 
 fn respond(proxy: &Proxy, request: &Request<Incoming>) -> Response<AnswerBody> {
--- a/tier/proxy/src/run.rs
+++ b/tier/proxy/src/run.rs
@@ -16,13 +16,14 @@
 use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::exchange::Targets;
+use crate::life::Life;
 use crate::memory::Memory;
 use crate::orders::PingOrder;
-use crate::process::{Life, Proxy};
+use crate::process::Proxy;
 use crate::shutdown::Signals;
 use crate::snapshot::SnapshotCell;
 use crate::target_pool::TargetPool;
-use crate::{feed, listener, ping, ready};
+use crate::{draining, feed, listener, ping, ready};
 
 /// Descriptors that are left for connections to targets, to stores and to the agent, as a share of all.
 const SHARE_FOR_OTHERS: f64 = 0.4;
@@ -69,6 +70,11 @@
     let (pings, ping_orders) = mpsc::unbounded_channel();
     let proxy = assemble(&settings, pings);
     let (follower, subscription) = (proxy.clone(), feed::subscribe(&settings));
+    let subscription = Rc::new(subscription);
+    let say = subscription.clone();
+    let say: draining::Say = Box::new(move |message| say.send(message));
+    let node = NodeId::from(settings.node_id.as_str());
+    tokio::task::spawn_local(draining::follow(proxy.clone(), node, subscription.tables(), say));
     tokio::task::spawn_local(feed::follow(follower, subscription));
     tokio::task::spawn_local(ping::carry_out(proxy.clone(), ping_orders));
     let admission = proxy.admission.clone();
--- a/tier/proxy/src/shutdown.rs
+++ b/tier/proxy/src/shutdown.rs
@@ -8,13 +8,16 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::{sleep, timeout};
 
-use crate::process::{Life, Proxy};
+use crate::life::{Connections, Life};
+use crate::process::Proxy;
 
 /// The platform asks every second and stops sending clients after two misses; a third second for the ones
 /// that are on their way.
 const CLIENTS_STILL_COME: Duration = Duration::from_secs(3);
 /// An answer that is finished may still wait in the process for a client that reads slowly.
 const LAST_WRITES: Duration = Duration::from_millis(100);
+/// Turns that are cut are settled in this time; the stores take some milliseconds.
+const LAST_SETTLEMENTS: Duration = Duration::from_millis(250);
 /// The process is gone this long before it is killed.
 const BEFORE_KILL: Duration = Duration::from_millis(300);
 
@@ -72,6 +75,10 @@
         // What came meanwhile.
         life.idle().await;
     };
-    // What is not finished by then is cut.
-    let _ = timeout(finishing, finished).await;
+    if timeout(finishing.saturating_sub(LAST_SETTLEMENTS), finished).await.is_ok() {
+        return;
+    }
+    // What is not finished by now is cut, and counts by what its client was handed.
+    life.set_connections(Connections::Cut);
+    let _ = timeout(LAST_SETTLEMENTS, life.idle()).await;
 }
--- a/tier/proxy/src/stream/client.rs
+++ b/tier/proxy/src/stream/client.rs
@@ -6,7 +6,7 @@
 
 use crate::answer;
 use crate::body::{AnswerBody, Piece};
-use crate::process::Work;
+use crate::life::Work;
 
 /// Pieces that wait for a client that reads slowly; then the target's stream is not read either.
 const WAITING_PIECES: usize = 16;
--- a/tier/proxy/src/turn.rs
+++ b/tier/proxy/src/turn.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::facts::Facts;
-use crate::process::Work;
+use crate::life::Work;
 use crate::turn_store::TurnStore;
 
 /// How long a settlement is tried in the background. What stays unsettled counts at its most: too much, never
--- a/tier/proxy/tests/support/world.rs
+++ b/tier/proxy/tests/support/world.rs
@@ -9,8 +9,9 @@
 use plankhill_proxy::admission::Admission;
 use plankhill_proxy::clock::Clock;
 use plankhill_proxy::exchange::Targets;
+use plankhill_proxy::life::Life;
 use plankhill_proxy::memory::Memory;
-use plankhill_proxy::process::{Life, Proxy};
+use plankhill_proxy::process::Proxy;
 use plankhill_proxy::snapshot::SnapshotCell;
 use plankhill_proxy::target_pool::TargetPool;
 use plankhill_proxy::{listener, ready};
