Fleet: a group dissolved by an heir before its founder led it is founded again

The founder saw only that the group was gone and took that for the end of its founding: it took nothing from then on. Change: what becomes of a founding is a function of its own (fleet::course); gone without having been led means again. Test: a founding whose end was not seen.

--- a/fleet/src/groups/founding.rs
+++ b/fleet/src/groups/founding.rs
@@ -1,6 +1,7 @@
 //! New groups: the number is noted first, then keepers are chosen, then all make it, then its founder leads it.
 
 use crate::core::{Core, Kept};
+use crate::course::{course, Course, Sighting};
 use crate::disk::thread::ToDisk;
 use crate::links::shared::Peer;
 use crate::wire::said::Said;
@@ -60,29 +61,26 @@
             if founding.voters.is_empty() {
                 self.choose(&mut founding, now);
             }
-            let led = self.cores.get(&group).is_some_and(|core| core.leads().is_some());
-            let leader = self.cores.get(&group).and_then(|core| core.leader());
-            let by_another = leader.is_some_and(|who| who != self.incarnation());
             if founding.voters.is_empty() {
                 self.foundings.push(founding);
-            } else if self.gone.contains(&group) || led {
-                // It stands, or is over.
-            } else if by_another {
-                // Its keepers took it for an heirless one before it was led here: it is theirs, and empty.
-                again.push(Founding::ordered(founding.purpose, now));
-            } else if now - founding.begun > 3.0 * self.fleet.timing.replace && !self.keepers_live(&founding)
-            {
-                // Its keepers are other lives by now: nothing ever counted in it.
-                self.bury(group);
-                again.push(Founding::ordered(founding.purpose, now));
-            } else {
-                self.invite(&founding, group);
-                self.with(group, |core, out| {
-                    if core.leader().is_none() {
-                        core.campaign(out);
-                    }
-                });
-                self.foundings.push(founding);
+                continue;
+            }
+            match course(self.sighting(&founding, group, now)) {
+                Course::Stands => {}
+                Course::Again => again.push(Founding::ordered(founding.purpose, now)),
+                Course::BuryAndAgain => {
+                    self.bury(group);
+                    again.push(Founding::ordered(founding.purpose, now));
+                }
+                Course::GoOn => {
+                    self.invite(&founding, group);
+                    self.with(group, |core, out| {
+                        if core.leader().is_none() {
+                            core.campaign(out);
+                        }
+                    });
+                    self.foundings.push(founding);
+                }
             }
         }
         for founding in again {
@@ -90,6 +88,25 @@
         }
     }
 
+    /// A group founded here is led: its founding has come to its end, also if that is looked at later.
+    pub(super) fn note_led(&mut self, group: GroupId) {
+        if group.founder == self.incarnation() {
+            self.led.insert(group);
+        }
+    }
+
+    fn sighting(&self, founding: &Founding, group: GroupId, now: f64) -> Sighting {
+        let core = self.cores.get(&group);
+        let leader = core.and_then(|core| core.leader());
+        let late = now - founding.begun > 3.0 * self.fleet.timing.replace;
+        Sighting {
+            led: self.led.contains(&group) || core.is_some_and(|core| core.leads().is_some()),
+            gone: self.gone.contains(&group),
+            led_by_another: leader.is_some_and(|who| who != self.incarnation()),
+            keepers_lost: late && !self.keepers_live(founding),
+        }
+    }
+
     fn keepers_live(&self, founding: &Founding) -> bool {
         let live =
             founding.voters.iter().filter(|v| **v == self.incarnation() || self.peer_of(**v).is_some());
--- a/fleet/src/groups/mod.rs
+++ b/fleet/src/groups/mod.rs
@@ -160,6 +160,9 @@
             self.pass(group, &message);
         }
         for news in out.news {
+            if let News::Leads { group, .. } = &news {
+                self.note_led(*group);
+            }
             self.rings.news.send(news);
         }
         if dissolved {
--- a/fleet/src/groups/state.rs
+++ b/fleet/src/groups/state.rs
@@ -56,6 +56,8 @@
     /// Groups whose file is being made.
     pub(super) making: BTreeMap<GroupId, (Purpose, Kept)>,
     pub(super) foundings: Vec<Founding>,
+    /// Groups founded by this life that it has led.
+    pub(super) led: BTreeSet<GroupId>,
     /// Numbers noted on the disk before they are used.
     pub(super) noted_group: u32,
     pub(super) peers: Vec<PeerState>,
@@ -118,6 +120,7 @@
             parked: BTreeSet::new(),
             making: BTreeMap::new(),
             foundings: Vec::new(),
+            led: BTreeSet::new(),
             noted_group,
             peers,
             calls: HashMap::new(),
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! (`docs/instances.md`).
 
 pub mod core;
+pub mod course;
 pub mod deadman;
 pub mod disk;
 pub mod groups;
