--- a/tier/demo/src/call.rs
+++ b/tier/demo/src/call.rs
@@ -18,28 +18,35 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
 }
 
 /// Why no whole answer came.
 #[derive(Debug, Error)]
-pub(crate) enum CallError {
+pub enum CallError {
+    /// No connection came up.
     #[error("no connection: {0}")]
     Connect(#[from] std::io::Error),
+    /// The exchange broke off.
     #[error("broken off: {0}")]
     Broken(#[from] hyper::Error),
+    /// The body broke off, or is too large.
     #[error("body broken off: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
+    /// It took too long.
     #[error("no whole answer in time")]
     TimedOut(#[from] tokio::time::error::Elapsed),
 }
 
 impl CallError {
     /// What happened, in two or three words.
-    pub(crate) fn kind(&self) -> &'static str {
+    pub fn kind(&self) -> &'static str {
         match self {
             CallError::Connect(_) => "no connection",
             CallError::Broken(_) => "closed without answer",
@@ -50,7 +57,7 @@
 }
 
 /// Sends `request` to `address` and reads the whole answer within `limit`.
-pub(crate) async fn call(
+pub async fn call(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     limit: Duration,
--- a/tier/demo/src/control_plane.rs
+++ b/tier/demo/src/control_plane.rs
@@ -22,29 +22,32 @@
 
 /// One order for the control plane.
 #[derive(Debug, Clone)]
-pub(crate) struct Order {
-    pub(crate) method: Method,
-    pub(crate) path: String,
+pub struct Order {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
     /// Version that the order builds on.
-    pub(crate) base: Option<u64>,
-    pub(crate) body: Bytes,
+    pub base: Option<u64>,
+    /// The body, JSON or empty.
+    pub body: Bytes,
 }
 
 impl Order {
     /// A configuration that builds on version `base`.
-    pub(crate) fn configuration(base: u64, document: &serde_json::Value) -> Order {
+    pub fn configuration(base: u64, document: &serde_json::Value) -> Order {
         let body = Bytes::from(document.to_string());
         Order { method: Method::PUT, path: "/-/config".to_owned(), base: Some(base), body }
     }
 
     /// An order with a JSON body.
-    pub(crate) fn post(path: &str, body: &serde_json::Value) -> Order {
+    pub fn post(path: &str, body: &serde_json::Value) -> Order {
         let body = Bytes::from(body.to_string());
         Order { method: Method::POST, path: path.to_owned(), base: None, body }
     }
 
     /// A question without a body.
-    pub(crate) fn get(path: &str) -> Order {
+    pub fn get(path: &str) -> Order {
         Order { method: Method::GET, path: path.to_owned(), base: None, body: Bytes::new() }
     }
 
@@ -67,7 +70,7 @@
 
 /// Sends `order` to one controller after the other, from place `first` on, until one gives a clear
 /// answer (2xx or 4xx) or `limit` is over.
-pub(crate) async fn send(
+pub async fn send(
     controllers: &[SocketAddr],
     first: usize,
     order: &Order,
@@ -87,7 +90,7 @@
 }
 
 /// The status of one controller, if it gives one.
-pub(crate) async fn status(controller: SocketAddr) -> Option<serde_json::Value> {
+pub async fn status(controller: SocketAddr) -> Option<serde_json::Value> {
     let answer = ask(controller, &Order::get("/-/status")).await?;
     serde_json::from_slice(&answer.body).ok()
 }
--- a/tier/demo/src/fleet.rs
+++ b/tier/demo/src/fleet.rs
@@ -20,7 +20,7 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
 /// All processes of the tier; those still running are killed when this is dropped.
-pub(crate) struct Fleet {
+pub struct Fleet {
     program: PathBuf,
     folder: PathBuf,
     seeds: Vec<SocketAddr>,
@@ -35,12 +35,12 @@
 
 impl Fleet {
     /// A fleet that keeps settings, data and logs in `folder`.
-    pub(crate) fn new(program: PathBuf, folder: PathBuf, seeds: Vec<SocketAddr>) -> Fleet {
+    pub fn new(program: PathBuf, folder: PathBuf, seeds: Vec<SocketAddr>) -> Fleet {
         Fleet { program, folder, seeds, processes: Vec::new() }
     }
 
     /// Starts every role of `machines`, for the first time.
-    pub(crate) fn bootstrap(&mut self, machines: &[Machine]) -> io::Result<()> {
+    pub fn bootstrap(&mut self, machines: &[Machine]) -> io::Result<()> {
         for machine in machines {
             for role in machine.class.roles() {
                 let child = self.spawn(machine, *role, true)?;
@@ -51,21 +51,21 @@
     }
 
     /// Kills `role` on `machine` without warning.
-    pub(crate) fn kill(&mut self, machine: &Machine, role: Role) -> io::Result<()> {
+    pub fn kill(&mut self, machine: &Machine, role: Role) -> io::Result<()> {
         let process = self.find(machine, role)?;
         process.child.kill()?;
         process.child.wait().map(drop)
     }
 
     /// Starts a killed process again, with what its disk holds.
-    pub(crate) fn restart(&mut self, machine: &Machine, role: Role) -> io::Result<()> {
+    pub fn restart(&mut self, machine: &Machine, role: Role) -> io::Result<()> {
         let child = self.spawn(machine, role, false)?;
         self.find(machine, role)?.child = child;
         Ok(())
     }
 
     /// Names of the processes that ended by themselves.
-    pub(crate) fn ended(&mut self) -> Vec<String> {
+    pub fn ended(&mut self) -> Vec<String> {
         let has_ended = |process: &mut Process| !matches!(process.child.try_wait(), Ok(None));
         let ended =
             self.processes.iter_mut().filter_map(|process| has_ended(process).then(|| process.name()));
@@ -74,7 +74,7 @@
 
     /// Asks all processes to end and waits for them; kills those that don't within the grace period.
     /// Returns how many had to be killed.
-    pub(crate) async fn stop(&mut self) -> usize {
+    pub async fn stop(&mut self) -> usize {
         for process in &self.processes {
             // A process that has ended already needs no signal.
             let _ = kill_process(Pid::from_child(&process.child), Signal::TERM);
@@ -86,6 +86,11 @@
         self.running()
     }
 
+    /// Names and numbers of all processes.
+    pub fn running_processes(&self) -> Vec<(String, u32)> {
+        self.processes.iter().map(|process| (process.name(), process.child.id())).collect()
+    }
+
     fn running(&mut self) -> usize {
         self.processes
             .iter_mut()
--- a/tier/demo/src/lib.rs
+++ b/tier/demo/src/lib.rs
@@ -3,14 +3,14 @@
 //! [`run`] starts every process of the tier as it would run on machines of its own, sends programs
 //! through it, kills a controller and a proxy, and tells what the clients saw.
 
-mod call;
+pub mod call;
 mod client;
 pub mod configuration;
-mod control_plane;
+pub mod control_plane;
 mod drain;
 mod error;
 pub mod events;
-mod fleet;
+pub mod fleet;
 mod front;
 mod heartbeat;
 pub mod history;
