--- a/tier/controller/src/admin/drains.rs
+++ b/tier/controller/src/admin/drains.rs
@@ -68,7 +68,8 @@
     // The zone's machines are those that this controller knows; a newer order makes the number conflict.
     let order = match resolved(order, &controller.log.state().borrow().state) {
         Ok(order) => order,
-        Err(answer) => return answer,
+        Err(nobody @ NamesNobody::NoMachine) => return invalid(&nobody.to_string()),
+        Err(nobody @ NamesNobody::EmptyZone) => return failure(StatusCode::NOT_FOUND, &nobody.to_string()),
     };
     match controller.log.propose(Operation::OrderDrain(order), OUTCOME_TIMEOUT).await {
         Ok(Outcome::Applied | Outcome::Repeated) => list(controller).await,
@@ -98,7 +99,16 @@
     ok(&DrainList { number: state.drains().number(), drains: drains.collect(), edges: edges.collect() })
 }
 
-fn resolved(order: Order, state: &ControlState) -> Result<DrainOrder, Answer> {
+/// Why an order names nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum NamesNobody {
+    #[error("nodes: no machine is named")]
+    NoMachine,
+    #[error("zone: no edge is there")]
+    EmptyZone,
+}
+
+fn resolved(order: Order, state: &ControlState) -> Result<DrainOrder, NamesNobody> {
     let mut nodes: Vec<NodeId> = order.nodes.iter().map(|node| NodeId::from(node.as_str())).collect();
     if let Some(zone) = &order.zone {
         let of_zone = state.edges().iter().filter(|edge| edge.zone.as_str() == zone);
@@ -107,10 +117,7 @@
     nodes.sort();
     nodes.dedup();
     if nodes.is_empty() {
-        return Err(match order.zone {
-            Some(_) => failure(StatusCode::NOT_FOUND, "zone: no edge is there"),
-            None => invalid("nodes: no machine is named"),
-        });
+        return Err(order.zone.map_or(NamesNobody::NoMachine, |_| NamesNobody::EmptyZone));
     }
     Ok(DrainOrder { expected: order.expected, nodes, leave: order.leave })
 }
