Connections that hang are given company: machines back from a power loss hear each other at once

Ruled out: the chain itself (simulated, five machines back within 0.3 s go on in their view within 220 ms). Change: an attempt to connect that has not come up after 150 ms gets company; pauses between dials of members grow to 0.2 s, not 0.4. Tests: a queue that drops the opening packet; the simulated outage with a machine unheard for 0.2 s and 0.7 s.

--- a/tier/chain/tests/simulation/world/faults.rs
+++ b/tier/chain/tests/simulation/world/faults.rs
@@ -212,4 +212,18 @@
         };
         newest.map_or(0, serving)
     }
+
+    /// Whether every machine is up and calls itself current.
+    pub fn all_current(&self) -> bool {
+        let now = self.now;
+        let current =
+            |machine: &super::machine::Machine| machine.process.as_ref().is_some_and(|it| it.is_current(now));
+        self.machines.iter().all(current)
+    }
+
+    /// The number of the newest view that a running machine knows.
+    pub fn newest_view(&self) -> u64 {
+        let members = self.machines.iter().filter_map(|machine| machine.process.as_ref());
+        members.map(|member| member.view().number.0).max().unwrap_or(0)
+    }
 }
--- a/tier/protocol/src/transport/mod.rs
+++ b/tier/protocol/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! [`Hello`] each way. A peer that does not take bytes for [`USER_TIMEOUT`] breaks the connection.
 
 mod caller;
+mod connect;
 mod frame;
 mod server;
 
@@ -14,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 pub use caller::{CallError, Caller};
+pub use connect::connect;
 pub use frame::{FrameReader, FrameWriter};
 pub use server::serve_calls;
 
@@ -99,7 +101,7 @@
 /// As [`TransportError`] says; nothing of the caller's has been sent then.
 pub async fn dial(address: SocketAddr, hello: &Hello) -> Result<Connection, TransportError> {
     let connecting = async {
-        let stream = TcpStream::connect(address).await?;
+        let stream = connect(address).await?;
         greet(stream, address, hello).await
     };
     tokio::time::timeout(DIAL_TIMEOUT, connecting).await.map_err(|_| TransportError::DialTimeout)?
--- a/tier/replica/src/links.rs
+++ b/tier/replica/src/links.rs
@@ -17,8 +17,9 @@
 const BATCH: usize = 64;
 /// Before the first attempt to connect again; doubled after each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// The longest pause between attempts: short beside the time that a member has to come back in (4 s).
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// The longest pause between attempts: members that are all back at once have to hear each other before one counts
+/// as silent (0.6 s).
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
 /// The first message on a connection: which disk speaks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
