--- a/tier/agent/src/feeder.rs
+++ b/tier/agent/src/feeder.rs
@@ -84,11 +84,21 @@
     is_proxy: bool,
     heartbeat: Duration,
     beat: Instant,
+    /// What the last heartbeat said.
+    told_current: bool,
 }
 
 impl Feed {
     fn new(writer: FrameWriter, source: Source, heartbeat: Duration) -> Self {
-        Feed { writer, source, held: Held::Nothing, is_proxy: false, heartbeat, beat: Instant::now() }
+        Feed {
+            writer,
+            source,
+            held: Held::Nothing,
+            is_proxy: false,
+            heartbeat,
+            beat: Instant::now(),
+            told_current: false,
+        }
     }
 
     /// Feeds until the connection ends; says why it did.
@@ -123,6 +133,12 @@
                         return "this agent ends";
                     }
                 }
+                // A proxy that has just started waits for nothing else.
+                Ok(()) = self.source.standing.changed() => {
+                    if self.is_current() != self.told_current {
+                        self.beat = Instant::now();
+                    }
+                }
                 () = tokio::time::sleep_until(self.beat) => {}
             }
         }
@@ -137,7 +153,8 @@
             return true;
         }
         self.beat = Instant::now() + self.heartbeat;
-        messages.push(ToSubscriber::Heartbeat { revision: tables.revision, current: self.is_current() });
+        self.told_current = self.is_current();
+        messages.push(ToSubscriber::Heartbeat { revision: tables.revision, current: self.told_current });
         matches!(timeout(WRITE_LIMIT, self.writer.send_all(&messages)).await, Ok(Ok(())))
     }
 
--- a/tier/agent/tests/feeding.rs
+++ b/tier/agent/tests/feeding.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use plankhill_agent::feeder::{serve, Source, PEERS, PROXY};
+use plankhill_agent::feeder::{serve, Audience, Source, PEERS, PROXY};
 use plankhill_agent::homes::follow_homes;
 use plankhill_membership::homes::home_of;
 use plankhill_protocol::feed::{FromSubscriber, Subscriber, ToSubscriber};
@@ -84,10 +84,7 @@
     while connection.reader.next::<FromSubscriber>().await.unwrap() != wanted {}
 }
 
-fn start_feeder(
-    of: &Subscription,
-    audience: plankhill_agent::feeder::Audience,
-) -> (SocketAddr, JoinHandle<()>) {
+fn start_feeder(of: &Subscription, audience: Audience) -> (SocketAddr, JoinHandle<()>) {
     let listener = listen(any_port()).unwrap();
     let address = listener.local_addr().unwrap();
     let (upwards, _) = mpsc::channel(1);
@@ -114,6 +111,27 @@
     });
 }
 
+/// Guards the start after an outage: the proxy takes clients once it knows that its tables are current, and must not
+/// wait for the next heartbeat to hear so.
+#[test]
+fn a_proxy_is_told_at_once_when_its_agent_becomes_current() {
+    run(async {
+        let controller = Controller::new();
+        let me = edge("edge-1", any_port());
+        let agent = subscribe("edge-1", Subscriber::Edge(me.clone()), controller.address());
+        let never = Duration::from_secs(3_600);
+        let (loopback, _feeder) = start_feeder(&agent, Audience { heartbeat: never, ..PROXY });
+        let proxy = subscribe("edge-1", Subscriber::Proxy, loopback);
+        let mut link = controller.welcome().await;
+        let tables = Tables { revision: Revision(3), edges: vec![me], ..Tables::default() };
+        send(&mut link, snapshot(&tables)).await;
+        proxy.tables().wait_for(|held| **held == tables).await.unwrap();
+        assert!(!proxy.standing().borrow().current);
+        send(&mut link, heartbeat(3)).await;
+        proxy.standing().wait_for(|standing| standing.current).await.unwrap();
+    });
+}
+
 #[test]
 fn a_proxy_of_an_agent_that_knows_nothing_yet_is_not_current() {
     run(async {
--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -82,6 +82,7 @@
 impl<L: ControlLog> Session<L> {
     async fn run(mut self, reader: FrameReader) -> &'static str {
         let mut newest = self.controller.newest.subscribe();
+        let mut current = self.controller.log.current_changes();
         let mut reading = Box::pin(receive(reader));
         self.hear();
         loop {
@@ -107,6 +108,8 @@
                         return "this controller ends";
                     }
                 }
+                // Subscribers that wait for a controller that is current are told at once.
+                Ok(()) = current.changed() => self.beat = Instant::now(),
                 () = tokio::time::sleep_until(self.beat.into()) => {}
             }
         }
--- a/tier/controller/src/log.rs
+++ b/tier/controller/src/log.rs
@@ -56,6 +56,9 @@
     /// Whether the state known here was confirmed lately to be the newest.
     fn is_current(&self) -> bool;
 
+    /// The same, to wait for changes.
+    fn current_changes(&self) -> watch::Receiver<bool>;
+
     /// This controller's place among the others.
     fn place(&self) -> Place;
 
@@ -80,6 +83,10 @@
         Log::is_current(self)
     }
 
+    fn current_changes(&self) -> watch::Receiver<bool> {
+        Log::current_changes(self)
+    }
+
     fn place(&self) -> Place {
         let standing = self.standing();
         let peer =
--- a/tier/controller/tests/common/mod.rs
+++ b/tier/controller/tests/common/mod.rs
@@ -24,24 +24,25 @@
 pub struct MemoryLog {
     shared: Rc<RefCell<Shared>>,
     state: watch::Sender<Arc<Committed>>,
+    reachable: watch::Sender<bool>,
 }
 
 struct Shared {
-    reachable: bool,
     place: Place,
     proposals: Vec<Operation>,
 }
 
 impl MemoryLog {
     pub fn new() -> Self {
-        let shared = Shared { reachable: true, place: Place::default(), proposals: Vec::new() };
+        let shared = Shared { place: Place::default(), proposals: Vec::new() };
         let (state, _) = watch::channel(Arc::new(CommittedState::empty()));
-        MemoryLog { shared: Rc::new(RefCell::new(shared)), state }
+        let (reachable, _) = watch::channel(true);
+        MemoryLog { shared: Rc::new(RefCell::new(shared)), state, reachable }
     }
 
     /// Cuts the controller off from the others, or joins it again.
     pub fn set_reachable(&self, reachable: bool) {
-        self.shared.borrow_mut().reachable = reachable;
+        self.reachable.send_replace(reachable);
     }
 
     pub fn set_place(&self, place: Place) {
@@ -70,7 +71,7 @@
 
 impl ControlLog for MemoryLog {
     async fn propose(&self, operation: Operation, _timeout: Duration) -> Result<Outcome, Unavailable> {
-        if !self.shared.borrow().reachable {
+        if !*self.reachable.borrow() {
             return Err(Unavailable);
         }
         let outcome = self.commit(&operation);
@@ -83,7 +84,7 @@
     }
 
     async fn read(&self, _timeout: Duration) -> Result<Arc<Committed>, Unavailable> {
-        if self.shared.borrow().reachable {
+        if *self.reachable.borrow() {
             Ok(self.state.borrow().clone())
         } else {
             Err(Unavailable)
@@ -91,7 +92,11 @@
     }
 
     fn is_current(&self) -> bool {
-        self.shared.borrow().reachable
+        *self.reachable.borrow()
+    }
+
+    fn current_changes(&self) -> watch::Receiver<bool> {
+        self.reachable.subscribe()
     }
 
     fn place(&self) -> Place {
--- a/tier/controller/tests/feed.rs
+++ b/tier/controller/tests/feed.rs
@@ -119,6 +119,24 @@
     }
 }
 
+#[test]
+fn a_subscriber_hears_when_its_controller_becomes_current_and_when_it_is_no_more() {
+    block_on(async {
+        let (log, _controller, address) = start();
+        log.set_reachable(false);
+        let mut connection = connect(address, Revision(0)).await;
+        for wanted in [false, true, false] {
+            log.set_reachable(wanted);
+            loop {
+                let message = connection.reader.next().await.unwrap();
+                if matches!(message, ToSubscriber::Heartbeat { current, .. } if current == wanted) {
+                    break;
+                }
+            }
+        }
+    });
+}
+
 #[test]
 fn whoever_asks_for_a_snapshot_gets_one_whatever_the_log_reaches_back_to() {
     block_on(async {
