--- a/tier/chain/tests/simulation/world/mod.rs
+++ b/tier/chain/tests/simulation/world/mod.rs
@@ -2,8 +2,12 @@
 
 pub mod chance;
 pub mod checker;
+mod clients;
+mod disks;
 pub mod faults;
 pub mod machine;
+mod network;
+mod processes;
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -11,13 +15,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use plankhill_chain::{Effect, Identity, Message, Millis, Ticket};
+use plankhill_chain::{Effect, Identity, Message, Millis};
 use plankhill_protocol::ids::Revision;
 
 use chance::Chance;
 use checker::{Book, Rule};
 use faults::Planted;
-use machine::{Input, Machine, Start};
+use machine::{Input, Machine};
 
 /// A disk that does not answer is asked again after this long, in ms.
 const STALL_STEP: Millis = 20;
@@ -157,61 +161,6 @@
         }
     }
 
-    fn start(&mut self, at: usize) {
-        if self.machines[at].is_up() || self.machines[at].removed {
-            return;
-        }
-        self.incarnations += 1;
-        let first = self.machines[at].life == 0 && at < self.shape.machines;
-        let keeps_name = self.shape.planted == Some(Planted::IncarnationKept);
-        let incarnation = if keeps_name { at as u64 + 1 } else { 1_000 + self.incarnations };
-        let start = Start {
-            bootstrap: first,
-            incarnation,
-            tolerated: match self.shape.planted {
-                Some(Planted::AnyCopies) => 0,
-                _ => self.shape.tolerated,
-            },
-            seeds: self.seeds(),
-        };
-        self.disturbed_at = self.disturbed_at.max(self.now);
-        self.machines[at].start(start, &self.book, self.now, &mut self.chance);
-        self.input(at, Input::Tick);
-    }
-
-    pub fn restart_after(&mut self, at: usize, delay: Millis) {
-        self.at(delay, Event::Start { at });
-    }
-
-    pub fn thaw_after(&mut self, at: usize, delay: Millis) {
-        self.at(delay, Event::Thaw { at });
-    }
-
-    pub fn fault_after(&mut self, delay: Millis) {
-        self.at(delay, Event::Fault);
-    }
-
-    pub fn thaw(&mut self, at: usize) {
-        if !self.machines[at].frozen {
-            return;
-        }
-        self.machines[at].frozen = false;
-        self.disturbed_at = self.disturbed_at.max(self.now);
-        self.input(at, Input::Tick);
-        // What it takes in may bring the next fault on.
-        while !self.machines[at].frozen {
-            let Some(input) = self.machines[at].held_back.pop_front() else { return };
-            self.input(at, input);
-        }
-    }
-
-    /// The process or the power of a machine ends.
-    pub fn stop(&mut self, at: usize) {
-        self.disturbed_at = self.disturbed_at.max(self.now);
-        self.machines[at].stop(&mut self.chance);
-        self.syncing.remove(&at);
-    }
-
     fn input(&mut self, at: usize, input: Input) {
         let now = self.now;
         let effects = self.machines[at].take(input, now);
@@ -280,144 +229,4 @@
             self.strike_now();
         }
     }
-
-    /// A sync takes in everything that waits when it begins.
-    fn sync_next(&mut self, at: usize) {
-        if self.syncing.contains_key(&at) {
-            return;
-        }
-        let machine = &self.machines[at];
-        let Some((ticket, _)) = machine.disk.waiting.back() else { return };
-        let (ticket, life) = (ticket.0, machine.life);
-        self.syncing.insert(at, ticket);
-        let takes = self.chance.between(2, 9);
-        self.at(takes, Event::Synced { at, life, ticket });
-    }
-
-    fn synced(&mut self, at: usize, life: u64, ticket: u64) {
-        if self.machines[at].life != life || !self.machines[at].is_up() {
-            return;
-        }
-        if self.machines[at].stalled_until > self.now {
-            self.at(STALL_STEP, Event::Synced { at, life, ticket });
-            return;
-        }
-        let lies = self.shape.planted == Some(Planted::DiskLies);
-        if self.syncing.get(&at) == Some(&ticket) {
-            self.syncing.remove(&at);
-            let disk = &mut self.machines[at].disk;
-            while !lies && disk.waiting.front().is_some_and(|(number, _)| number.0 <= ticket) {
-                let Some((_, writes)) = disk.waiting.pop_front() else { break };
-                writes.iter().for_each(|write| disk.synced.apply(write));
-            }
-        }
-        self.input(at, Input::Persisted(Ticket(ticket)));
-        self.sync_next(at);
-    }
-
-    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
-        let Some(to) = self.machines.iter().position(|machine| machine.address == to) else { return };
-        let sender = self.machines[from].process.as_ref().map(|member| member.me().identity.clone());
-        let Some(identity) = sender else { return };
-        if self.cuts.contains(&(from, to)) || self.chance.one_in(500) {
-            return;
-        }
-        let Some(message) = self.tamper(from, to, message) else { return };
-        let arrives = (self.now + self.chance.between(1, 4)).max(self.arrival(from, to));
-        self.arrivals.insert((from, to), arrives);
-        self.sequence += 1;
-        self.messages.insert(self.sequence, (from, identity, message));
-        let (life, number) = (self.machines[to].life, self.sequence);
-        self.at(arrives - self.now, Event::Deliver { to, life, number });
-    }
-
-    fn arrival(&self, from: usize, to: usize) -> Millis {
-        self.arrivals.get(&(from, to)).copied().unwrap_or_default()
-    }
-
-    fn deliver(&mut self, to: usize, life: u64, number: u64) {
-        let Some((from, identity, message)) = self.messages.remove(&number) else { return };
-        if self.machines[to].life == life && !self.cuts.contains(&(from, to)) {
-            self.input(to, Input::Message(identity, message));
-        }
-    }
-
-    fn next_operation(&mut self) {
-        if self.clients_gone {
-            return;
-        }
-        let delay = self.chance.between(1, 2 * self.shape.pace);
-        self.at(delay, Event::Operation);
-        self.operations += 1;
-        let (operation, at) = (self.operations, self.any_machine());
-        self.propose(at, operation);
-    }
-
-    /// Proposes an operation at a machine, which need not be able to take it.
-    pub fn propose(&mut self, at: usize, operation: u64) -> u128 {
-        let request = u128::from(self.chance.number()) << 64 | u128::from(operation);
-        self.propose_as(at, request, operation);
-        request
-    }
-
-    fn propose_as(&mut self, at: usize, request: u128, operation: u64) {
-        if self.machines[at].is_up() {
-            let asked = Asked { machine: at, life: self.machines[at].life };
-            self.proposals.insert(request, (operation, asked));
-            let ends = self.now + 4_000;
-            self.input(at, Input::Propose { request, operation, ends });
-        }
-    }
-
-    fn any_machine(&mut self) -> usize {
-        self.chance.below(self.machines.len() as u64) as usize
-    }
-
-    fn next_read(&mut self) {
-        let delay = self.chance.between(1, 4 * self.shape.pace);
-        self.at(delay, Event::Read);
-        let at = self.any_machine();
-        if !self.machines[at].is_up() {
-            return;
-        }
-        let read = self.chance.number();
-        let asked = Asked { machine: at, life: self.machines[at].life };
-        self.reads.insert(read, (self.book.borrow().seen(), asked));
-        let ends = self.now + 4_000;
-        self.input(at, Input::Read { read, ends });
-    }
-
-    /// Forgets what processes that have ended were asked.
-    pub fn forget_asked(&mut self, at: usize) {
-        let life = self.machines[at].life;
-        self.proposals.retain(|_, (_, asked)| asked.machine != at || asked.life != life);
-        self.reads.retain(|_, (_, asked)| asked.machine != at || asked.life != life);
-    }
-
-    pub fn is_acknowledged(&self, operation: u64) -> bool {
-        self.book.borrow().is_acknowledged(operation)
-    }
-
-    /// The machine that heads the newest view.
-    pub fn head(&self) -> Option<usize> {
-        let members = self.machines.iter().filter_map(|machine| machine.process.as_ref());
-        let newest = members.map(|member| member.view()).max_by_key(|view| view.number)?;
-        let head = &newest.head()?.identity;
-        self.machines.iter().position(|machine| machine.node == head.node)
-    }
-
-    pub fn is_proposed(&self, request: u128) -> bool {
-        self.proposals.contains_key(&request)
-    }
-}
-
-impl World {
-    /// Delivers an answer that nobody has given.
-    fn answer(&mut self, to: usize, from: Identity, message: Message) {
-        self.sequence += 1;
-        let number = self.sequence;
-        self.messages.insert(number, (to, from, message));
-        let life = self.machines[to].life;
-        self.at(2, Event::Deliver { to, life, number });
-    }
 }
