Proxy: the end of the process goes by the drain's states and begins nothing too late

Change: NodeDrain knows the shutdown; clients are served for 2.9 s, later only what can be over in time, the rest gets 503 with Retry-After at once; connections at rest close when no clients are sent any more, never over a half-read head; a connection is closed with its writing side first, so that unread bytes reset nothing. Two tests called the former way and now call the new one, with the same assertions.

--- a/tier/draining/src/lib.rs
+++ b/tier/draining/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod node;
 pub mod roll;
 pub mod room;
+pub mod shutdown;
--- a/tier/draining/tests/node.rs
+++ b/tier/draining/tests/node.rs
@@ -9,7 +9,8 @@
 const REPLY: Duration = Duration::from_secs(5);
 
 fn seen(order: Option<u64>, requests: usize, connections: usize) -> Seen {
-    Seen { order, recorded: false, requests, connections, longest_rest: REST, longest_reply: REPLY }
+    let shutdown = None;
+    Seen { order, shutdown, recorded: false, requests, connections, longest_rest: REST, longest_reply: REPLY }
 }
 
 fn at(seconds: u64) -> Duration {
@@ -98,6 +99,7 @@
                         reported = order;
                     }
                     Action::CloseIdle | Action::Cut => assert!(away),
+                    Action::EndProcess => unreachable!("nobody asked for the end"),
                 }
             }
             assert_eq!(away, order.is_some());
--- a/tier/proxy/src/draining.rs
+++ b/tier/proxy/src/draining.rs
@@ -1,4 +1,4 @@
-//! Takes this node out of service, and back, as the control plane orders.
+//! Takes this node out of service, and back, as the control plane orders; and to its end, when the process is told to end.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,36 +10,42 @@
 use plankhill_protocol::ids::NodeId;
 use plankhill_protocol::tables::Tables;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
+use crate::clock::duration;
 use crate::life::Connections;
 use crate::process::Proxy;
 
 /// While the node is out of service, it looks at itself this often. In service it is woken by new tables only.
 const LOOK: Duration = Duration::from_millis(250);
+/// While the process ends it looks at itself this often.
+const LOOK_AT_THE_END: Duration = Duration::from_millis(25);
 /// While there is no configuration, nothing rests or runs for longer than this.
 const LONGEST: Duration = Duration::from_secs(60);
 
 /// Says something to the agent of this machine; false if it cannot be said now.
 pub type Say = Box<dyn Fn(FromSubscriber) -> bool>;
 
-/// Follows the orders for this node. Ends with the tables' sender.
+/// Follows the orders for this node, until the process is to end. Without a sender of tables the newest order stays.
 pub async fn follow(proxy: Rc<Proxy>, node: NodeId, mut tables: watch::Receiver<Arc<Tables>>, say: Say) {
-    let started = Instant::now();
     let mut drain = NodeDrain::default();
+    let mut shutdown = proxy.life.shutdown();
+    let mut has_sender = true;
     loop {
         let seen = seen(&proxy, &node, &tables.borrow_and_update().clone());
-        for action in drain.step(started.elapsed(), &seen) {
+        for action in drain.step(duration(proxy.clock.now()), &seen) {
             carry_out(&proxy, action, &say);
+            if action == Action::EndProcess {
+                return;
+            }
         }
         let looks = drain.state() != NodeState::InService;
-        let over = tokio::select! {
-            changed = tables.changed() => changed.is_err(),
-            () = proxy.life.became_quiet(), if looks => false,
-            () = tokio::time::sleep(LOOK), if looks => false,
-        };
-        if over {
-            return;
+        let pause = if seen.shutdown.is_some() { LOOK_AT_THE_END } else { LOOK };
+        tokio::select! {
+            changed = tables.changed(), if has_sender => has_sender = changed.is_ok(),
+            // The life holds the sender.
+            _ = shutdown.changed() => {}
+            () = proxy.life.became_quiet(), if looks => {}
+            () = tokio::time::sleep(pause), if looks => {}
         }
     }
 }
@@ -50,6 +56,7 @@
     let routes = snapshot.routes.as_ref();
     Seen {
         order: order.map(|drain| drain.number),
+        shutdown: *proxy.life.shutdown().borrow(),
         recorded: order.is_some_and(|drain| drain.empty),
         requests: proxy.life.requests(),
         connections: proxy.life.clients(),
@@ -76,5 +83,6 @@
             // Said again until the tables show it.
             let _ = say(FromSubscriber::Emptied { number });
         }
+        Action::EndProcess => proxy.life.set_over(),
     }
 }
--- a/tier/proxy/src/intake.rs
+++ b/tier/proxy/src/intake.rs
@@ -73,6 +73,8 @@
     Final(StatusCode),
     /// The client may come back soon.
     Overloaded,
+    /// The process ends before the request would be over; another node takes it from its start.
+    Ending,
 }
 
 /// Reads the request; its time runs from `arrived` on.
@@ -108,6 +110,9 @@
     let service = routes.service(&name);
     let timeout = milliseconds(route.timeout);
     let deadline = arrived + facts.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    if !proxy.life.admits(arrived, deadline) {
+        return Err((Rejection::Ending, Some(request_id)));
+    }
     let engine = service.and_then(|service| service.engine.as_ref());
     let accepted = service.map_or(0, |service| service.max_connections);
     let mut headers = head.headers;
--- a/tier/proxy/src/lib.rs
+++ b/tier/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod answer;
 pub mod body;
+pub mod client_stream;
 pub mod clock;
 pub mod connect;
 pub mod decisions;
--- a/tier/proxy/src/life.rs
+++ b/tier/proxy/src/life.rs
@@ -3,8 +3,12 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use plankhill_dispatch::Ms;
+use plankhill_draining::shutdown::Shutdown;
 use tokio::sync::{watch, Notify};
 
+use crate::clock::duration;
+
 /// What is to become of clients' connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Connections {
@@ -22,7 +26,9 @@
 pub struct Life {
     current: Cell<bool>,
     became_current: Notify,
-    ending: Cell<bool>,
+    shutdown: watch::Sender<Option<Shutdown>>,
+    over: watch::Sender<bool>,
+    turned_away: Cell<u64>,
     leaving: Cell<bool>,
     requests: Cell<usize>,
     clients: Cell<usize>,
@@ -50,9 +56,43 @@
         self.current.get()
     }
 
-    /// The end of the process was asked for.
-    pub fn set_ending(&self) {
-        self.ending.set(true);
+    /// The end of the process was asked for; times are on the clock of the process.
+    pub fn shut_down(&self, shutdown: Shutdown) {
+        self.shutdown.send_replace(Some(shutdown));
+    }
+
+    /// Set once the end of the process was asked for.
+    pub fn shutdown(&self) -> watch::Receiver<Option<Shutdown>> {
+        self.shutdown.subscribe()
+    }
+
+    /// Whether a request that came at `arrived` and may take until `deadline` is begun before the process ends.
+    pub fn admits(&self, arrived: Ms, deadline: Ms) -> bool {
+        let shutdown = *self.shutdown.borrow();
+        // Once the end has been decided on, nothing is begun any more.
+        !*self.over.borrow()
+            && shutdown.is_none_or(|shutdown| shutdown.admits(duration(arrived), duration(deadline)))
+    }
+
+    /// A request was turned away because the process ends before it could be over.
+    pub fn count_turned_away(&self) {
+        self.turned_away.set(self.turned_away.get() + 1);
+    }
+
+    /// Requests that were turned away because the process ends.
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away.get()
+    }
+
+    /// Nothing is left to be waited for: the process ends now.
+    pub fn set_over(&self) {
+        self.over.send_replace(true);
+    }
+
+    /// Returns when the process is to end.
+    pub async fn over(&self) {
+        // The sender lives as long as the life itself.
+        let _ = self.over.subscribe().wait_for(|over| *over).await;
     }
 
     /// The operator takes the node out of service, or back.
@@ -62,7 +102,7 @@
 
     /// Whether new clients are to go elsewhere.
     pub fn turns_away(&self) -> bool {
-        self.ending.get() || self.leaving.get()
+        self.shutdown.borrow().is_some() || self.leaving.get()
     }
 
     /// Says what is to become of clients' connections.
--- a/tier/proxy/src/listener.rs
+++ b/tier/proxy/src/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts clients and serves their connections.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,11 +18,12 @@
 use tokio::time::timeout;
 
 use crate::body::AnswerBody;
+use crate::client_stream::{ClientStream, Exchange};
 use crate::clock::duration;
 use crate::facts::{number, Facts};
 use crate::headers::DEADLINE_MS;
 use crate::intake::{take_in, Job, Rejection};
-use crate::life::Connections;
+use crate::life::{Connections, Life};
 use crate::process::Proxy;
 use crate::snapshot::Snapshot;
 use crate::{answer, plain, stream};
@@ -37,6 +38,8 @@
 const PAUSE_UNTIL_READY: f64 = 200.0;
 /// What a client is told while there is no memory for its request, in milliseconds.
 const PAUSE_WHEN_FULL: f64 = 300.0;
+/// What a client is told that comes to a process that ends, in milliseconds: its next connection meets another one.
+const PAUSE_WHEN_ENDING: f64 = 20.0;
 /// Largest head while no configuration says otherwise.
 const MOST_HEADER_BYTES: usize = 64 * 1024;
 /// The smallest buffer that the HTTP library takes.
@@ -65,18 +68,26 @@
     if tune(&stream).is_err() {
         return;
     }
-    let _open = proxy.life.begin_connection();
-    let (mut idle, mut cut) = (proxy.life.connections(), proxy.life.connections());
+    let open = proxy.life.begin_connection();
+    let exchange = Exchange::new(proxy.life.clone());
     let builder = builder(&proxy.snapshots.newest());
     let service = service_fn(|request| {
-        let proxy = proxy.clone();
-        async move { Ok::<_, Infallible>(respond(proxy, request).await) }
+        let (proxy, exchange) = (proxy.clone(), exchange.clone());
+        async move { Ok::<_, Infallible>(respond(proxy, &exchange, request).await) }
     });
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stream = ClientStream::new(stream, exchange.clone());
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut cut = proxy.life.connections();
     let ended = tokio::select! {
-        ended = &mut connection => ended,
-        _ = idle.wait_for(|wanted| *wanted >= Connections::CloseIdle) => {
-            connection.as_mut().graceful_shutdown();
+        biased;
+        _ = cut.wait_for(|wanted| *wanted == Connections::Cut) => return,
+        ended = &mut connection => Some(ended),
+        () = closes_at_rest(&proxy.life, &exchange) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
             tokio::select! {
                 biased;
                 _ = cut.wait_for(|wanted| *wanted == Connections::Cut) => return,
@@ -87,6 +98,21 @@
     if let Err(error) = ended {
         tracing::debug!(%error, "connection of a client ended");
     }
+    let stream = connection.into_parts().io.into_inner();
+    drop(open);
+    stream.close().await;
+}
+
+/// Returns when a connection that was open before that moment is to be closed at rest, or behind the answer under
+/// way. Where a part of a request has come the library would drop it: such a connection closes behind its answer,
+/// which says so, and one that is opened later behind its first answer.
+async fn closes_at_rest(life: &Life, exchange: &Exchange) {
+    let mut connections = life.connections();
+    let is_old = *connections.borrow_and_update() < Connections::CloseIdle;
+    let _ = connections.wait_for(|wanted| *wanted >= Connections::CloseIdle).await;
+    if !is_old || exchange.is_arriving() {
+        std::future::pending::<()>().await;
+    }
 }
 
 /// The library's time for a head also covers the rest between two requests. Later configurations may allow a
@@ -103,13 +129,15 @@
     builder
 }
 
-async fn respond(proxy: Rc<Proxy>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn respond(proxy: Rc<Proxy>, exchange: &Exchange, request: Request<Incoming>) -> Response<AnswerBody> {
     let work = proxy.life.begin_work();
+    exchange.begin();
     let arrived = proxy.clock.now();
     let mut response = answered(&proxy, request, arrived).await;
     if proxy.life.turns_away() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    exchange.answered();
     drop(work);
     response
 }
@@ -122,6 +150,10 @@
         Ok(job) => answer_to(proxy, job).await,
         Err((Rejection::Final(status), id)) => answer::empty(status, id.as_ref()),
         Err((Rejection::Overloaded, id)) => answer::refused(PAUSE_WHEN_FULL, id.as_ref()),
+        Err((Rejection::Ending, id)) => {
+            proxy.life.count_turned_away();
+            answer::refused(PAUSE_WHEN_ENDING, id.as_ref())
+        }
     }
 }
 
--- a/tier/proxy/src/shutdown.rs
+++ b/tier/proxy/src/shutdown.rs
@@ -4,23 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use plankhill_draining::shutdown::Shutdown;
 use plankhill_settings::{Bounds, Settings};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::life::{Connections, Life};
+use crate::clock::duration;
 use crate::process::Proxy;
 
-/// The platform asks every second and stops sending clients after two misses; a third second for the ones
-/// that are on their way.
-const CLIENTS_STILL_COME: Duration = Duration::from_secs(3);
-/// An answer that is finished may still wait in the process for a client that reads slowly.
-const LAST_WRITES: Duration = Duration::from_millis(100);
-/// Turns that are cut are settled in this time; the stores take some milliseconds.
-const LAST_SETTLEMENTS: Duration = Duration::from_millis(250);
-/// The process is gone this long before it is killed.
-const BEFORE_KILL: Duration = Duration::from_millis(300);
-
 /// The signals that the process answers to, caught from its start on.
 pub struct Signals {
     terminate: Signal,
@@ -36,8 +27,8 @@
         Ok(Signals { terminate: signal(SignalKind::terminate())?, hang_up: signal(SignalKind::hangup())? })
     }
 
-    /// Returns when the process is to end: after SIGTERM it first serves what still comes and finishes what it
-    /// has, until shortly before it would be killed. SIGHUP has the settings read anew.
+    /// Returns when the process is to end: SIGTERM begins the way there, on which further signals change nothing.
+    /// SIGHUP has the settings read anew.
     pub async fn ended(mut self, proxy: Rc<Proxy>, mut bounds: Bounds) {
         loop {
             tokio::select! {
@@ -46,10 +37,8 @@
             }
         }
         tracing::info!("ending");
-        // Until the end, SIGHUP changes nothing any more; it stays caught.
-        let grace = bounds.grace().saturating_sub(BEFORE_KILL);
-        let still_coming = CLIENTS_STILL_COME.min(grace);
-        drain(&proxy.life, still_coming, grace - still_coming).await;
+        end(&proxy, bounds.grace()).await;
+        tracing::info!(turned_away = proxy.life.turned_away(), "ended");
     }
 }
 
@@ -64,21 +53,10 @@
     }
 }
 
-/// Turns clients away, serves those that come for a time nevertheless, and then waits until what is under way
-/// is finished, for at most `finishing`.
-pub async fn drain(life: &Life, still_coming: Duration, finishing: Duration) {
-    life.set_ending();
-    sleep(still_coming).await;
-    let finished = async {
-        life.idle().await;
-        sleep(LAST_WRITES).await;
-        // What came meanwhile.
-        life.idle().await;
-    };
-    if timeout(finishing.saturating_sub(LAST_SETTLEMENTS), finished).await.is_ok() {
-        return;
-    }
-    // What is not finished by now is cut, and counts by what its client was handed.
-    life.set_connections(Connections::Cut);
-    let _ = timeout(LAST_SETTLEMENTS, life.idle()).await;
+/// Takes the node out of service for good; returns when nothing is under way any more, or the time is over. The
+/// drain of this node has to be followed meanwhile.
+pub async fn end(proxy: &Proxy, grace: Duration) {
+    proxy.life.shut_down(Shutdown::new(duration(proxy.clock.now()), grace));
+    // Whatever became of the drain, the process ends before it is killed.
+    let _ = timeout(grace, proxy.life.over()).await;
 }
--- a/tier/proxy/tests/draining.rs
+++ b/tier/proxy/tests/draining.rs
@@ -2,64 +2,19 @@
 
 mod support;
 
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use plankhill_protocol::feed::FromSubscriber;
+use plankhill_draining::shutdown::Shutdown;
 use plankhill_protocol::ids::NodeId;
 use plankhill_protocol::tables::{Drain, Tables};
-use plankhill_proxy::draining;
 use plankhill_proxy::life::Connections;
 use plankhill_proxy::ready::is_ready;
-use plankhill_proxy::shutdown::drain;
 use support::on_one_thread;
+use support::orders::{settled, Orders};
 use support::peer::Listening;
 use support::world::{answer, chunk, event, get, stream_head, turn, World, LAST_CHUNK};
-use tokio::sync::watch;
-use tokio::{join, task};
-
-/// What the node said, and where its orders come from.
-struct Orders {
-    tables: watch::Sender<Arc<Tables>>,
-    said: Rc<RefCell<Vec<FromSubscriber>>>,
-}
-
-impl Orders {
-    fn follow(world: &World) -> Orders {
-        let newest = world.proxy.snapshots.newest().tables.clone();
-        let (tables, watched) = watch::channel(newest);
-        let said: Rc<RefCell<Vec<FromSubscriber>>> = Rc::default();
-        let heard = said.clone();
-        let say = Box::new(move |message| {
-            heard.borrow_mut().push(message);
-            true
-        });
-        task::spawn_local(draining::follow(world.proxy.clone(), NodeId::from("me"), watched, say));
-        Orders { tables, said }
-    }
-
-    async fn set(&self, number: Option<u64>) {
-        let drain = |number| Drain { node: NodeId::from("me"), number, empty: false };
-        let drains = number.map(drain).into_iter().collect();
-        self.tables.send_modify(|tables| *tables = Arc::new(Tables { drains, ..Tables::clone(tables) }));
-        settled().await;
-    }
-
-    async fn until_said(&self, number: u64) {
-        while !self.said.borrow().contains(&FromSubscriber::Emptied { number }) {
-            task::yield_now().await;
-        }
-    }
-}
-
-/// Everything that is ready to run has run.
-async fn settled() {
-    for _ in 0..20 {
-        task::yield_now().await;
-    }
-}
+use tokio::join;
 
 #[test]
 fn an_order_turns_clients_away_and_a_lifted_one_welcomes_them() {
@@ -144,7 +99,9 @@
         peer.send(&(stream_head("r1", "s") + &chunk(&event(1, "a")))).await;
         assert!(client.head().await.is_some());
         assert_eq!(client.chunk().await, Some(Some(event(1, "a").into_bytes())));
-        let ending = drain(&world.proxy.life, Duration::ZERO, Duration::from_millis(250));
+        let _orders = Orders::follow(&world);
+        world.proxy.life.shut_down(Shutdown::new(Duration::ZERO, Duration::ZERO));
+        let ending = world.proxy.life.over();
         let (_, cut) = join!(ending, client.chunk());
         assert_eq!(cut, None, "no end that looks complete");
         assert_eq!(world.stores.first_end().await.tokens, Some(3));
--- a/tier/proxy/tests/life.rs
+++ b/tier/proxy/tests/life.rs
@@ -4,12 +4,18 @@
 
 use std::time::Duration;
 
-use plankhill_proxy::shutdown::drain;
+use plankhill_draining::shutdown::Shutdown;
 use support::on_one_thread;
+use support::orders::Orders;
 use support::peer::{Listening, Peer};
 use support::world::{answer, chunk, configuration, event, get, stream_head, tables, World, LAST_CHUNK};
 use tokio::join;
 
+/// The end was asked for, and nothing has to be over yet.
+fn in_an_hour() -> Shutdown {
+    Shutdown::new(Duration::ZERO, Duration::from_secs(3_600))
+}
+
 async fn readiness(world: &World) -> u16 {
     let mut peer = Peer::connect(world.readiness).await;
     peer.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
@@ -28,7 +34,7 @@
         assert_eq!((early.status(), early.header("retry-after").is_some()), (503, true));
         world.proxy.life.set_current();
         assert_eq!(readiness(&world).await, 200);
-        world.proxy.life.set_ending();
+        world.proxy.life.shut_down(in_an_hour());
         assert_eq!(readiness(&world).await, 503);
     });
 }
@@ -71,7 +77,7 @@
         let target = Listening::start().await;
         let world = World::with_targets(&[&target]).await;
         let mut open = world.client().await;
-        world.proxy.life.set_ending();
+        world.proxy.life.shut_down(in_an_hour());
         open.send(&get("once", "r1")).await;
         let (mut peer, _) = target.request().await;
         peer.send(&answer("200 OK", "r1", "Keep-Alive: timeout=9\r\n", "body")).await;
@@ -96,7 +102,9 @@
         let (mut peer, _) = target.request().await;
         peer.send(&(stream_head("r1", "s") + &chunk(&event(1, "a")))).await;
         assert!(client.head().await.is_some());
-        let ending = drain(&world.proxy.life, Duration::ZERO, Duration::from_secs(3_600));
+        let _orders = Orders::follow(&world);
+        world.proxy.life.shut_down(Shutdown { clients_come_until: Duration::ZERO, ..in_an_hour() });
+        let ending = world.proxy.life.over();
         let finishing = async {
             assert_eq!(client.chunk().await, Some(Some(event(1, "a").into_bytes())));
             peer.send(LAST_CHUNK).await;
