Full disks: members and stores stay up and write again when there is room

Ruled out: retrying on the same database (fjall takes no writes after a failed one until it is opened anew); opening it anew at once (that needs files of its own, and the rows could not be read meanwhile). Change: the writing threads probe the folder after growing pauses, open the database anew and go on; a chain member tells the others and leaves the chain by their agreement, and hands its disk nothing more; a start waits for its disk. A store refuses what has to be written. Found on the way: a repeated end of a turn was acknowledged without being written where the first write had failed; now it is written until it is on disk (test full_disk). A view that was refused is written again.

--- a/tier/chain/src/durable.rs
+++ b/tier/chain/src/durable.rs
@@ -145,6 +145,16 @@
     /// Writes the changes in order, all or none of them; returns when they survive a loss of power.
     ///
     /// # Errors
-    /// The implementation's; the storage may not be used any further then.
+    /// The implementation's; the storage may not be used any further then, until it has recovered.
     fn write(&mut self, changes: &[Write]) -> Result<(), Self::Error>;
+
+    /// After a failed write: makes the storage fit for use again, with everything that was written before. Of the
+    /// changes whose write has failed all may be there, or none.
+    ///
+    /// # Errors
+    /// The implementation's, while the disk takes no writes or what lies there cannot be read any more.
+    fn recover(&mut self) -> Result<(), Self::Error>;
+
+    /// Whether the cause of an error may pass, as a full disk does, so that another attempt makes sense.
+    fn may_pass(error: &Self::Error) -> bool;
 }
--- a/tier/chain/src/member/catch_up.rs
+++ b/tier/chain/src/member/catch_up.rs
@@ -30,7 +30,12 @@
     /// A link of the chain has operations that are missing here.
     pub(super) fn fetch_if_behind(&mut self, link: &Identity, position: Revision) {
         let asked = self.catch_up.asked.is_some_and(|at| self.now.saturating_sub(at) < ASK_AGAIN);
-        if asked || self.in_chain() || !self.view.in_chain(link) || position <= self.log.last() {
+        if asked
+            || self.disk_is_away()
+            || self.in_chain()
+            || !self.view.in_chain(link)
+            || position <= self.log.last()
+        {
             return;
         }
         self.catch_up.asked = Some(self.now);
@@ -63,7 +68,7 @@
         committed: Revision,
     ) {
         self.catch_up.restart();
-        if view != self.view.number || self.in_chain() || after != self.log.last() {
+        if view != self.view.number || self.in_chain() || after != self.log.last() || self.disk_is_away() {
             return;
         }
         self.append(entries);
@@ -73,7 +78,8 @@
     /// A state instead of the operations asked for.
     pub(super) fn on_install(&mut self, from: &Identity, view: ViewNumber, snapshot: Snapshot) {
         self.catch_up.restart();
-        if view != self.view.number || self.in_chain() || snapshot.revision <= self.log.last() {
+        let is_due = view == self.view.number && !self.in_chain() && snapshot.revision > self.log.last();
+        if !is_due || self.disk_is_away() {
             return;
         }
         if self.replicated.restore(&snapshot).is_err() {
--- a/tier/chain/src/member/mod.rs
+++ b/tier/chain/src/member/mod.rs
@@ -148,12 +148,21 @@
     /// A batch of writes, and with it all earlier ones, survives a loss of power now.
     pub fn persisted(&mut self, ticket: Ticket, now: Millis) {
         self.now = self.now.max(now);
+        self.presence.disk_refuses = false;
         while self.deferred.front().is_some_and(|(waits_for, _, _)| *waits_for <= ticket) {
             let Some((_, _, deferred)) = self.deferred.pop_front() else { return };
             self.carry_out(deferred);
         }
     }
 
+    /// The disk has refused to write, as a full one does. It goes on being tried; until a batch has been written the
+    /// others go on without this member.
+    pub fn disk_refuses(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        self.presence.disk_refuses = true;
+        self.send_heartbeats();
+    }
+
     /// Time passes; to be called at [`ChainMember::next_tick`] at the latest.
     pub fn tick(&mut self, now: Millis) {
         self.now = self.now.max(now);
--- a/tier/chain/src/member/presence.rs
+++ b/tier/chain/src/member/presence.rs
@@ -21,13 +21,23 @@
     last_tick: Millis,
     pub(super) started: Millis,
     pub(super) leaving: bool,
+    /// A write has failed, and none has succeeded since.
+    pub(super) disk_refuses: bool,
     /// At this time the tail was sure of its view, and nothing was committed that is missing here.
     current_at: Option<Millis>,
 }
 
 impl Presence {
     pub(super) fn new(sequence: u64, now: Millis) -> Self {
-        Self { sequence, next: now, last_tick: now, started: now, leaving: false, current_at: None }
+        Self {
+            sequence,
+            next: now,
+            last_tick: now,
+            started: now,
+            leaving: false,
+            disk_refuses: false,
+            current_at: None,
+        }
     }
 
     pub(super) fn forget_confirmation(&mut self) {
@@ -69,11 +79,17 @@
         self.send_heartbeats();
     }
 
-    /// Whether the others should go on without this member: it was asked to leave, or its disk does not answer.
+    /// Whether the others should go on without this member: it was asked to leave, or its disk takes nothing.
     pub(super) fn is_leaving(&self) -> bool {
+        self.presence.leaving || self.disk_is_away()
+    }
+
+    /// Whether the disk refuses to write, or has not answered for long. Meanwhile nothing more is handed to it that
+    /// somebody would repeat anyway, so that what waits for it stays small.
+    pub(super) fn disk_is_away(&self) -> bool {
         let waits_since = self.deferred.front().map(|(_, since, _)| *since);
         let stalled = waits_since.is_some_and(|since| self.peers.awake_for(since, self.now) >= DISK_STALLED);
-        self.presence.leaving || stalled
+        self.presence.disk_refuses || stalled
     }
 
     pub(super) fn keep_presence(&mut self) {
--- a/tier/chain/src/member/replication.rs
+++ b/tier/chain/src/member/replication.rs
@@ -58,7 +58,8 @@
         let committed = self.replicated.revision();
         // A log behind what is committed has lost what it had: nothing can be ordered on top of it.
         let Some(under_way) = self.log.last().0.checked_sub(committed.0) else { return };
-        if under_way < UNCOMMITTED && !self.log.holds_after(committed, &entry.request) {
+        if under_way < UNCOMMITTED && !self.disk_is_away() && !self.log.holds_after(committed, &entry.request)
+        {
             self.append(vec![entry]);
         }
     }
@@ -80,7 +81,8 @@
         let place = self.view.place(&self.me.identity).and_then(|place| place.checked_sub(1));
         let before = place.and_then(|place| self.view.link(place));
         let from_before = before.is_some_and(|link| link.identity == *from);
-        if view != self.view.number || !from_before || self.is_sealed() || previous > self.log.last() {
+        let is_due = view == self.view.number && from_before && previous <= self.log.last();
+        if !is_due || self.is_sealed() || self.disk_is_away() {
             return;
         }
         let held = usize::try_from(self.log.last().0 - previous.0).unwrap_or(usize::MAX);
--- a/tier/chain/src/member/votes.rs
+++ b/tier/chain/src/member/votes.rs
@@ -48,6 +48,10 @@
             return false;
         }
         self.attempts.saw(ballot, self.now);
+        if self.disk_is_away() {
+            // The vote could not be given; the question comes again.
+            return false;
+        }
         match self.acceptor.promised.clone().filter(|promised| promised > ballot) {
             None => true,
             Some(promised) => {
--- a/tier/chain/tests/simulation/scenes.rs
+++ b/tier/chain/tests/simulation/scenes.rs
@@ -18,13 +18,16 @@
     world
 }
 
-/// All these machines get an operation acknowledged.
+/// All these machines get an operation acknowledged that nobody has proposed before.
 fn are_served(world: &mut World, machines: &[usize], scene: &str) {
-    let requests: Vec<_> =
-        machines.iter().map(|at| (*at, world.propose(*at, 2_000_000 + *at as u64))).collect();
+    let first = 2_000_000 + 10 * world.now;
+    let operations: Vec<_> = machines.iter().map(|at| (*at, first + *at as u64)).collect();
+    for (at, operation) in &operations {
+        world.propose(*at, *operation);
+    }
     world.run(ANSWERED_WITHIN);
-    for (at, request) in requests {
-        assert!(world.is_acknowledged(2_000_000 + at as u64), "{scene}: machine {at}, {request}");
+    for (at, operation) in operations {
+        assert!(world.is_acknowledged(operation), "{scene}: machine {at}");
     }
     assert!(world.book.borrow().broken.is_empty(), "{scene}: {:?}", world.book.borrow().broken);
 }
@@ -59,6 +62,44 @@
     });
 }
 
+/// Batches that may wait for a disk that refuses to write, however long it does.
+const MOST_WAITING: usize = 8;
+
+#[test]
+fn with_a_full_disk_the_others_go_on_and_take_it_back() {
+    each(|mut world, at, scene| {
+        world.machines[at].full_until = world.now + 60_000;
+        // It is told by the first write that is refused.
+        world.run(BACK_WITHIN);
+        are_served(&mut world, &others(at), scene);
+        assert_eq!(world.in_service(), 2, "{scene}");
+        world.run(55_000);
+        let waiting = world.machines[at].disk.waiting.len();
+        assert!(waiting <= MOST_WAITING, "{scene}: {waiting} batches wait");
+        assert!(world.machines[at].is_up(), "{scene}");
+        world.run(3_500 + BACK_WITHIN);
+        assert_eq!(world.in_service(), 3, "{scene}");
+        are_served(&mut world, &[0, 1, 2], scene);
+    });
+}
+
+/// What the full disk holds back was acknowledged by nobody, and what the others have is not lost with it.
+#[test]
+fn a_loss_of_power_behind_a_full_disk_loses_nothing() {
+    each(|mut world, at, scene| {
+        world.machines[at].full_until = Millis::MAX;
+        let request = world.propose(at, 3_000_000);
+        world.run(BACK_WITHIN);
+        are_served(&mut world, &others(at), scene);
+        (0..3).for_each(|machine| world.stop(machine));
+        world.machines[at].full_until = 0;
+        (0..3).for_each(|machine| world.restart_after(machine, 10 + machine as Millis * 40));
+        world.run(4_000);
+        assert_eq!(world.in_service(), 3, "{scene}, {request}");
+        are_served(&mut world, &[0, 1, 2], scene);
+    });
+}
+
 #[test]
 fn a_machine_cut_off_says_so_at_once() {
     each(|mut world, at, scene| {
--- a/tier/chain/tests/simulation/world/disks.rs
+++ b/tier/chain/tests/simulation/world/disks.rs
@@ -4,7 +4,7 @@
 
 use super::faults::Planted;
 use super::machine::Input;
-use super::{Event, World, STALL_STEP};
+use super::{Event, World, REFUSED_STEP, STALL_STEP};
 
 impl World {
     /// A sync takes in everything that waits when it begins.
@@ -28,6 +28,11 @@
             self.at(STALL_STEP, Event::Synced { at, life, ticket });
             return;
         }
+        if self.machines[at].full_until > self.now {
+            self.input(at, Input::DiskRefuses);
+            self.at(REFUSED_STEP, Event::Synced { at, life, ticket });
+            return;
+        }
         let lies = self.shape.planted == Some(Planted::DiskLies);
         if self.syncing.get(&at) == Some(&ticket) {
             self.syncing.remove(&at);
--- a/tier/chain/tests/simulation/world/faults.rs
+++ b/tier/chain/tests/simulation/world/faults.rs
@@ -81,7 +81,10 @@
     pub fn calm(&mut self) {
         self.faults_on = false;
         self.heal();
-        self.machines.iter_mut().for_each(|machine| machine.stalled_until = 0);
+        for machine in &mut self.machines {
+            machine.stalled_until = 0;
+            machine.full_until = 0;
+        }
         for at in 0..self.machines.len() {
             self.thaw(at);
             if !self.machines[at].is_up() {
@@ -105,7 +108,7 @@
         let Some(at) = self.chance.pick(&present) else { return };
         let Some(other) = self.chance.pick(&present) else { return };
         let wipes = self.shape.planted == Some(Planted::IncarnationKept) && self.chance.one_in(2);
-        let drawn = if wipes { 8 } else { self.chance.below(14) };
+        let drawn = if wipes { 8 } else { self.chance.below(15) };
         match drawn {
             0 | 1 => self.kill(at),
             2 | 3 => self.freeze(at),
@@ -117,6 +120,7 @@
             10 => self.replace(at),
             11 => self.heal(),
             12 => self.stall(at),
+            13 => self.fill(at),
             _ => present.iter().for_each(|at| self.freeze(*at)),
         }
     }
@@ -148,6 +152,13 @@
         self.disturbed_at = self.disturbed_at.max(until);
     }
 
+    /// The disk refuses to write for a while.
+    pub fn fill(&mut self, at: usize) {
+        let until = self.now + self.chance.between(100, 8_000);
+        self.machines[at].full_until = until;
+        self.disturbed_at = self.disturbed_at.max(until);
+    }
+
     pub fn cut(&mut self, pairs: &[(usize, usize)]) {
         self.disturbed_at = self.disturbed_at.max(self.now);
         self.cuts.extend(pairs.iter().filter(|(from, to)| from != to));
--- a/tier/chain/tests/simulation/world/machine.rs
+++ b/tier/chain/tests/simulation/world/machine.rs
@@ -41,6 +41,7 @@
 pub enum Input {
     Message(Identity, Message),
     Persisted(Ticket),
+    DiskRefuses,
     Tick,
     Propose { request: u128, operation: u64, ends: Millis },
     Read { read: u64, ends: Millis },
@@ -60,6 +61,8 @@
     pub tick_at: Millis,
     /// The disk answers nothing until then.
     pub stalled_until: Millis,
+    /// The disk refuses to write until then.
+    pub full_until: Millis,
     /// Gone for good.
     pub removed: bool,
 }
@@ -77,6 +80,7 @@
             held_back: VecDeque::new(),
             tick_at: 0,
             stalled_until: 0,
+            full_until: 0,
             removed: false,
         }
     }
@@ -128,6 +132,7 @@
         match input {
             Input::Message(from, message) => member.receive(&from, message, now),
             Input::Persisted(ticket) => member.persisted(ticket, now),
+            Input::DiskRefuses => member.disk_refuses(now),
             Input::Tick => member.tick(now),
             Input::Propose { request, operation, ends } => {
                 let request = plankhill_chain::RequestNumber(request);
--- a/tier/chain/tests/simulation/world/mod.rs
+++ b/tier/chain/tests/simulation/world/mod.rs
@@ -26,6 +26,9 @@
 /// A disk that does not answer is asked again after this long, in ms.
 const STALL_STEP: Millis = 20;
 
+/// A disk that refuses to write is tried again after this long, in ms.
+const REFUSED_STEP: Millis = 100;
+
 /// What a world is like.
 #[derive(Clone, Debug)]
 pub struct Shape {
--- a/tier/replica/src/start.rs
+++ b/tier/replica/src/start.rs
@@ -6,15 +6,16 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use plankhill_chain::{BadSnapshot, ChainMember, Configuration, Identity, Member, Storage, Write};
+use plankhill_disk::Pauses;
 use plankhill_protocol::ids::{Incarnation, NodeId};
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 
-use crate::handle::{Log, Standing};
-use crate::links::Links;
+use crate::handle::{Command, Log, Standing};
+use crate::links::{Links, Received};
 use crate::machine::TypedMachine;
 use crate::state::{CommittedState, ReplicatedState};
 use crate::storage::{open_folder, start_writer, OpenedFolder, StorageError};
@@ -57,51 +58,27 @@
 }
 
 /// Opens the disk and starts the member as a task of the present runtime. The connections that others open are
-/// to be handed to [`Log::serve`].
+/// to be handed to [`Log::serve`]. While the disk refuses to be opened, as a full one does, the handle answers that the
+/// chain cannot be reached, and the disk is tried again.
 ///
 /// # Errors
-/// [`StartError`] when the disk cannot be used.
+/// [`StartError`] when the disk cannot be used and waiting would not help.
 pub fn start<S: ReplicatedState>(settings: ReplicaSettings) -> Result<Log<S>, StartError> {
-    let founders = settings.bootstrap.then(|| settings.seeds.clone());
-    let founders = founders.filter(|founders| founders.contains(&settings.address));
-    let OpenedFolder { mut storage, held } = open_folder(&settings.folder, Incarnation(random()), founders)?;
-    // A disk that takes nothing any more is found before others rely on it.
-    storage.write(&[Write::Committed(held.committed)])?;
-    let incarnation = held.incarnation.unwrap_or(Incarnation(random()));
-    let identity = Identity { node: settings.node, incarnation };
-    let configuration = Configuration {
-        member: Member { identity: identity.clone(), address: settings.address },
-        tolerated: settings.tolerated,
-        seeds: settings.seeds,
-        random: random(),
-    };
-    let (report, written) = mpsc::unbounded_channel();
-    let member = ChainMember::new(configuration, held, TypedMachine::new(), 0)?;
-    let (disk, disk_open) = start_writer(storage, report)?;
     let (state, state_seen) = watch::channel(Arc::new(CommittedState::empty()));
     let (standing, standing_seen) = watch::channel(Standing::default());
     let (current, current_seen) = watch::channel(false);
     let (command_queue, commands) = mpsc::channel(COMMANDS);
     let (received, inbox) = mpsc::channel(INBOX);
-    let driver = Driver {
-        member,
-        started: Instant::now(),
-        links: Links::new(identity),
-        inbox,
-        commands,
-        disk,
-        written,
-        published: Published { state, standing, current },
-        waiting: Waiting {
-            next: u128::from(random()) << 64 | u128::from(random()),
-            proposals: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            leaving: Vec::new(),
-        },
+    let (disk_in_use, disk_open) = watch::channel(());
+    let published = Published { state, standing, current };
+    let pending = Pending { settings, inbox, commands, published, disk_in_use };
+    let task = match open(&pending.settings) {
+        Ok(opened) => tokio::spawn(pending.into_driver(opened)?.run()),
+        Err(error) if error.may_pass() => tokio::spawn(wait_for_disk(pending, error)),
+        Err(error) => return Err(error.into()),
     };
-    let task = tokio::spawn(driver.run()).abort_handle();
     Ok(Log {
-        task,
+        task: task.abort_handle(),
         disk_open,
         commands: command_queue,
         received,
@@ -111,6 +88,100 @@
     })
 }
 
+/// A member whose disk is not open yet.
+struct Pending<S: ReplicatedState> {
+    settings: ReplicaSettings,
+    inbox: mpsc::Receiver<Received>,
+    commands: mpsc::Receiver<Command<S>>,
+    published: Published<S>,
+    /// Dropped when the disk is closed.
+    disk_in_use: watch::Sender<()>,
+}
+
+impl<S: ReplicatedState> Pending<S> {
+    fn into_driver(self, opened: OpenedFolder) -> Result<Driver<S>, StartError> {
+        let OpenedFolder { storage, held } = opened;
+        let settings = self.settings;
+        let incarnation = held.incarnation.unwrap_or(Incarnation(random()));
+        let identity = Identity { node: settings.node, incarnation };
+        let configuration = Configuration {
+            member: Member { identity: identity.clone(), address: settings.address },
+            tolerated: settings.tolerated,
+            seeds: settings.seeds,
+            random: random(),
+        };
+        let (report, written) = mpsc::unbounded_channel();
+        let member = ChainMember::new(configuration, held, TypedMachine::new(), 0)?;
+        let disk = start_writer(storage, report, self.disk_in_use, Pauses::default())?;
+        Ok(Driver {
+            member,
+            started: Instant::now(),
+            links: Links::new(identity),
+            inbox: self.inbox,
+            commands: self.commands,
+            disk,
+            written,
+            published: self.published,
+            waiting: Waiting {
+                next: u128::from(random()) << 64 | u128::from(random()),
+                proposals: BTreeMap::new(),
+                reads: BTreeMap::new(),
+                leaving: Vec::new(),
+            },
+        })
+    }
+
+    /// Leaves everything unanswered until the pause is over; false if nobody holds a handle any more.
+    async fn pause(&mut self, pause: Duration) -> bool {
+        let over = tokio::time::sleep(pause);
+        tokio::pin!(over);
+        loop {
+            tokio::select! {
+                () = &mut over => return true,
+                // Dropped without an answer: the chain cannot be reached.
+                command = self.commands.recv() => match command {
+                    Some(Command::SetSeeds(seeds)) => self.settings.seeds = seeds,
+                    Some(_) => {}
+                    None => return false,
+                },
+                Some(_) = self.inbox.recv() => {}
+            }
+        }
+    }
+}
+
+/// Tries to open the disk again and again, and runs the member then.
+async fn wait_for_disk<S: ReplicatedState>(mut pending: Pending<S>, mut error: StorageError) {
+    let mut pauses = Pauses::default();
+    while error.may_pass() {
+        tracing::warn!(%error, "the disk cannot be opened");
+        if !pending.pause(pauses.next_pause()).await {
+            return;
+        }
+        error = match open(&pending.settings) {
+            Ok(opened) => {
+                tracing::info!("the disk is open");
+                match pending.into_driver(opened) {
+                    Ok(driver) => driver.run().await,
+                    Err(error) => tracing::error!(%error, "the member cannot start"),
+                }
+                return;
+            }
+            Err(error) => error,
+        };
+    }
+    tracing::error!(%error, "the disk is of no use");
+}
+
+fn open(settings: &ReplicaSettings) -> Result<OpenedFolder, StorageError> {
+    let founders = settings.bootstrap.then(|| settings.seeds.clone());
+    let founders = founders.filter(|founders| founders.contains(&settings.address));
+    let mut opened = open_folder(&settings.folder, Incarnation(random()), founders)?;
+    // A disk that takes nothing any more is found before others rely on it.
+    opened.storage.write(&[Write::Committed(opened.held.committed)])?;
+    Ok(opened)
+}
+
 /// A random number, from the keys that the standard library draws from the operating system.
 fn random() -> u64 {
     RandomState::new().build_hasher().finish()
--- a/tier/replica/src/storage/fjall.rs
+++ b/tier/replica/src/storage/fjall.rs
@@ -1,11 +1,12 @@
 //! A member's data in a `fjall` database.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, OwnedWriteBatch, PersistMode};
 use plankhill_chain::{Durable, Storage, Write};
-use plankhill_protocol::ids::Revision;
+use plankhill_disk::probe_room;
+use plankhill_protocol::ids::{Incarnation, Revision};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use thiserror::Error;
@@ -31,7 +32,7 @@
 /// Followed by the revision in eight bytes, the highest first.
 const ENTRY: u8 = b'e';
 
-/// The storage failed; the process should end and start anew from what is on the disk.
+/// Why the storage cannot be used.
 #[derive(Debug, Error)]
 pub enum StorageError {
     /// The database reports an error.
@@ -42,29 +43,36 @@
     Row(#[from] postcard::Error),
     /// The folder cannot be used.
     #[error("folder: {0}")]
-    Folder(#[from] std::io::Error),
+    Folder(#[from] io::Error),
+    /// The database was closed after a failed write and could not be opened again yet.
+    #[error("the database is closed after a failed write")]
+    Closed,
+    /// Another disk lies in the place of the one that was open.
+    #[error("the disk was replaced by another one")]
+    Replaced,
 }
 
 impl StorageError {
     /// Whether another attempt may find everything as it was: the data has not been shown to be damaged.
     pub(crate) fn may_pass(&self) -> bool {
-        match self {
-            Self::Database(fjall::Error::Io(error)) | Self::Folder(error) => {
-                !matches!(error.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData)
-            }
-            Self::Database(fjall::Error::Locked) => true,
-            Self::Database(_) | Self::Row(_) => false,
-        }
+        let io = match self {
+            Self::Database(fjall::Error::Io(error))
+            | Self::Database(fjall::Error::Storage(fjall::LsmError::Io(error)))
+            | Self::Folder(error) => error,
+            Self::Database(fjall::Error::Locked | fjall::Error::Poisoned) | Self::Closed => return true,
+            Self::Database(_) | Self::Row(_) | Self::Replaced => return false,
+        };
+        !matches!(io.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData)
     }
 }
 
 /// A member's data in a `fjall` database.
 pub struct FjallStorage {
-    database: Database,
-    rows: Keyspace,
-    /// Operations in the database lie between these.
-    first: Revision,
-    last: Revision,
+    folder: PathBuf,
+    /// The life of the disk, once it has begun: what is opened later has to be the same disk.
+    incarnation: Option<Incarnation>,
+    /// Missing while a failed database could not be opened again.
+    open: Option<OpenDatabase>,
 }
 
 impl FjallStorage {
@@ -73,6 +81,63 @@
     /// # Errors
     /// [`StorageError`] when there is one that cannot be read.
     pub fn open(folder: &Path) -> Result<Self, StorageError> {
+        let open = OpenDatabase::open(folder)?;
+        let incarnation = open.row(INCARNATION)?;
+        Ok(Self { folder: folder.to_path_buf(), incarnation, open: Some(open) })
+    }
+
+    fn opened(&mut self) -> Result<&mut OpenDatabase, StorageError> {
+        self.open.as_mut().ok_or(StorageError::Closed)
+    }
+}
+
+impl Storage for FjallStorage {
+    type Error = StorageError;
+
+    fn load(&mut self) -> Result<Durable, StorageError> {
+        self.opened()?.load()
+    }
+
+    fn write(&mut self, changes: &[Write]) -> Result<(), StorageError> {
+        self.opened()?.write(changes)?;
+        let begun = changes.iter().rev().find_map(|change| match change {
+            Write::Incarnation(incarnation) => Some(*incarnation),
+            _ => None,
+        });
+        self.incarnation = begun.or(self.incarnation);
+        Ok(())
+    }
+
+    /// The failed database goes on being read until the folder takes bytes again.
+    fn recover(&mut self) -> Result<(), StorageError> {
+        probe_room(&self.folder)?;
+        // The folder is locked while a database is open.
+        self.open = None;
+        let open = OpenDatabase::open(&self.folder)?;
+        let found: Option<Incarnation> = open.row(INCARNATION)?;
+        if found != self.incarnation {
+            return Err(StorageError::Replaced);
+        }
+        self.open = Some(open);
+        Ok(())
+    }
+
+    fn may_pass(error: &StorageError) -> bool {
+        error.may_pass()
+    }
+}
+
+/// A database that is open.
+struct OpenDatabase {
+    database: Database,
+    rows: Keyspace,
+    /// Operations in the database lie between these.
+    first: Revision,
+    last: Revision,
+}
+
+impl OpenDatabase {
+    fn open(folder: &Path) -> Result<Self, StorageError> {
         let database = Database::builder(folder)
             .worker_threads(1)
             .cache_size(CACHE_BYTES)
@@ -82,11 +147,11 @@
             .open()?;
         let options = || KeyspaceCreateOptions::default().max_memtable_size(MEMTABLE_BYTES);
         let rows = database.keyspace(KEYSPACE, options)?;
-        let mut storage = Self { database, rows, first: Revision(1), last: Revision(0) };
-        let held = storage.load()?;
-        storage.first = Revision(held.snapshot.revision.0 + 1);
-        storage.last = held.entries.keys().next_back().copied().unwrap_or(held.snapshot.revision);
-        Ok(storage)
+        let mut opened = Self { database, rows, first: Revision(1), last: Revision(0) };
+        let held = opened.load()?;
+        opened.first = Revision(held.snapshot.revision.0 + 1);
+        opened.last = held.entries.keys().next_back().copied().unwrap_or(held.snapshot.revision);
+        Ok(opened)
     }
 
     fn row<T: DeserializeOwned>(&self, key: &[u8]) -> Result<Option<T>, StorageError> {
@@ -134,12 +199,8 @@
             batch.remove(&self.rows, entry_key(Revision(revision)));
         }
     }
-}
 
-impl Storage for FjallStorage {
-    type Error = StorageError;
-
-    fn load(&mut self) -> Result<Durable, StorageError> {
+    fn load(&self) -> Result<Durable, StorageError> {
         let mut held = Durable {
             incarnation: self.row(INCARNATION)?,
             founders: self.row(FOUNDERS)?,
--- a/tier/replica/src/storage/memory.rs
+++ b/tier/replica/src/storage/memory.rs
@@ -21,4 +21,12 @@
         changes.iter().for_each(|change| self.held.apply(change));
         Ok(())
     }
+
+    fn recover(&mut self) -> Result<(), Infallible> {
+        Ok(())
+    }
+
+    fn may_pass(error: &Infallible) -> bool {
+        match *error {}
+    }
 }
--- a/tier/replica/src/storage/mod.rs
+++ b/tier/replica/src/storage/mod.rs
@@ -8,4 +8,4 @@
 pub use self::fjall::{FjallStorage, StorageError};
 pub use folder::{open_folder, OpenedFolder};
 pub use memory::MemoryStorage;
-pub(crate) use writer::{start_writer, Written};
+pub use writer::{start_writer, Batch, Written};
--- a/tier/replica/src/task.rs
+++ b/tier/replica/src/task.rs
@@ -61,6 +61,7 @@
                 biased;
                 Some(written) = self.written.recv() => match written {
                     Written::Synced(ticket) => self.member.persisted(ticket, self.now()),
+                    Written::Refused => self.member.disk_refuses(self.now()),
                     Written::Failed => return,
                 },
                 Some(received) = self.inbox.recv() => {
--- a/tier/store/src/disk/folder.rs
+++ b/tier/store/src/disk/folder.rs
@@ -6,8 +6,8 @@
 use std::fs::{self, File};
 use std::io;
 use std::path::Path;
-use std::time::Duration;
 
+use plankhill_disk::Pauses;
 use plankhill_protocol::ids::Incarnation;
 use plankhill_turns::rows::{incarnation_row, read_row, Table, INCARNATION_KEY};
 
@@ -18,9 +18,6 @@
 /// Made and synced once the incarnation is in the database.
 const READY: &str = "ready";
 
-/// Pause before a disk that fails is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
 /// What a folder holds.
 pub struct OpenedFolder {
     /// The rows.
@@ -29,26 +26,32 @@
     pub incarnation: Incarnation,
 }
 
-/// Opens a folder; `fresh` is the incarnation if it is empty. Waits while the disk fails: what lies on it is
-/// given up only if it can never be read.
-///
-/// # Errors
-/// [`DiskError::Failed`] when nothing can be made in an empty folder.
-pub async fn open_folder(folder: &Path, fresh: Incarnation) -> Result<OpenedFolder, DiskError> {
+/// Opens a folder; `fresh` is the incarnation if it is empty. Waits while the disk fails, as a full one does: what lies
+/// on it is given up only if it can never be read.
+pub async fn open_folder(folder: &Path, fresh: Incarnation) -> OpenedFolder {
+    let mut pauses = Pauses::default();
     while folder.join(READY).exists() {
         match open_existing(&folder.join(DATABASE)).await {
-            Ok(opened) => return Ok(opened),
+            Ok(opened) => return opened,
             Err(DiskError::Unreadable(error)) => {
                 tracing::error!(%error, "database cannot be read; starting as an empty store");
                 break;
             }
             Err(error) => {
                 tracing::warn!(%error, "disk fails; trying again");
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(pauses.next_pause()).await;
+            }
+        }
+    }
+    loop {
+        match make_new(folder, fresh).await {
+            Ok(opened) => return opened,
+            Err(error) => {
+                tracing::warn!(%error, "nothing can be made on the disk; trying again");
+                tokio::time::sleep(pauses.next_pause()).await;
             }
         }
     }
-    make_new(folder, fresh).await
 }
 
 /// Opens a database that takes writes: one on a full disk opens, and fails later.
--- a/tier/store/src/disk/memory.rs
+++ b/tier/store/src/disk/memory.rs
@@ -25,6 +25,7 @@
     sync_time: Cell<Duration>,
     busy_until: Cell<Option<Instant>>,
     failing: Cell<bool>,
+    refusing: Cell<bool>,
     ignores_syncs: Cell<bool>,
     life: Cell<u64>,
 }
@@ -54,6 +55,11 @@
         self.shared.failing.set(failing);
     }
 
+    /// From now on commits are refused as by a full disk, or taken again.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.shared.refusing.set(refusing);
+    }
+
     /// How long syncs take from now on.
     pub fn set_sync_time(&self, sync_time: Duration) {
         self.shared.sync_time.set(sync_time);
@@ -118,7 +124,7 @@
 
 impl Shared {
     fn write(&self, life: u64, changes: Vec<RowChange>) {
-        if self.life.get() != life || self.failing.get() {
+        if self.life.get() != life || self.failing.get() || self.refusing.get() {
             return;
         }
         let mut rows = self.synced.borrow_mut();
@@ -134,6 +140,9 @@
         if self.failing.get() {
             return Err(DiskError::Failed("planted".into()));
         }
+        if self.refusing.get() {
+            return Err(DiskError::Refused("no space is left".into()));
+        }
         Ok(())
     }
 }
--- a/tier/store/src/disk/mod.rs
+++ b/tier/store/src/disk/mod.rs
@@ -3,6 +3,7 @@
 mod fjall;
 mod folder;
 mod memory;
+mod writer;
 
 use std::future::Future;
 
@@ -18,10 +19,13 @@
     /// Too much waits to be written already.
     #[error("too much waits to be written")]
     Busy,
+    /// The disk takes no writes for now, as a full one does. It goes on being tried, and can be read meanwhile.
+    #[error("the disk refuses to write: {0}")]
+    Refused(String),
     /// What lies on the disk is no database of this kind, or a broken one.
     #[error("unreadable database: {0}")]
     Unreadable(String),
-    /// The disk or the database failed; nothing more can be written until the process starts anew.
+    /// The disk or the database failed for good; nothing more can be written until the process starts anew.
     #[error("disk: {0}")]
     Failed(String),
 }
@@ -35,12 +39,12 @@
     /// A row of a commit that has ended; one of a commit under way may or may not be there yet.
     ///
     /// # Errors
-    /// [`DiskError::Failed`].
+    /// [`DiskError::Failed`]; [`DiskError::Refused`] for a moment after the disk had refused to write.
     fn read(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, DiskError>;
 
     /// Shows all rows of a table in the order of their keys.
     ///
     /// # Errors
-    /// [`DiskError::Failed`].
+    /// As for [`Disk::read`].
     fn scan(&self, table: Table, visit: &mut dyn FnMut(&[u8], &[u8])) -> Result<(), DiskError>;
 }
--- a/tier/store/src/node/mod.rs
+++ b/tier/store/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod replica;
 mod round;
 mod serve_copies;
+mod unwritten;
 mod view;
 
 use std::cell::RefCell;
@@ -32,6 +33,7 @@
 use crate::figures::{Figures, CALL_TIMEOUT};
 use crate::peers::Peers;
 use hints::Hints;
+use unwritten::UnwrittenStates;
 
 /// What a store is made of.
 pub struct Parts<P, D, C> {
@@ -65,6 +67,8 @@
     /// Turns whose rows are on their way to the disk.
     unwritten: HashMap<RequestId, Arc<TurnRecord>>,
     hints: Hints,
+    /// What became of turns and is not known to be on disk.
+    unwritten_states: UnwrittenStates,
     /// A disk that failed takes no more writes in this life.
     disk_failed: bool,
 }
--- a/tier/store/src/node/replica.rs
+++ b/tier/store/src/node/replica.rs
@@ -8,6 +8,7 @@
 use plankhill_turns::peer::{EndedTurn, KeptTurn, PeerCall, PeerReply, PeerRequest, PeerResponse};
 use plankhill_turns::rows::{account_key, turn_key, AccountRow, RowChange, Table, TurnRow};
 
+use super::unwritten::StateWrite;
 use super::Node;
 use crate::clock::Clock;
 use crate::disk::{Disk, DiskError};
@@ -100,40 +101,46 @@
 
     /// Takes in what became of turns; answers once all of it is synced.
     pub(super) async fn take_ended(&self, ended: Vec<EndedTurn>) -> PeerResponse {
-        let mut changes = Vec::new();
-        let mut kept = Vec::new();
+        let mut taken = Taken::default();
         for ended in ended {
             let EndedTurn { program, turn, state, kept: turn_kept } = ended;
             if let Some(state) = state {
-                changes.extend(self.merge_state(&program, &turn, state));
+                self.merge_state(&program, &turn, state, &mut taken);
             }
             if let Some(turn_kept) = turn_kept {
                 match self.keep_here(&turn, turn_kept) {
                     Keeping::Held => {}
                     Keeping::New(row) => {
-                        changes.push(row);
-                        kept.push(turn);
+                        taken.changes.push(row);
+                        taken.kept.push(turn);
                     }
-                    Keeping::NoRoom => return self.refuse_for_room(changes, kept).await,
+                    Keeping::NoRoom => return self.refuse_for_room(taken).await,
                 }
             }
         }
-        let outcome = self.write_turns(changes, kept).await;
+        let outcome = self.write_turns(taken).await;
         outcome.map_or(PeerResponse::Unable, |()| PeerResponse::Done)
     }
 
     /// What was taken in before the room ended is written all the same.
-    async fn refuse_for_room(&self, changes: Vec<RowChange>, kept: Vec<RequestId>) -> PeerResponse {
+    async fn refuse_for_room(&self, taken: Taken) -> PeerResponse {
         tracing::warn!("no room for more turns");
         // The answer is the same whether or not it could be written.
-        let _ = self.write_turns(changes, kept).await;
+        let _ = self.write_turns(taken).await;
         PeerResponse::Unable
     }
 
-    fn merge_state(&self, program: &ProgramId, turn: &RequestId, state: TurnState) -> Option<RowChange> {
+    /// What is no news is written all the same where an earlier write of it may have failed.
+    fn merge_state(&self, program: &ProgramId, turn: &RequestId, news: TurnState, taken: &mut Taken) {
         let now_ms = self.now_ms();
-        let news = self.state.borrow_mut().index.merge_state(program, turn, state, now_ms);
-        news.then(|| state_row(program, turn, state, now_ms))
+        let mut state = self.state.borrow_mut();
+        let is_news = state.index.merge_state(program, turn, news, now_ms);
+        if !is_news && !state.unwritten_states.contains(program, turn) {
+            return;
+        }
+        let known = state.index.account(program).and_then(|account| account.state(turn));
+        taken.changes.push(state_row(program, turn, known.unwrap_or(news), now_ms));
+        taken.states.push(state.unwritten_states.begin(program, turn));
     }
 
     fn keep_here(&self, turn: &RequestId, kept: KeptTurn) -> Keeping {
@@ -154,16 +161,19 @@
     }
 
     /// Writes rows; turns that could not be written are dropped again.
-    async fn write_turns(&self, changes: Vec<RowChange>, kept: Vec<RequestId>) -> Result<(), DiskError> {
-        let written = self.parts.disk.commit(changes);
+    async fn write_turns(&self, taken: Taken) -> Result<(), DiskError> {
+        let written = self.parts.disk.commit(taken.changes);
         let outcome = written.await;
         let mut state = self.state.borrow_mut();
-        for turn in &kept {
+        for turn in &taken.kept {
             state.unwritten.remove(turn);
             if outcome.is_err() {
                 state.index.forget(turn);
             }
         }
+        if outcome.is_ok() {
+            taken.states.into_iter().for_each(|write| state.unwritten_states.written(write));
+        }
         drop(state);
         outcome.inspect_err(|error| self.note_disk_error(error))
     }
@@ -192,6 +202,16 @@
     }
 }
 
+/// What is to be written, and what depends on it.
+#[derive(Default)]
+struct Taken {
+    changes: Vec<RowChange>,
+    /// Turns that are new here.
+    kept: Vec<RequestId>,
+    /// What became of turns.
+    states: Vec<StateWrite>,
+}
+
 /// What became of a turn that is to be kept here.
 enum Keeping {
     /// It is here already, or on its way to the disk: the next commit ends after it.
--- a/tier/store/src/node/view.rs
+++ b/tier/store/src/node/view.rs
@@ -1,6 +1,7 @@
 //! The view of the stores: taken when newer, on disk before anybody may rely on it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use plankhill_protocol::ids::StoreEpoch;
 use plankhill_protocol::tables::StoreView;
@@ -12,6 +13,9 @@
 use crate::disk::Disk;
 use crate::peers::Peers;
 
+/// A view that the disk refused to take is written again after this long.
+const VIEW_RETRY: Duration = Duration::from_millis(300);
+
 impl<P: Peers, D: Disk, C: Clock> Node<P, D, C> {
     /// The newest view that this store knows.
     pub fn view(&self) -> StoreView {
@@ -33,10 +37,16 @@
         let written = self.parts.disk.commit(vec![view_row(view)]);
         let (node, view) = (self.clone(), view.clone());
         tokio::task::spawn_local(async move {
-            match written.await {
-                Ok(()) => node.view_is_durable(&view).await,
-                Err(error) => node.note_disk_error(&error),
+            let mut outcome = written.await;
+            while let Err(error) = outcome {
+                node.note_disk_error(&error);
+                tokio::time::sleep(VIEW_RETRY).await;
+                if !node.is_current(&view) {
+                    return;
+                }
+                outcome = node.parts.disk.commit(vec![view_row(&view)]).await;
             }
+            node.view_is_durable(&view).await;
         });
     }
 
--- a/tier/store/src/process.rs
+++ b/tier/store/src/process.rs
@@ -79,7 +79,7 @@
 }
 
 async fn open(settings: &Settings, ports: PortRange, folder: PathBuf) -> Result<Rc<StoreNode>, RunError> {
-    let opened = open_folder(&folder, draw_incarnation()).await?;
+    let opened = open_folder(&folder, draw_incarnation()).await;
     let node = NodeId::from(settings.node_id.as_str());
     let me = StoreMember {
         node: node.clone(),
--- a/tier/store/tests/folder.rs
+++ b/tier/store/tests/folder.rs
@@ -10,7 +10,7 @@
 const SECOND: Incarnation = Incarnation(2);
 
 async fn incarnation(folder: &Path, fresh: Incarnation) -> Incarnation {
-    open_folder(folder, fresh).await.expect("a folder").incarnation
+    open_folder(folder, fresh).await.incarnation
 }
 
 #[tokio::test]
--- a/tier/store/tests/world/faults.rs
+++ b/tier/store/tests/world/faults.rs
@@ -24,6 +24,8 @@
     SlowDisk,
     /// The disk takes no writes for a while.
     FailingDisk,
+    /// The disk is full for a while; the process goes on.
+    FullDisk,
     Retire,
     Add,
     /// One is replaced by an empty one at another address.
@@ -40,7 +42,7 @@
     KillSeveral,
 }
 
-const ALL: [Trouble; 15] = [
+const ALL: [Trouble; 16] = [
     Trouble::Kill,
     Trouble::Wipe,
     Trouble::Freeze,
@@ -48,6 +50,7 @@
     Trouble::CutOneWay,
     Trouble::SlowDisk,
     Trouble::FailingDisk,
+    Trouble::FullDisk,
     Trouble::Retire,
     Trouble::Add,
     Trouble::Replace,
@@ -93,6 +96,7 @@
             }
             Trouble::SlowDisk => self.slow_disk(&node, away).await,
             Trouble::FailingDisk => self.failing_disk(&node, away).await,
+            Trouble::FullDisk => self.full_disk(&node, away).await,
             Trouble::Replace => {
                 self.remove(&node);
                 tokio::time::sleep(milliseconds(away)).await;
@@ -157,6 +161,18 @@
         self.back_after(node, 100).await;
     }
 
+    /// The process stays up: it refuses what has to be written, and goes on reading and repairing.
+    async fn full_disk(&self, node: &NodeId, away: u64) {
+        let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
+        let Some(disk) = disk else { return };
+        disk.set_refusing(true);
+        tokio::time::sleep(milliseconds(away)).await;
+        disk.set_refusing(false);
+        tokio::time::sleep(milliseconds(CATCH_UP_MS)).await;
+        let running = self.machines.borrow().get(node).and_then(|machine| machine.node());
+        assert!(running.is_none_or(|store| !store.disk_failed()), "a full disk does not end a store");
+    }
+
     async fn slow_disk(&self, node: &NodeId, away: u64) {
         let disk = self.machines.borrow().get(node).map(|machine| machine.disk.clone());
         let Some(disk) = disk else { return };
