--- a/tier/control/src/configuration.rs
+++ b/tier/control/src/configuration.rs
@@ -11,8 +11,9 @@
 use crate::operation::Outcome;
 
 /// Configurations that are remembered as taken. A long day has hundreds of changes, and at most eight orders
-/// are under way at once, so that a repeated order is far younger than this.
-const TAKEN_KEPT: usize = 1_024;
+/// are under way at once, so that a repeated order is far younger than this. One that is older is not refused: it may
+/// have been taken.
+pub const TAKEN_KEPT: usize = 1_024;
 
 /// The current configuration and digests of those taken before it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,11 +47,20 @@
         self.taken.iter().rev().find(|taken| taken.digest == digest).map(|taken| taken.version)
     }
 
+    /// Whether a configuration with this version may have been taken and forgotten: versions only rise, so that all
+    /// those forgotten lie below the oldest one remembered.
+    pub fn may_have_forgotten(&self, version: u64) -> bool {
+        let oldest = self.taken.front().filter(|_| self.taken.len() >= TAKEN_KEPT);
+        oldest.is_some_and(|oldest| version < oldest.version)
+    }
+
     /// What [`ConfigurationHistory::put`] would answer.
     pub fn judge(&self, expected: u64, version: u64, document: &[u8]) -> Outcome {
         let current = self.current_version();
         if self.taken_as(document) == Some(version) {
             Outcome::Repeated
+        } else if self.may_have_forgotten(version) {
+            Outcome::Forgotten
         } else if expected != current {
             Outcome::Conflict { current }
         } else if version <= current {
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -13,7 +13,7 @@
 mod tables;
 mod targets;
 
-pub use configuration::ConfigurationHistory;
+pub use configuration::{ConfigurationHistory, TAKEN_KEPT};
 pub use drains::{DrainOrder, Drains};
 pub use edges::Edges;
 pub use operation::{Duty, ExpiredTarget, Operation, Outcome};
--- a/tier/control/src/operation.rs
+++ b/tier/control/src/operation.rs
@@ -133,6 +133,8 @@
     Full,
     /// The duty comes from the head of an older view.
     Fenced,
+    /// The configuration is so old that nobody remembers whether it was taken.
+    Forgotten,
 }
 
 impl Outcome {
--- a/tier/control/tests/configuration.rs
+++ b/tier/control/tests/configuration.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{apply, put};
-use plankhill_control::{ControlState, Outcome};
+use plankhill_control::{ControlState, Outcome, TAKEN_KEPT};
 
 #[test]
 fn the_first_builds_on_version_zero() {
@@ -81,3 +81,24 @@
         Ok(())
     });
 }
+
+/// A repeat of what was taken is never refused, however many have been taken since: where nobody remembers, nothing is
+/// settled. What was never taken is refused as long as that is known.
+#[test]
+fn an_order_that_is_forgotten_is_not_refused() {
+    let mut state = ControlState::default();
+    let kept = TAKEN_KEPT as u64;
+    let last = kept + 10;
+    for version in 1..=last {
+        let document = format!("document {version}");
+        assert_eq!(apply(&mut state, &put(version - 1, version, &document)), Outcome::Applied);
+    }
+    let oldest = last - kept + 1;
+    for version in 1..=last {
+        let document = format!("document {version}");
+        let expected = if version < oldest { Outcome::Forgotten } else { Outcome::Repeated };
+        assert_eq!(apply(&mut state, &put(version - 1, version, &document)), expected, "{version}");
+    }
+    assert_eq!(apply(&mut state, &put(oldest - 1, oldest, "other")), Outcome::Conflict { current: last });
+    assert_eq!(state.configuration_history().current_version(), last);
+}
--- a/tier/controller/src/admin/configuration.rs
+++ b/tier/controller/src/admin/configuration.rs
@@ -78,7 +78,9 @@
         return Some(answer_to(Outcome::Repeated, version));
     }
     let current = history.current_version();
-    (expected < current).then(|| answer_to(Outcome::Conflict { current }, expected))
+    // Its own version is above the one that it builds on.
+    let is_settled = expected < current && !history.may_have_forgotten(expected + 1);
+    is_settled.then(|| answer_to(Outcome::Conflict { current }, expected))
 }
 
 fn answer_to(outcome: Outcome, version: u64) -> Answer {
@@ -92,6 +94,10 @@
             let message = format!("{version} is not above the current version {current}");
             invalid(&Fault::new("version", message).to_string())
         }
+        Outcome::Forgotten => {
+            let error = "version: too old to tell whether this configuration was taken";
+            failure(StatusCode::SERVICE_UNAVAILABLE, error)
+        }
         _ => unavailable(),
     }
 }
--- a/tier/controller/src/admin/drains.rs
+++ b/tier/controller/src/admin/drains.rs
@@ -65,8 +65,9 @@
         Ok(order) => order,
         Err(error) => return invalid(&format!("order cannot be read: {error}")),
     };
-    // The zone's machines are those that this controller knows; a newer order makes the number conflict.
-    let order = match resolved(order, &controller.log.state().borrow().state) {
+    // The zone's machines are those that are known anywhere; a newer order makes the number conflict.
+    let Ok(newest) = controller.log.read(OUTCOME_TIMEOUT).await else { return unavailable() };
+    let order = match resolved(order, &newest.state) {
         Ok(order) => order,
         Err(nobody @ NamesNobody::NoMachine) => return invalid(&nobody.to_string()),
         Err(nobody @ NamesNobody::EmptyZone) => return failure(StatusCode::NOT_FOUND, &nobody.to_string()),
--- a/tier/controller/tests/configuration.rs
+++ b/tier/controller/tests/configuration.rs
@@ -116,3 +116,18 @@
     assert_eq!(tester.call("DELETE", "/-/config", "").status, StatusCode::METHOD_NOT_ALLOWED);
     assert_eq!(tester.call("PUT", "/-/instances/", "").status, StatusCode::BAD_REQUEST);
 }
+
+/// Guards repeats of orders that were taken before more others than anybody remembers: this controller must not settle
+/// them from the version that they build on.
+#[test]
+fn a_forgotten_order_is_left_without_a_clear_answer() {
+    let tester = Tester::new();
+    let last = plankhill_control::TAKEN_KEPT as u64 + 2;
+    for version in 1..=last {
+        assert_eq!(tester.put_configuration(version - 1, configuration(version)).status, StatusCode::OK);
+    }
+    let forgotten = tester.put_configuration(0, configuration(1));
+    assert_eq!((forgotten.status, forgotten.retry_after), (StatusCode::SERVICE_UNAVAILABLE, true));
+    assert_eq!(tester.put_configuration(2, configuration(3)).status, StatusCode::OK);
+    assert_eq!(tester.put_configuration(3, configuration_with(5, 2)).status, StatusCode::PRECONDITION_FAILED);
+}
--- a/tier/controller/tests/drains.rs
+++ b/tier/controller/tests/drains.rs
@@ -68,6 +68,10 @@
     let answered =
         tester.call("POST", "/-/drains", json!({"expected": 0, "leave": true, "nodes": ["a1"]}).to_string());
     assert_eq!((answered.status.as_u16(), answered.retry_after), (503, true));
+    // A zone that is not known here may have come up since: nothing is settled.
+    let zone =
+        tester.call("POST", "/-/drains", json!({"expected": 0, "leave": true, "zone": "x"}).to_string());
+    assert_eq!((zone.status.as_u16(), zone.retry_after), (503, true));
     assert_eq!(tester.call("GET", "/-/drains", "").status.as_u16(), 503);
 }
 
--- a/tier/proxy/src/exchange.rs
+++ b/tier/proxy/src/exchange.rs
@@ -23,6 +23,10 @@
 /// A connection that takes longer to come up counts as failed: far more than any way to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A body of this size, in bytes, goes out with its head and is read with it. Of a longer one the target may not have
+/// read the rest when it turns the request away.
+const SHORT_BODY: usize = 2 * 1024;
+
 /// What is sent to targets, the same for every call of a request but for a few headers.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -71,6 +75,9 @@
     pub body: Incoming,
     /// To be put back once the body has come whole.
     pub connection: TargetConnection,
+    /// The rest of the request may still be unread: a request that follows on this connection would wait behind it,
+    /// and nobody could tell what became of it.
+    pub is_early: bool,
 }
 
 impl TargetHead {
@@ -126,7 +133,7 @@
         loop {
             let mut connection = self.connection(call, deadline, most_connections).await?;
             match self.write(&mut connection, call, outgoing, deadline).await? {
-                Some(response) => return checked(response, connection, &outgoing.request_id),
+                Some(response) => return checked(response, connection, outgoing),
                 // It was closed while it rested.
                 None if connection.reused => {}
                 None => return Err(Fate::NoConnection),
@@ -134,7 +141,7 @@
         }
     }
 
-    /// The answer's head, or none if the connection has ended before anything was written.
+    /// The answer's head, or none if the connection cannot be used and nothing was written.
     async fn write(
         &self,
         connection: &mut TargetConnection,
@@ -184,18 +191,19 @@
 fn checked(
     response: Response<Incoming>,
     connection: TargetConnection,
-    request_id: &RequestId,
+    outgoing: &Outgoing,
 ) -> Result<TargetHead, Fate> {
     let (head, body) = response.into_parts();
     let ours = match text(&head.headers, headers::REQUEST_ID.as_str()) {
-        Some(echoed) => echoed == request_id.as_str(),
+        Some(echoed) => echoed == outgoing.request_id.as_str(),
         // Over a new connection no other answer can be on its way.
         None => !connection.reused,
     };
     if !ours || head.status.is_informational() || !is_plausible(head.status, &head.headers) {
         return Err(Fate::Reset);
     }
-    Ok(TargetHead { status: head.status, headers: head.headers, body, connection })
+    let is_early = !head.status.is_success() && outgoing.body.len() > SHORT_BODY;
+    Ok(TargetHead { status: head.status, headers: head.headers, body, connection, is_early })
 }
 
 /// A success has the target's stamp. A status that promises that the request has not run says so in its
--- a/tier/proxy/src/intake.rs
+++ b/tier/proxy/src/intake.rs
@@ -95,12 +95,15 @@
     let mut memory = proxy.memory.portion();
     let limits = routes.limits();
     let most = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
-    let body_until = Instant::now() + limits.idle_timeout;
+    let route = find(routes, &head.headers, &head.uri);
+    // The time of a request also covers its body.
+    let time = route.as_ref().map_or(limits.idle_timeout, |route| route.timeout.min(limits.idle_timeout));
+    let body_until = Instant::now() + time;
     let body = match read_whole(body, most, body_until, &mut memory).await {
         Ok(body) => body,
         Err(error) => return Err((error.into(), facts.request_id)),
     };
-    let Some(route) = find(routes, &head.headers, &head.uri) else {
+    let Some(route) = route else {
         return Err((Rejection::Final(StatusCode::NOT_FOUND), facts.request_id));
     };
     let Some(request_id) = facts.request_id.clone() else {
--- a/tier/proxy/src/stream/run.rs
+++ b/tier/proxy/src/stream/run.rs
@@ -141,7 +141,7 @@
         if let Some(load) = head.load() {
             self.proxy.admission.load_seen(&call.target, load);
         }
-        let TargetHead { status, headers, mut body, connection } = head;
+        let TargetHead { status, headers, mut body, connection, .. } = head;
         let deadline = self.proxy.clock.instant(call.deadline + AFTER_DEADLINE);
         let mut relay = Relay {
             client: &mut *self.client,
--- a/tier/proxy/src/whole.rs
+++ b/tier/proxy/src/whole.rs
@@ -39,7 +39,8 @@
         memory: &mut Portion,
     ) -> Result<Self, Fate> {
         let (fate, load, retry_after) = (head.fate(), head.load(), head.retry_after());
-        let bounded = is_bounded(&head);
+        // Without a length it ends with its connection, in order; a reset is no end.
+        let is_reusable = is_framed(&head) && !head.is_early;
         let body = match read_whole(head.body, MOST_ANSWER_BYTES, deadline, memory).await {
             Ok(body) => body,
             Err(ReadError::TimedOut) => return Err(Fate::TimedOut),
@@ -47,11 +48,9 @@
             // Another target's answer would be no smaller.
             Err(ReadError::TooLarge | ReadError::OutOfMemory) => return Err(Fate::Cancelled),
         };
-        if !bounded {
-            // It ended with its connection: nobody can tell whether that was its end.
-            return Err(Fate::Reset);
+        if is_reusable {
+            pool.put_back(head.connection, &head.headers, Instant::now());
         }
-        pool.put_back(head.connection, &head.headers, Instant::now());
         Ok(WholeAnswer { status: head.status, headers: head.headers, body, fate, load, retry_after })
     }
 
@@ -80,7 +79,7 @@
 }
 
 /// Whether the end of the body is marked.
-fn is_bounded(head: &TargetHead) -> bool {
+fn is_framed(head: &TargetHead) -> bool {
     let without_body = head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
     without_body
         || head.headers.contains_key(header::CONTENT_LENGTH)
--- a/tier/proxy/tests/support/peer.rs
+++ b/tier/proxy/tests/support/peer.rs
@@ -120,6 +120,14 @@
         Listening { listener: TcpListener::bind("127.0.0.1:0").await.expect("a port") }
     }
 
+    /// Connections take in little before they are read.
+    pub async fn with_small_buffers() -> Listening {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4 * 1024).expect("an option");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        Listening { listener: socket.listen(16).expect("a listener") }
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().expect("an address")
     }
