Chain: a proposer's own promise is on disk before it asks for a view

Cause, found while the agreement was put into a model: a proposer counted the promises of others alone. Killed before its own was synced, as on a slow disk, its next life could use the same ballot for another view; with votes of both lives two views of one number could be decided. Ruled out: drawing ballots at random or counting lives in them (both would change the messages). Test ballots fails on the text before (an Accept leaves before the own promise is written).

--- a/tier/chain/src/member/attempt.rs
+++ b/tier/chain/src/member/attempt.rs
@@ -192,12 +192,13 @@
         }
     }
 
-    /// With enough promises: asks for the view that may have been agreed on already, or else for the one that
-    /// this member finds right.
+    /// With enough promises, its own among them: asks for the view that may have been agreed on already, or else for
+    /// the one that this member finds right. Its own promise is on disk then, so that no later life uses the same
+    /// ballot for another view.
     fn conclude_preparation(&mut self) {
         let Some(attempt) = self.attempts.current.as_ref() else { return };
         let Phase::Preparing(promises) = &attempt.phase else { return };
-        if promises.len() < self.quorum() {
+        if promises.len() < self.quorum() || !promises.contains_key(&self.me.identity.node) {
             return;
         }
         let waited = self.now.saturating_sub(attempt.started);
