--- a/tier/chain/tests/model/model.rs
+++ b/tier/chain/tests/model/model.rs
@@ -33,6 +33,8 @@
     pub operations: u8,
     /// Attempts of all machines together.
     pub attempts: u8,
+    /// Only so many machines attempt, the first ones of the chain.
+    pub proposers: u8,
     /// The highest number of a view; the first one is there at the beginning.
     pub views: u8,
     pub wipes: u8,
--- a/tier/chain/tests/model/state.rs
+++ b/tier/chain/tests/model/state.rs
@@ -138,6 +138,8 @@
 pub enum Broken {
     /// Two views of one number.
     TwoViews,
+    /// Two views asked for by one ballot, of which two may then be decided.
+    BallotUsedTwice,
     /// Two operations at one place.
     TwoOrders,
     /// Something acknowledged is missing in a later view.
