--- a/tier/replica/tests/common/mod.rs
+++ b/tier/replica/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Members of a chain on loopback, each with a folder of its own.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -16,6 +18,9 @@
 /// Long enough for every change of view, short enough to fail a test that hangs.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// See [`Words::apply`].
+pub const ONLY: &str = "only ";
+
 /// A list of words.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Words(pub Vec<String>);
@@ -24,7 +29,11 @@
     type Operation = String;
     type Outcome = usize;
 
+    /// A word that begins with [`ONLY`] takes the place of all others.
     fn apply(&mut self, _: Revision, operation: &String) -> usize {
+        if operation.starts_with(ONLY) {
+            self.0.clear();
+        }
         self.0.push(operation.clone());
         self.0.len()
     }
@@ -98,6 +107,21 @@
         self.settings.bootstrap = false;
     }
 
+    /// Bytes that its files take up on the disk.
+    pub fn bytes_on_disk(&self) -> u64 {
+        let mut folders = vec![self.settings.folder.clone()];
+        let mut bytes = 0;
+        while let Some(folder) = folders.pop() {
+            for entry in std::fs::read_dir(folder).unwrap().map(Result::unwrap) {
+                let Ok(metadata) = entry.metadata() else { continue };
+                // Files are laid out in advance: what counts is the blocks that hold something.
+                bytes += metadata.blocks() * 512;
+                folders.extend(metadata.is_dir().then(|| entry.path()));
+            }
+        }
+        bytes
+    }
+
     pub fn log(&self) -> &Log<Words> {
         &self.running.as_ref().unwrap().log
     }
