Chain: a member that hears no majority lets the others go on without it

Cause, found by twenty-second cuts at every place (long_cuts): a head that nothing came to, but whose messages left, was heard by all, so that nobody went on without it; its attempts at a new view sealed the others every second and no promise reached it. 0 acknowledgements in 20 s of three machines. Ruled out: having the others drop whom they cannot reach (both ends of a pair cut one way would drop each other). Change: such a member says in its heartbeats that it leaves, and begins no attempts.

--- a/tier/chain/src/member/presence.rs
+++ b/tier/chain/src/member/presence.rs
@@ -79,9 +79,19 @@
         self.send_heartbeats();
     }
 
-    /// Whether the others should go on without this member: it was asked to leave, or its disk takes nothing.
+    /// Whether the others should go on without this member: it was asked to leave, its disk takes nothing, or it hears
+    /// too few to be of use. They may still hear it where a cut holds up one direction only.
     pub(super) fn is_leaving(&self) -> bool {
-        self.presence.leaving || self.disk_is_away()
+        self.presence.leaving || self.disk_is_away() || !self.hears_majority()
+    }
+
+    /// Whether a majority of the voters is heard, this member among them. After a start or a freeze everybody counts as
+    /// heard for a while.
+    pub(super) fn hears_majority(&self) -> bool {
+        let me = &self.me.identity;
+        let heard = |voter: &&Identity| *voter == me || !self.peers.is_silent(voter, self.now);
+        let voters = self.view.voters.iter().map(|voter| &voter.identity);
+        self.view.number.0 == 0 || voters.filter(heard).count() >= self.view.majority()
     }
 
     /// Whether the disk refuses to write, or has not answered for long. Meanwhile nothing more is handed to it that
--- a/tier/chain/src/member/reform.rs
+++ b/tier/chain/src/member/reform.rs
@@ -25,6 +25,10 @@
         if !self.in_chain() || self.durable.0 != self.view.number {
             return None;
         }
+        if !self.hears_majority() {
+            // No promises would come, and the question would only seal those whom it reaches.
+            return None;
+        }
         let under_way = self.attempts.voted_at.is_some_and(|at| self.now.saturating_sub(at) < SILENCE);
         if self.is_sealed() && under_way {
             return None;
