--- a/tier/controller/tests/cluster/mod.rs
+++ b/tier/controller/tests/cluster/mod.rs
@@ -1,4 +1,5 @@
 //! Controllers with their disks, each on a thread of its own, that can be killed at any moment.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -49,6 +50,14 @@
     thread: JoinHandle<()>,
 }
 
+/// One call about the configuration.
+pub struct Call {
+    pub place: usize,
+    pub method: &'static str,
+    pub expected: Option<u64>,
+    pub body: String,
+}
+
 /// What came back: status and body.
 pub type Answered = (StatusCode, String);
 
@@ -110,6 +119,21 @@
         (0..3).min_by_key(|place| first(&self.machines[*place]).unwrap_or(usize::MAX)).unwrap()
     }
 
+    /// Waits until so many machines are in the chain, as one of them sees it.
+    pub fn wait_for_links(&self, seen_from: usize, wanted: usize) {
+        let asked = std::time::Instant::now();
+        loop {
+            let status = self.call(seen_from, "GET", "/-/status", None, "").map(|(_, status)| status);
+            let status: Option<serde_json::Value> =
+                status.and_then(|status| serde_json::from_str(&status).ok());
+            let links = status.and_then(|status| status["chain"].as_array().map(Vec::len));
+            if links == Some(wanted) {
+                return;
+            }
+            assert!(asked.elapsed() < ANSWER, "{links:?} links");
+        }
+    }
+
     /// One call; `None` if no answer came.
     pub fn call(
         &self,
@@ -129,6 +153,30 @@
         self.runtime.block_on(exchange)
     }
 
+    /// Calls at the same moment, each at one machine; `answered` is told of each by its place in the list, in the order in
+    /// which the answers come.
+    pub fn call_together(&self, calls: &[Call], mut answered: impl FnMut(usize, Option<Answered>)) {
+        let mut waiting = tokio::task::JoinSet::new();
+        for (number, call) in calls.iter().enumerate() {
+            let address = self.machines[call.place].admin;
+            let mut request =
+                Request::builder().method(call.method).uri("/-/config").header("Host", "controller");
+            if let Some(expected) = call.expected {
+                request = request.header("If-Match", expected.to_string());
+            }
+            let request = request.body(Full::new(Bytes::from(call.body.clone()))).unwrap();
+            let exchange =
+                async move { tokio::time::timeout(ANSWER, exchange(address, request)).await.ok()? };
+            waiting.spawn_on(async move { (number, exchange.await) }, self.runtime.handle());
+        }
+        self.runtime.block_on(async {
+            while let Some(ended) = waiting.join_next().await {
+                let (number, answer) = ended.unwrap();
+                answered(number, answer);
+            }
+        });
+    }
+
     /// Calls the machines in turn, as the operator does, until one gives a clear answer.
     pub fn call_until_clear(
         &self,
