--- /dev/null
+++ b/tier/chain/tests/model/rules/mod.rs
@@ -0,0 +1,145 @@
+//! The rules of the chain, step by step.
+
+mod agreement;
+mod check;
+mod log;
+mod reads;
+mod steps;
+
+use std::collections::BTreeSet;
+
+use crate::model::{Bounds, Planted, Step};
+use crate::state::{Acceptor, Ballot, Identity, Machine, Message, Read, View, World};
+
+use agreement::{adopt, decide, on_accept, on_prepare, propose};
+use check::check;
+use log::{commit, commit_at_tail, fetch, on_append, push};
+use reads::{answer_read, confirm};
+pub use steps::steps;
+
+/// Links that a chain needs: one loss is borne.
+const LINKS: usize = 2;
+
+impl Bounds {
+    fn plants(&self, planted: Planted) -> bool {
+        self.planted == Some(planted)
+    }
+}
+
+fn identity(world: &World, machine: u8) -> Identity {
+    Identity { machine, life: world.machines[usize::from(machine)].life }
+}
+
+fn of(world: &World, machine: u8) -> &Machine {
+    &world.machines[usize::from(machine)]
+}
+
+fn of_mut(world: &mut World, machine: u8) -> &mut Machine {
+    &mut world.machines[usize::from(machine)]
+}
+
+fn is_sealed(bounds: &Bounds, machine: &Machine) -> bool {
+    machine.acceptor.promised.is_some() && !bounds.plants(Planted::SealIgnored)
+}
+
+fn next_round(machine: &Machine) -> u8 {
+    machine.round.max(machine.acceptor.promised.map_or(0, |ballot| ballot.round)) + 1
+}
+
+/// The attempt of a link that is still open: the one with its newest round.
+fn open_ballot(world: &World, proposer: u8) -> Option<Ballot> {
+    let round = of(world, proposer).round;
+    (round > 0).then_some(Ballot { round, proposer })
+}
+
+/// One step.
+pub fn take(bounds: &Bounds, world: &mut World, step: Step) {
+    match step {
+        Step::Order { head } => {
+            world.operations += 1;
+            let operation = world.operations;
+            push(world, head, operation);
+        }
+        Step::CommitAtTail { tail } => commit_at_tail(bounds, world, tail),
+        Step::Deliver { message, to } => deliver(bounds, world, message, to),
+        Step::BeginAttempt { proposer } => {
+            world.attempts += 1;
+            let from = identity(world, proposer);
+            let machine = of_mut(world, proposer);
+            machine.round = next_round(machine);
+            machine.asked = None;
+            let ballot = Ballot { round: machine.round, proposer };
+            let instance = machine.view.number + 1;
+            world.network.insert(Message::Prepare { instance, ballot, from });
+        }
+        Step::Propose { proposer, promises, joiners } => {
+            propose(bounds, world, proposer, &promises, &joiners)
+        }
+        Step::Decide { proposer } => decide(world, proposer),
+        Step::Fetch { machine, from } => fetch(world, machine, from),
+        Step::Tell { machine } => {
+            let (from, told) = (identity(world, machine), of(world, machine));
+            let message = Message::Holds { from, view: told.view.number, position: told.log.len() };
+            world.network.insert(message);
+        }
+        Step::LoseDisk { machine } => {
+            world.wipes += 1;
+            let lost = of_mut(world, machine);
+            let life = if bounds.plants(Planted::LostDiskVotes) { lost.life } else { lost.life + 1 };
+            let view =
+                if bounds.plants(Planted::LostDiskVotes) { lost.view.clone() } else { View::default() };
+            *lost = Machine {
+                life,
+                view,
+                acceptor: Acceptor::default(),
+                log: Vec::new(),
+                committed: 0,
+                round: 0,
+                asked: None,
+            };
+        }
+        Step::Crash { machine } => crash(bounds, world, machine),
+        Step::BeginRead { tail } => {
+            world.reads += 1;
+            let owed = world.commits.iter().map(|commit| commit.position).max().unwrap_or(0);
+            let (me, machine) = (identity(world, tail), of(world, tail));
+            let (view, revision) = (machine.view.number, machine.committed);
+            world.read = Some(Read { tail: me, view, revision, owed, confirmed: BTreeSet::new() });
+        }
+        Step::Confirm { voter } => confirm(world, voter),
+        Step::AnswerRead => answer_read(bounds, world),
+    }
+    check(world);
+}
+
+fn deliver(bounds: &Bounds, world: &mut World, message: Message, to: u8) {
+    match message {
+        Message::Prepare { instance, ballot, from } => on_prepare(world, to, instance, ballot, from),
+        Message::Accept { ballot, view, from } => on_accept(world, to, ballot, view, from),
+        Message::Decided(view) => adopt(world, to, view),
+        Message::Append { view, from, previous, operation } => {
+            on_append(bounds, world, to, view, from, previous, operation);
+        }
+        Message::Committed { view, revision } if of(world, to).view.number == view => {
+            commit(world, to, revision)
+        }
+        // Taken by those that act on them.
+        _ => {}
+    }
+}
+
+fn crash(bounds: &Bounds, world: &mut World, machine: u8) {
+    world.crashes += 1;
+    let me = identity(world, machine);
+    let crashed = of_mut(world, machine);
+    crashed.round = 0;
+    crashed.asked = None;
+    if bounds.plants(Planted::PromiseUnsynced) {
+        crashed.acceptor = Acceptor::default();
+    }
+    if crashed.view.is_tail(me) {
+        // What the tail has on its disk, every link before it has as well.
+        let revision = crashed.log.len();
+        commit(world, machine, revision);
+    }
+}
--- /dev/null
+++ b/tier/chain/tests/model/rules/steps.rs
@@ -0,0 +1,100 @@
+//! What may happen next.
+
+use std::collections::BTreeSet;
+
+use crate::model::{Bounds, Planted, Step};
+use crate::state::{Identity, Machine, Message, View, World};
+
+use super::agreement::promises;
+use super::{identity, is_sealed, of, open_ballot};
+
+/// Everything that may happen next.
+pub fn steps(bounds: &Bounds, world: &World, steps: &mut Vec<Step>) {
+    for number in 0..bounds.machines {
+        let (machine, me) = (of(world, number), identity(world, number));
+        let place = machine.view.place(me);
+        if place == Some(0) && !is_sealed(bounds, machine) && world.operations < bounds.operations {
+            steps.push(Step::Order { head: number });
+        }
+        if machine.view.is_tail(me) && machine.log.len() > machine.committed {
+            steps.push(Step::CommitAtTail { tail: number });
+        }
+        let attempts = world.attempts < bounds.attempts && number < bounds.proposers;
+        if place.is_some() && machine.view.number < bounds.views && attempts {
+            steps.push(Step::BeginAttempt { proposer: number });
+        }
+        if place.is_some() {
+            proposals(bounds, world, number, steps);
+        } else {
+            outside(bounds, machine, number, steps);
+        }
+        if world.wipes < bounds.wipes {
+            steps.push(Step::LoseDisk { machine: number });
+        }
+        if world.crashes < bounds.crashes {
+            steps.push(Step::Crash { machine: number });
+        }
+        if machine.view.is_tail(me) && world.read.is_none() && world.reads < bounds.reads {
+            steps.push(Step::BeginRead { tail: number });
+        }
+        if world.read.is_some() {
+            steps.push(Step::Confirm { voter: number });
+        }
+        steps.extend(
+            world.network.iter().map(|message| Step::Deliver { message: message.clone(), to: number }),
+        );
+    }
+    if world.read.is_some() {
+        steps.push(Step::AnswerRead);
+    }
+}
+
+/// What a machine outside the chain does; in the last view that is explored nobody joins any more.
+fn outside(bounds: &Bounds, machine: &Machine, number: u8, steps: &mut Vec<Step>) {
+    if machine.view.number < bounds.views {
+        steps.push(Step::Tell { machine: number });
+        steps.extend((0..bounds.machines).map(|from| Step::Fetch { machine: number, from }));
+    }
+}
+
+fn proposals(bounds: &Bounds, world: &World, proposer: u8, steps: &mut Vec<Step>) {
+    let Some(ballot) = open_ballot(world, proposer) else { return };
+    let view = &of(world, proposer).view;
+    let instance = view.number + 1;
+    if of(world, proposer).asked.is_some() {
+        steps.push(Step::Decide { proposer });
+        return;
+    }
+    let promised: BTreeSet<u8> = promises(world, instance, ballot)
+        .filter(|(from, ..)| view.votes(*from))
+        .map(|(from, ..)| from.machine)
+        .collect();
+    for promises in subsets(&promised.into_iter().collect::<Vec<_>>()) {
+        let waits = !promises.contains(&proposer) && !bounds.plants(Planted::BallotUsedTwice);
+        if promises.len() < view.majority() || waits {
+            continue;
+        }
+        for joiners in subsets(&holders(world, view)) {
+            steps.push(Step::Propose { proposer, promises: promises.clone(), joiners });
+        }
+    }
+}
+
+/// Lives outside the chain that have told what they hold.
+fn holders(world: &World, view: &View) -> Vec<Identity> {
+    let told = world.network.iter().filter_map(|message| match message {
+        Message::Holds { from, view: of, .. } if *of == view.number && view.place(*from).is_none() => {
+            Some(*from)
+        }
+        _ => None,
+    });
+    told.collect::<BTreeSet<_>>().into_iter().collect()
+}
+
+fn subsets<T: Clone>(items: &[T]) -> Vec<Vec<T>> {
+    let chosen = |mask: usize| {
+        let kept = items.iter().enumerate().filter(move |(place, _)| mask & (1 << place) != 0);
+        kept.map(|(_, item)| item.clone()).collect()
+    };
+    (0..1_usize << items.len()).map(chosen).collect()
+}
