--- a/tier/proxy/tests/connections.rs
+++ b/tier/proxy/tests/connections.rs
@@ -7,6 +7,11 @@
 use support::world::{answer, get, World};
 use tokio::join;
 
+/// A target that is full turns r1 away and keeps the connection.
+const TURNED_AWAY: &str =
+    "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nKeep-Alive: timeout=9\r\n\
+     Content-Length: 0\r\n\r\n";
+
 /// A request with a body that no system takes in whole unless the target reads it.
 fn long(id: &str) -> String {
     let head = get("once", id).replace("GET", "POST").replace("\r\n\r\n", "");
@@ -24,9 +29,7 @@
         let serve = async {
             let mut early = target.accept().await;
             assert!(early.head().await.is_some());
-            let refusal =
-                "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nKeep-Alive: timeout=9\r\n";
-            early.send(&format!("{refusal}Content-Length: 0\r\n\r\n")).await;
+            early.send(TURNED_AWAY).await;
             // The same request comes anew, whole, and its connection is used again.
             let (mut next, request) = target.request().await;
             assert_eq!((request.header("request-id"), request.body.len()), (Some("r1"), 90_000));
@@ -55,9 +58,7 @@
         let request = get("once", "r1");
         let serve = async {
             let (mut peer, _) = target.request().await;
-            let refusal =
-                "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nKeep-Alive: timeout=9\r\n";
-            peer.send(&format!("{refusal}Content-Length: 0\r\n\r\n")).await;
+            peer.send(TURNED_AWAY).await;
             assert!(peer.receive().await.is_some(), "over the same connection");
             peer.send(&answer("200 OK", "r1", "", "one")).await;
         };
--- a/tier/replica/tests/refusing_disk.rs
+++ b/tier/replica/tests/refusing_disk.rs
@@ -45,6 +45,14 @@
     is_broken: bool,
 }
 
+impl RefusingStorage {
+    /// Refuses so many times from this write on, for a cause that passes.
+    fn new(seen: &Seen, fails_at: usize, refusals: usize, reached: Reached) -> Self {
+        let seen = seen.clone();
+        RefusingStorage { seen, writes: 0, fails_at, refusals, reached, passes: true, is_broken: false }
+    }
+}
+
 impl Storage for RefusingStorage {
     type Error = Refused;
 
@@ -138,16 +146,7 @@
         for reached in [Reached::Nothing, Reached::Half, Reached::Sync] {
             for refusals in 1..4 {
                 let seen = Seen::default();
-                let (writes, passes, is_broken) = (0, true, false);
-                let storage = RefusingStorage {
-                    seen: seen.clone(),
-                    writes,
-                    fails_at,
-                    refusals,
-                    reached,
-                    passes,
-                    is_broken,
-                };
+                let storage = RefusingStorage::new(&seen, fails_at, refusals, reached);
                 let told = write_all(storage);
                 let synced: Vec<_> = told.iter().filter(|news| **news != Written::Refused).copied().collect();
                 let expected: Vec<_> = (1..=6).map(|ticket| Written::Synced(Ticket(ticket))).collect();
@@ -162,16 +161,7 @@
 #[test]
 fn a_disk_that_cannot_get_well_ends_the_thread() {
     let seen = Seen::default();
-    let (writes, fails_at, refusals, reached) = (0, 2, 1, Reached::Half);
-    let storage = RefusingStorage {
-        seen: seen.clone(),
-        writes,
-        fails_at,
-        refusals,
-        reached,
-        passes: false,
-        is_broken: false,
-    };
+    let storage = RefusingStorage { passes: false, ..RefusingStorage::new(&seen, 2, 1, Reached::Half) };
     let told = write_all(storage);
     assert_eq!(told.last(), Some(&Written::Failed));
     assert_eq!(*seen.held.lock().expect("a lock"), applied(&batches()[..2]));
