--- a/tier/store/src/disk/writer.rs
+++ b/tier/store/src/disk/writer.rs
@@ -20,11 +20,11 @@
 /// All tables lie in one keyspace, so that one flush frees a whole journal.
 const KEYSPACE: &str = "rows";
 /// Written to tables of the database from this size on: small beside the memory of a machine.
-const MEMTABLE_BYTES: u64 = 8 * 1024 * 1024;
+const MEMTABLE_BYTES: u64 = 512 * 1024;
 /// The least that the library takes: most journals are freed long before.
 const JOURNAL_BYTES: u64 = 64 * 1024 * 1024;
 /// Blocks kept in memory: turns are read once or twice, mostly from the memtable.
-const CACHE_BYTES: u64 = 4 * 1024 * 1024;
+const CACHE_BYTES: u64 = 256 * 1024;
 /// Files kept open.
 const OPEN_FILES: usize = 64;
 /// Commits in one sync.
