Recovery: heartbeats answered at once, a clock that began before, patience with feeders

Change: a machine that is heard anew is answered at once, a tail that becomes sure says so at once, a connection that waits is tried when the other side is heard, and its last heartbeat is kept; the member's clock begins at the age up to which a confirmation counts; updates wait until the controller is current; a subscriber spends its pause with the feeder at hand; one pause a round for feeders that cannot be reached.

--- a/tier/chain/src/member/presence.rs
+++ b/tier/chain/src/member/presence.rs
@@ -114,15 +114,19 @@
     }
 
     pub(super) fn send_heartbeats(&mut self) {
-        self.presence.sequence = self.presence.sequence.wrapping_add(1);
         self.presence.next = self.now + HEARTBEAT;
-        self.peers.sent(self.presence.sequence, self.now);
-        let heartbeat = self.heartbeat();
+        let heartbeat = self.next_heartbeat();
         for contact in self.contacts() {
             self.send(contact, Message::Heartbeat(heartbeat.clone()));
         }
     }
 
+    fn next_heartbeat(&mut self) -> Heartbeat {
+        self.presence.sequence = self.presence.sequence.wrapping_add(1);
+        self.peers.sent(self.presence.sequence, self.now);
+        self.heartbeat()
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         // The heartbeat speaks of the view on disk. While a later one is on its way there, this member has left
         // the former, and what it knows of the later one must not pass for knowledge of the former.
@@ -161,7 +165,10 @@
         let same_view = heartbeat.view == self.view.number;
         let (view, committed, position) = (heartbeat.view, heartbeat.committed, heartbeat.position);
         self.take_confirmation(&heartbeat);
+        let was_alive = self.peers.is_alive(from, self.now);
+        let was_current = self.is_current(self.now);
         self.peers.heard(heartbeat.clone(), &self.me.identity, same_view && !heartbeat.sealed, self.now);
+        self.spread_news(heartbeat.member.address, was_alive, was_current);
         if view < self.view.number {
             let decided = Message::Decided(self.view.clone());
             self.send_to(from, decided);
@@ -172,6 +179,18 @@
         }
     }
 
+    /// Sends heartbeats ahead of their time where somebody waits for one: a machine that is heard anew waits for its
+    /// echo, and all wait for the word of a tail that has just become sure of its view. After a loss of power everywhere
+    /// the chain answers after a few ways between its members, not after several heartbeats.
+    fn spread_news(&mut self, sender: SocketAddr, was_alive: bool, was_current: bool) {
+        if self.is_tail() && !was_current && self.is_current(self.now) {
+            self.send_heartbeats();
+        } else if !was_alive {
+            let heartbeat = self.next_heartbeat();
+            self.send(sender, Message::Heartbeat(heartbeat));
+        }
+    }
+
     /// The tail says how long ago it was sure of its view; this member's heartbeat that it echoes was sent
     /// before it said so.
     fn take_confirmation(&mut self, heartbeat: &Heartbeat) {
--- a/tier/controller/src/feed/session.rs
+++ b/tier/controller/src/feed/session.rs
@@ -156,10 +156,13 @@
         false
     }
 
-    /// Sends what the subscriber lacks and, after an update or when one is due, a heartbeat.
+    /// Sends what the subscriber lacks and, after an update or when one is due, a heartbeat. Updates wait until this
+    /// controller is current: before that they may be old, and when all machines come back together the snapshots of all
+    /// subscribers would hold up what the controllers have to say to each other.
     async fn send_due(&mut self) -> bool {
         let mut messages = Vec::new();
-        let update = self.next_update();
+        let current = self.controller.log.is_current();
+        let update = if current { self.next_update() } else { None };
         let now = Instant::now();
         if let Some(update) = update {
             self.held = end_of(&update);
@@ -167,7 +170,6 @@
             messages.extend(self.wants_updates.then_some(ToSubscriber::Update(update)));
         }
         if now >= self.beat {
-            let current = self.controller.log.is_current();
             messages.push(ToSubscriber::Heartbeat { revision: self.held_or_newest(), current });
             self.tell_controllers(&mut messages);
             self.beat = now + HEARTBEAT;
--- a/tier/protocol/src/subscription/exchange.rs
+++ b/tier/protocol/src/subscription/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::time::timeout;
 
@@ -17,8 +17,12 @@
 pub(super) enum Ended {
     /// The owner dropped the subscription.
     Owner,
-    /// The feeder is of no more use; `useful` if it was current at some time.
-    Feeder { useful: bool },
+    /// The feeder is of no more use, and was current at some time.
+    Useful,
+    /// The feeder was of no use.
+    Useless,
+    /// The feeder was not current for as long as it was given.
+    NotCurrent,
 }
 
 /// Why a connection is to be ended.
@@ -29,18 +33,35 @@
     link: &'a mut Link,
     writer: FrameWriter,
     address: SocketAddr,
-    others: bool,
+    /// How long the feeder may take to become current; None if there is no other one to go to.
+    patience: Option<Duration>,
     progress: Progress,
     current: bool,
     useful: bool,
     heard: Instant,
+    /// When the feeder is left, unless it becomes current before.
+    leave_at: Option<Instant>,
 }
 
 impl<'a> Exchange<'a> {
-    /// A connection to `address`; `others` if there are other feeders to go to.
-    pub(super) fn new(link: &'a mut Link, writer: FrameWriter, address: SocketAddr, others: bool) -> Self {
-        let (progress, heard) = (Progress::default(), Instant::now());
-        Exchange { link, writer, address, others, progress, current: false, useful: false, heard }
+    /// A connection to `address`. A feeder that is not current is left after `patience`; never if there is none.
+    pub(super) fn new(
+        link: &'a mut Link,
+        writer: FrameWriter,
+        address: SocketAddr,
+        patience: Option<Duration>,
+    ) -> Self {
+        Exchange {
+            link,
+            writer,
+            address,
+            patience,
+            progress: Progress::default(),
+            current: false,
+            useful: false,
+            heard: Instant::now(),
+            leave_at: None,
+        }
     }
 
     /// Runs until the connection is of no more use.
@@ -50,6 +71,7 @@
             self.stand();
             let wake = self.silent_at();
             let wake = self.progress.home_is_overdue_at().map_or(wake, |overdue| overdue.min(wake));
+            let wake = self.leave_at.map_or(wake, |leave| leave.min(wake));
             let done = tokio::select! {
                 biased;
                 (reader, message) = &mut reading => match message {
@@ -66,11 +88,20 @@
                 () = tokio::time::sleep_until(wake.into()) => self.wake().await,
             };
             if done.is_err() {
-                return Ended::Feeder { useful: self.useful };
+                return self.ended();
             }
         }
     }
 
+    fn ended(&self) -> Ended {
+        let patience_over = self.leave_at.is_some_and(|leave| Instant::now() >= leave);
+        match (self.useful, patience_over) {
+            (true, _) => Ended::Useful,
+            (false, true) => Ended::NotCurrent,
+            (false, false) => Ended::Useless,
+        }
+    }
+
     fn stand(&self) {
         self.link.stand(self.current, self.progress.is_by_home(), Some(self.address));
     }
@@ -92,7 +123,7 @@
         match self.progress.take(message, &mut tables, now) {
             Step::Changed => self.publish(tables).await,
             Step::Confirmed => {
-                (self.current, self.useful) = (true, true);
+                (self.current, self.useful, self.leave_at) = (true, true, None);
                 self.link.confirm();
                 self.alive(revision).await
             }
@@ -113,12 +144,16 @@
         self.alive(revision).await
     }
 
-    /// Another feeder is asked, if there is one.
+    /// Another feeder is asked, if there is one: at once where this one was current, otherwise after some patience. When
+    /// all have started together none is current yet, and going from one to the next would bring nothing but load.
     async fn not_current(&mut self, held: Revision) -> Result<(), Stop> {
         tracing::debug!(address = %self.address, "feeder is not current");
         self.current = false;
-        if self.others {
-            return Err(Stop);
+        if let Some(patience) = self.patience {
+            let leave_at = *self.leave_at.get_or_insert(Instant::now() + patience);
+            if self.useful || Instant::now() >= leave_at {
+                return Err(Stop);
+            }
         }
         self.alive(held).await
     }
@@ -171,6 +206,9 @@
 
     /// The feeder is silent, or the home lags.
     async fn wake(&mut self) -> Result<(), Stop> {
+        if self.leave_at.is_some_and(|leave| Instant::now() >= leave) {
+            return Err(Stop);
+        }
         if Instant::now() >= self.silent_at() {
             tracing::info!(address = %self.address, "feeder is silent");
             return Err(Stop);
--- a/tier/protocol/src/subscription/link.rs
+++ b/tier/protocol/src/subscription/link.rs
@@ -44,14 +44,15 @@
         let mut rotation = Rotation::new(&self.options.hello.node);
         while !self.orders.is_closed() {
             let Some(connection) = self.connect(&mut rotation).await else { return };
-            let ended = self.follow(connection).await;
+            let patience = rotation.pause(self.candidates().len());
+            let ended = self.follow(connection, patience).await;
             self.stand(false, false, None);
             match ended {
                 Ended::Owner => return,
-                Ended::Feeder { useful: true } => rotation.useful(),
-                Ended::Feeder { useful: false } => {
-                    tokio::time::sleep(rotation.useless(self.candidates().len())).await;
-                }
+                Ended::Useful => rotation.useful(),
+                Ended::Useless => tokio::time::sleep(rotation.useless(self.candidates().len())).await,
+                // The pause was spent with this feeder.
+                Ended::NotCurrent => drop(rotation.useless(self.candidates().len())),
             }
         }
     }
@@ -67,7 +68,7 @@
                 biased;
                 Some(dialed) = dials.join_next() => match dialed {
                     Ok(Ok(connection)) => return Some(connection),
-                    _ => next = Instant::now() + rotation.useless(self.candidates().len()),
+                    _ => next = Instant::now() + rotation.unreached(self.candidates().len()),
                 },
                 () = tokio::time::sleep_until(next.into()), if dials.len() < at_once => {
                     let candidates = self.candidates();
@@ -118,17 +119,17 @@
         candidates
     }
 
-    /// One connection, from its first message to its end.
-    async fn follow(&mut self, connection: Connection) -> Ended {
+    /// One connection, from its first message to its end. A feeder that is not current may become so within `patience`.
+    async fn follow(&mut self, connection: Connection, patience: Duration) -> Ended {
         let Connection { address, reader, mut writer, .. } = connection;
         let held = self.tables.borrow().revision;
         let subscriber = self.options.subscriber.clone();
         if writer.send(&FromSubscriber::Subscribe { subscriber, held }).await.is_err() {
-            return Ended::Feeder { useful: false };
+            return Ended::Useless;
         }
         tracing::info!(%address, "subscribed");
-        let others = self.candidates().len() > 1;
-        Exchange::new(self, writer, address, others).run(reader).await
+        let patience = (self.candidates().len() > 1).then_some(patience);
+        Exchange::new(self, writer, address, patience).run(reader).await
     }
 }
 
--- a/tier/protocol/src/subscription/rotation.rs
+++ b/tier/protocol/src/subscription/rotation.rs
@@ -43,8 +43,24 @@
 
     /// The last candidate was of no use. How long to wait before the next: nothing within the first round.
     pub fn useless(&mut self, candidates: usize) -> Duration {
+        let pause = self.pause(candidates);
         self.fruitless = self.fruitless.saturating_add(1);
-        match self.fruitless / candidates.max(1) {
+        pause
+    }
+
+    /// The last candidate could not be reached, which costs next to nothing. How long to wait before the next: a pause only
+    /// behind each whole round, so that one that comes up is found by the next round.
+    pub fn unreached(&mut self, candidates: usize) -> Duration {
+        let pause = self.useless(candidates);
+        match self.fruitless % candidates.max(1) {
+            0 => pause,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// The pause behind the present candidate, should it be of no use.
+    pub fn pause(&self, candidates: usize) -> Duration {
+        match self.fruitless.saturating_add(1) / candidates.max(1) {
             0 => Duration::ZERO,
             rounds => LONGEST_PAUSE.min(FIRST_PAUSE * (1 << (rounds - 1).min(MOST_DOUBLINGS))),
         }
--- a/tier/protocol/tests/rotation.rs
+++ b/tier/protocol/tests/rotation.rs
@@ -35,6 +35,15 @@
     assert_eq!(rotation.useless(3), Duration::ZERO);
 }
 
+#[test]
+fn candidates_that_cannot_be_reached_cost_one_pause_a_round() {
+    let mut rotation = Rotation::new(&NodeId::from("edge-1"));
+    for _ in 0..100 {
+        let pauses: Vec<Duration> = (0..3).map(|_| rotation.unreached(3)).collect();
+        assert_eq!(pauses.iter().filter(|pause| **pause > Duration::ZERO).count(), 1, "{pauses:?}");
+    }
+}
+
 #[test]
 fn without_candidates_there_is_a_pause_and_no_choice() {
     let mut rotation = Rotation::new(&NodeId::from("edge-1"));
--- a/tier/protocol/tests/subscription.rs
+++ b/tier/protocol/tests/subscription.rs
@@ -104,6 +104,24 @@
     });
 }
 
+#[test]
+fn after_a_round_in_which_none_was_current_a_feeder_may_become_so() {
+    run(async {
+        let (one, other) = (listen(any_port()).unwrap(), listen(any_port()).unwrap());
+        let subscription = subscribe(&[&one, &other], PATIENT);
+        let (mut first, _) = welcome(&one, &other).await;
+        first.writer.send(&heartbeat(0, false)).await.unwrap();
+        let (mut second, _) = welcome(&one, &other).await;
+        second.writer.send_all(&[heartbeat(0, false), heartbeat(0, true)]).await.unwrap();
+        expect(&mut second, FromSubscriber::Applied(Revision(0))).await;
+        expect(&mut second, FromSubscriber::Applied(Revision(0))).await;
+        subscription.standing().wait_for(|standing| standing.current).await.unwrap();
+        // One that was current is left as soon as it is not.
+        second.writer.send(&heartbeat(0, false)).await.unwrap();
+        welcome(&one, &other).await;
+    });
+}
+
 #[test]
 fn a_silent_feeder_is_left() {
     run(async {
--- a/tier/replica/src/links.rs
+++ b/tier/replica/src/links.rs
@@ -3,12 +3,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use plankhill_chain::{Identity, Message};
 use plankhill_protocol::transport::{dial, Channel, Connection, Hello};
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio::task::JoinHandle;
 
 /// Messages that wait for a connection; more are dropped, as every message may be.
@@ -43,6 +44,8 @@
 
 struct Link {
     queue: mpsc::Sender<Message>,
+    /// The other member was heard: it can be reached now.
+    heard: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -65,6 +68,13 @@
         let _ = link.queue.try_send(message);
     }
 
+    /// Somebody who listens there was heard. A connection that waits to be tried again is tried at once.
+    pub(crate) fn heard(&self, from: SocketAddr) {
+        if let Some(link) = self.open.get(&from) {
+            link.heard.notify_one();
+        }
+    }
+
     /// Closes the connections to everyone else.
     pub(crate) fn keep_only(&mut self, contacts: &std::collections::BTreeSet<SocketAddr>) {
         self.open.retain(|address, _| contacts.contains(address));
@@ -74,39 +84,57 @@
 impl Link {
     fn start(to: SocketAddr, me: Identity) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE);
-        let task = tokio::spawn(keep_sending(to, me, messages));
-        Self { queue, task }
+        let heard = Arc::new(Notify::new());
+        let task = tokio::spawn(keep_sending(to, me, messages, heard.clone()));
+        Self { queue, heard, task }
     }
 }
 
-async fn keep_sending(to: SocketAddr, me: Identity, mut messages: mpsc::Receiver<Message>) {
+async fn keep_sending(
+    to: SocketAddr,
+    me: Identity,
+    mut messages: mpsc::Receiver<Message>,
+    heard: Arc<Notify>,
+) {
     let hello = Hello::new(Channel::Chain, me.node.clone());
     let mut pause = FIRST_PAUSE;
     loop {
         match dial(to, &hello).await {
             Ok(connection) => {
                 pause = FIRST_PAUSE;
-                drop_waiting(&mut messages);
-                send_over(connection, &me, &mut messages).await;
+                let newest = newest_heartbeat(&mut messages);
+                send_over(connection, &me, newest, &mut messages).await;
                 tracing::debug!(%to, "connection to another member ended");
             }
             Err(error) => tracing::debug!(%to, %error, "another member cannot be reached"),
         }
-        tokio::time::sleep(pause).await;
+        let _ = tokio::time::timeout(pause, heard.notified()).await;
         pause = LONGEST_PAUSE.min(pause * 2);
     }
 }
 
-/// What waited for the connection is too old to be of use.
-fn drop_waiting(messages: &mut mpsc::Receiver<Message>) {
-    while messages.try_recv().is_ok() {}
+/// What waited for the connection is too old to be of use, but for the last heartbeat: the other member may wait for
+/// this one to be heard, and a late heartbeat claims nothing that was not so.
+fn newest_heartbeat(messages: &mut mpsc::Receiver<Message>) -> Option<Message> {
+    let waiting = std::iter::from_fn(|| messages.try_recv().ok());
+    waiting.filter(|message| matches!(message, Message::Heartbeat(_))).last()
 }
 
-async fn send_over(connection: Connection, me: &Identity, messages: &mut mpsc::Receiver<Message>) {
+async fn send_over(
+    connection: Connection,
+    me: &Identity,
+    first: Option<Message>,
+    messages: &mut mpsc::Receiver<Message>,
+) {
     let Connection { mut reader, mut writer, .. } = connection;
     if writer.send(&Introduction { identity: me.clone() }).await.is_err() {
         return;
     }
+    if let Some(first) = first {
+        if writer.send(&first).await.is_err() {
+            return;
+        }
+    }
     // Nothing comes back on this connection but its end.
     let ended = reader.next::<Introduction>();
     tokio::pin!(ended);
--- a/tier/replica/src/start.rs
+++ b/tier/replica/src/start.rs
@@ -19,7 +19,7 @@
 use crate::machine::TypedMachine;
 use crate::state::{CommittedState, ReplicatedState};
 use crate::storage::{open_folder, start_writer, OpenedFolder, StorageError};
-use crate::task::{Driver, Published, Waiting};
+use crate::task::{Driver, Published, Waiting, STARTED_AT};
 
 /// Messages from other members that wait for the task.
 const INBOX: usize = 512;
@@ -111,7 +111,7 @@
             random: random(),
         };
         let (report, written) = mpsc::unbounded_channel();
-        let member = ChainMember::new(configuration, held, TypedMachine::new(), 0)?;
+        let member = ChainMember::new(configuration, held, TypedMachine::new(), STARTED_AT)?;
         let disk = start_writer(storage, report, self.disk_in_use, Pauses::default())?;
         Ok(Driver {
             member,
--- a/tier/replica/src/task.rs
+++ b/tier/replica/src/task.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use plankhill_chain::{ChainMember, Effect, Millis, RequestNumber, Ticket, ViewNumber, Write};
+use plankhill_chain::timing::CURRENT;
+use plankhill_chain::{ChainMember, Effect, Message, Millis, RequestNumber, Ticket, ViewNumber, Write};
 use plankhill_protocol::ids::Revision;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -15,6 +16,10 @@
 use crate::state::{CommittedState, ReplicatedState};
 use crate::storage::Written;
 
+/// What the member's clock says at the start of its process. It does not begin at 0: what a member is told of may have
+/// happened before it started, up to the time for which a confirmation counts.
+pub(crate) const STARTED_AT: Millis = CURRENT;
+
 /// Everything that the task owns.
 pub(crate) struct Driver<S: ReplicatedState> {
     pub(crate) member: ChainMember<TypedMachine<S>>,
@@ -56,7 +61,8 @@
                 return;
             }
             self.publish();
-            let wake = self.started + Duration::from_millis(self.member.next_tick());
+            let wake =
+                self.started + Duration::from_millis(self.member.next_tick().saturating_sub(STARTED_AT));
             tokio::select! {
                 biased;
                 Some(written) = self.written.recv() => match written {
@@ -66,6 +72,9 @@
                 },
                 Some(received) = self.inbox.recv() => {
                     let now = self.now();
+                    if let Message::Heartbeat(heartbeat) = &received.message {
+                        self.links.heard(heartbeat.member.address);
+                    }
                     self.member.receive(&received.from, received.message, now);
                 }
                 command = self.commands.recv() => match command {
@@ -78,7 +87,8 @@
     }
 
     fn now(&self) -> Millis {
-        Millis::try_from(self.started.elapsed().as_millis()).unwrap_or(Millis::MAX)
+        let elapsed = Millis::try_from(self.started.elapsed().as_millis()).unwrap_or(Millis::MAX);
+        STARTED_AT.saturating_add(elapsed)
     }
 
     fn on_command(&mut self, command: Command<S>) {
