--- a/tier/controller/tests/three_controllers.rs
+++ b/tier/controller/tests/three_controllers.rs
@@ -8,6 +8,15 @@
 use hyper::StatusCode;
 
 const ALL: [usize; 3] = [0, 1, 2];
+/// Reads from each controller behind each change.
+const READS: usize = 10;
+/// White space that makes a document as long as one of many routes.
+const PADDING: usize = 200_000;
+
+/// The same configuration as a long document.
+fn padded(document: &str) -> String {
+    format!("{}{document}", " ".repeat(PADDING))
+}
 
 fn others(place: usize) -> Vec<usize> {
     ALL.into_iter().filter(|other| *other != place).collect()
@@ -55,6 +64,23 @@
     ALL.into_iter().for_each(|place| assert_eq!(cluster.get(place), configuration(9)));
 }
 
+/// An operator reads the configuration back for seconds, from any controller, while others are killed together.
+#[test]
+fn reads_again_and_again_answer_the_newest_whole() {
+    let mut cluster = Cluster::bootstrap();
+    let mut current = 0;
+    for (version, killed) in [(5, vec![0]), (9, vec![1, 2]), (12, vec![0, 1, 2])] {
+        let document = padded(&configuration(version));
+        assert_eq!(cluster.put(&ALL, current, &document), StatusCode::OK);
+        current = version;
+        killed.iter().for_each(|place| cluster.kill(*place));
+        killed.iter().for_each(|place| cluster.start(*place, false));
+        for _ in 0..READS {
+            ALL.into_iter().for_each(|place| assert!(cluster.get(place) == document, "version {version}"));
+        }
+    }
+}
+
 #[test]
 fn one_controller_alone_acknowledges_nothing() {
     let mut cluster = Cluster::bootstrap();
