--- a/tier/command/src/arguments.rs
+++ b/tier/command/src/arguments.rs
@@ -8,7 +8,7 @@
 use lexopt::{Arg, Parser, ValueExt};
 use thiserror::Error;
 
-use draining::{parse_drain, parse_drains, parse_roll};
+use draining::{parse_drain, parse_roll};
 pub use draining::{DrainArguments, RollArguments};
 
 /// Programs of the demo unless the command line says otherwise: enough to be under way at both kills.
@@ -150,9 +150,9 @@
             "check" => parse_check(parser),
             "drain" => parse_drain(parser, true),
             "undrain" => parse_drain(parser, false),
-            "drains" => parse_drains(parser),
+            "drains" => parse_question(parser, "drains", |address, json| Command::Drains { address, json }),
             "roll" => parse_roll(parser),
-            "status" => parse_status(parser),
+            "status" => parse_question(parser, "status", |address, json| Command::Status { address, json }),
             "demo" => parse_demo(parser),
             _ => Err(UsageError::UnknownCommand(name)),
         }
@@ -199,7 +199,12 @@
     }
 }
 
-fn parse_status(mut parser: Parser) -> Result<Command, UsageError> {
+/// `ADDRESS [--json]`, as of a command that asks a controller; `command` makes it of both.
+fn parse_question(
+    mut parser: Parser,
+    name: &'static str,
+    command: impl FnOnce(String, bool) -> Command,
+) -> Result<Command, UsageError> {
     let mut address = None;
     let mut json = false;
     while let Some(argument) = parser.next()? {
@@ -210,8 +215,8 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let address = address.ok_or(missing("status", "the address of a controller"))?;
-    Ok(Command::Status { address, json })
+    let address = address.ok_or(missing(name, "the address of a controller"))?;
+    Ok(command(address, json))
 }
 
 fn parse_demo(mut parser: Parser) -> Result<Command, UsageError> {
--- a/tier/command/src/arguments/draining.rs
+++ b/tier/command/src/arguments/draining.rs
@@ -60,20 +60,6 @@
     Ok(Command::Drain(DrainArguments { address, leave, nodes, zone }))
 }
 
-pub(super) fn parse_drains(mut parser: Parser) -> Result<Command, UsageError> {
-    let (mut address, mut json) = (None, false);
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
-            Arg::Long("json") => json = true,
-            Arg::Value(value) if address.is_none() => address = Some(value.string()?),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let address = address.ok_or(missing("drains", "the address of a controller"))?;
-    Ok(Command::Drains { address, json })
-}
-
 pub(super) fn parse_roll(mut parser: Parser) -> Result<Command, UsageError> {
     let mut values = Vec::new();
     let (mut most_out, mut empty_within, mut back_within) =
