Load: reports fade faster, unless they tell of far more than is common

Hypothesis: a proxy of a large fleet hears of one target every few seconds; what is under way there changes within a call's time, so that a report of 0.4 s and more ago tells less than what is common at the service. Where it tells of far more than is common (a slow target, or one that many prefer) it holds for seconds.

Change: half-life of a report 400 ms -> 150 ms; 2 s where it exceeds three times what is common and eight more.

--- a/tier/dispatch/src/load.rs
+++ b/tier/dispatch/src/load.rs
@@ -4,8 +4,14 @@
 
 use crate::interface::UpstreamLoad;
 
-/// A report loses half of its weight in this time: about as long as a call takes.
-const HALF_LIFE: Ms = 400.0;
+/// A report loses half of its weight in this time. What is under way at a target changes within a call's time, so that an
+/// older report tells less than what is common at the service.
+const HALF_LIFE: Ms = 150.0;
+/// The same for a report of far more than is common: a target that is slow, or that many prefer, stays so for seconds.
+const UNUSUAL_HALF_LIFE: Ms = 2_000.0;
+/// A report is of far more than is common if it is of this many times as many requests of other proxies, and some more.
+const UNUSUAL_SHARE: f64 = 3.0;
+const UNUSUAL_FEW: f64 = 8.0;
 /// What is common at a service is forgotten in this time once nothing is reported.
 const LAPSE: Ms = 2_000.0;
 /// What a target whose slots are all taken costs, in expected milliseconds; less in proportion while they are
@@ -103,7 +109,9 @@
     /// Requests that are probably there, of all proxies: as reported, and with the age of the report as many
     /// of other proxies as is common at the service.
     pub fn estimate(&self, now: Ms, common_others: f64) -> f64 {
-        let trust = (-self.age(now) / HALF_LIFE).exp2();
+        let is_unusual = self.reported_by_others > UNUSUAL_SHARE * common_others + UNUSUAL_FEW;
+        let half_life = if is_unusual { UNUSUAL_HALF_LIFE } else { HALF_LIFE };
+        let trust = (-self.age(now) / half_life).exp2();
         f64::from(self.out) + trust * self.reported_by_others + (1.0 - trust) * common_others
     }
 
--- a/tier/dispatch/tests/load.rs
+++ b/tier/dispatch/tests/load.rs
@@ -47,6 +47,44 @@
     assert_eq!(load.out(), 0);
 }
 
+#[test]
+fn a_report_of_far_more_than_is_common_is_believed_for_longer() {
+    let common = 4.0;
+    let believed = |running: u32| {
+        let mut load = TargetLoad::new(24);
+        load.reported(0.0, report(running, 0));
+        (load.estimate(1_000.0, common) - common) / (f64::from(running) - common)
+    };
+    assert!(believed(8) < 0.05, "{}", believed(8));
+    assert!(believed(24) > 0.6, "{}", believed(24));
+    // It fades as well, and one that reports few again is believed at once.
+    let mut load = TargetLoad::new(24);
+    load.reported(0.0, report(24, 50));
+    assert!(load.estimate(20_000.0, common) < common + 0.2);
+    load.reported(20_000.0, report(2, 0));
+    assert_eq!(load.estimate(20_000.0, common), 2.0);
+}
+
+#[test]
+fn reports_that_make_no_sense_leave_every_cost_finite() {
+    arbtest::arbtest(|random| {
+        let mut load = TargetLoad::new(random.arbitrary()?);
+        for _ in 0..random.int_in_range(0..=8_u32)? {
+            let (running, waiting, slots) = random.arbitrary()?;
+            load.reported(f64::from(random.arbitrary::<u16>()?), UpstreamLoad { running, waiting, slots });
+            load.answered(f64::from(random.arbitrary::<u32>()?));
+        }
+        let now = f64::from(random.arbitrary::<u32>()?);
+        let common = f64::from(random.arbitrary::<u16>()?);
+        let estimate = load.estimate(now, common);
+        let cost = load.cost(now, estimate, 100.0);
+        assert!(estimate.is_finite() && estimate >= 0.0, "{estimate}");
+        assert!(cost.is_finite() && cost >= 0.0, "{cost}");
+        assert!(load.wait_after_refusal(now).is_finite());
+        Ok(())
+    });
+}
+
 #[test]
 fn a_queue_costs_more_than_free_slots() {
     let cost = |running, waiting| {
