--- a/tier/controller/tests/feed.rs
+++ b/tier/controller/tests/feed.rs
@@ -137,6 +137,23 @@
     });
 }
 
+#[test]
+fn updates_wait_until_the_controller_is_current() {
+    block_on(async {
+        let (log, _controller, address) = start();
+        log.set_reachable(false);
+        log.commit(&put(0, 5));
+        let mut connection = connect(address, Revision(0)).await;
+        // Not even the first message is an update, which would go before a heartbeat.
+        let first: ToSubscriber = connection.reader.next().await.unwrap();
+        assert!(matches!(first, ToSubscriber::Heartbeat { current: false, .. }), "{first:?}");
+        log.set_reachable(true);
+        let newest = log.state().borrow().revision;
+        let second = next(&mut connection, newest).await;
+        assert!(matches!(second, ToSubscriber::Update(_)), "{second:?}");
+    });
+}
+
 #[test]
 fn whoever_asks_for_a_snapshot_gets_one_whatever_the_log_reaches_back_to() {
     block_on(async {
