--- a/tier/chain/tests/ballots.rs
+++ b/tier/chain/tests/ballots.rs
@@ -1,55 +1,12 @@
 //! A ballot is used for one view only, over crashes of its proposer.
 
-use std::net::SocketAddr;
+mod three_links;
 
 use plankhill_chain::{
-    BadSnapshot, Ballot, ChainMember, Configuration, Durable, Effect, Heartbeat, Identity, Member, Message,
-    Millis, StateMachine, Ticket, View, ViewNumber, Write,
+    Ballot, ChainMember, Effect, Heartbeat, Identity, Message, Millis, Ticket, ViewNumber, Write,
 };
-use plankhill_protocol::ids::{Incarnation, NodeId, Revision};
-
-/// A state without content.
-struct Nothing;
-
-impl StateMachine for Nothing {
-    fn apply(&mut self, _: Revision, _: &[u8]) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn restore(&mut self, _: Revision, _: &[u8]) -> Result<(), BadSnapshot> {
-        Ok(())
-    }
-}
-
-fn member(number: u8) -> Member {
-    let identity =
-        Identity { node: NodeId::from(format!("core-{number}").as_str()), incarnation: Incarnation(7) };
-    Member { identity, address: SocketAddr::from(([10, 0, 0, number], 7_000)) }
-}
-
-/// The first of three links, with this on its disk.
-fn start(disk: &Durable, now: Millis) -> ChainMember<Nothing> {
-    let configuration = Configuration {
-        member: member(1),
-        tolerated: 1,
-        seeds: (1..=3).map(|number| member(number).address).collect(),
-        random: 5,
-    };
-    ChainMember::new(configuration, disk.clone(), Nothing, now).expect("a member")
-}
-
-fn disk() -> Durable {
-    let voters: Vec<Member> = (1..=3).map(member).collect();
-    let chain = voters.iter().map(|voter| voter.identity.node.clone()).collect();
-    let mut disk = Durable::default();
-    disk.apply(&Write::Incarnation(Incarnation(7)));
-    disk.apply(&Write::View(View { number: ViewNumber(1), voters, chain, base: Revision(0) }));
-    disk
-}
+use plankhill_protocol::ids::Revision;
+use three_links::{disk, member, start, Nothing};
 
 /// A heartbeat of the second link, which goes on; nothing is heard of the third.
 fn heartbeat(sequence: u64) -> Message {
@@ -106,7 +63,7 @@
 /// could follow.
 #[test]
 fn a_proposer_asks_for_a_view_only_once_its_own_promise_is_on_disk() {
-    let mut link = start(&disk(), 0);
+    let mut link = start(1, &disk(), 0);
     let (ballot, batches, now) = until_it_asks(&mut link, 0);
     for from in [2, 3] {
         let (identity, promise) = promise(from, &ballot);
@@ -124,11 +81,11 @@
 #[test]
 fn the_next_life_uses_another_ballot() {
     let mut disk = disk();
-    let mut link = start(&disk, 0);
+    let mut link = start(1, &disk, 0);
     let (first, batches, now) = until_it_asks(&mut link, 0);
     batches.iter().flat_map(|(_, writes)| writes).for_each(|write| disk.apply(write));
     drop(link);
-    let mut next_life = start(&disk, now);
+    let mut next_life = start(1, &disk, now);
     let (second, ..) = until_it_asks(&mut next_life, now);
     assert!(second > first, "{first:?} {second:?}");
 }
--- a/tier/chain/tests/confirmations.rs
+++ b/tier/chain/tests/confirmations.rs
@@ -1,58 +1,19 @@
 //! What a member that has just started makes of its tail's word, and how soon it speaks itself.
 
+mod three_links;
+
 use std::net::SocketAddr;
 
 use plankhill_chain::timing::CURRENT;
-use plankhill_chain::{
-    BadSnapshot, ChainMember, Configuration, Durable, Echo, Effect, Heartbeat, Identity, Member, Message,
-    Millis, StateMachine, View, ViewNumber, Write,
-};
-use plankhill_protocol::ids::{Incarnation, NodeId, Revision};
+use plankhill_chain::{ChainMember, Echo, Effect, Heartbeat, Message, Millis, ViewNumber};
+use plankhill_protocol::ids::Revision;
+use three_links::{disk, member, start, Nothing};
 
 /// The tail's word is older than the process that hears it.
 const AGE: u64 = 400;
 /// From a start until the tail is heard.
 const HEARD_AFTER: Millis = 5;
 
-/// A state without content.
-struct Nothing;
-
-impl StateMachine for Nothing {
-    fn apply(&mut self, _: Revision, _: &[u8]) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn restore(&mut self, _: Revision, _: &[u8]) -> Result<(), BadSnapshot> {
-        Ok(())
-    }
-}
-
-fn member(number: u8) -> Member {
-    let identity =
-        Identity { node: NodeId::from(format!("core-{number}").as_str()), incarnation: Incarnation(7) };
-    Member { identity, address: SocketAddr::from(([10, 0, 0, number], 7_000)) }
-}
-
-/// One of three links, started at this time of its clock with the view on its disk.
-fn start(number: u8, now: Millis) -> ChainMember<Nothing> {
-    let voters: Vec<Member> = (1..=3).map(member).collect();
-    let chain = voters.iter().map(|voter| voter.identity.node.clone()).collect();
-    let mut disk = Durable::default();
-    disk.apply(&Write::Incarnation(Incarnation(7)));
-    disk.apply(&Write::View(View { number: ViewNumber(1), voters, chain, base: Revision(0) }));
-    let configuration = Configuration {
-        member: member(number),
-        tolerated: 1,
-        seeds: (1..=3).map(|number| member(number).address).collect(),
-        random: 5,
-    };
-    ChainMember::new(configuration, disk, Nothing, now).expect("a member")
-}
-
 fn heartbeat(from: u8, echoes: Vec<Echo>, confirmed_age: Option<u64>) -> Message {
     Message::Heartbeat(Heartbeat {
         member: member(from),
@@ -79,7 +40,7 @@
 
 /// Whether a head whose clock began so is current once the tail, sure of its view before, has echoed it.
 fn is_current_after_the_tails_word(began_at: Millis) -> bool {
-    let mut head = start(1, began_at);
+    let mut head = start(1, &disk(), began_at);
     head.tick(began_at);
     let (_, own) = heartbeats(&mut head).pop().expect("a heartbeat at the start");
     let echo = Echo { identity: member(1).identity, sequence: own.sequence };
@@ -97,7 +58,7 @@
 
 #[test]
 fn a_member_that_is_heard_anew_is_answered_at_once_and_only_then() {
-    let mut head = start(1, CURRENT);
+    let mut head = start(1, &disk(), CURRENT);
     head.tick(CURRENT);
     heartbeats(&mut head);
     head.receive(&member(2).identity, heartbeat(2, Vec::new(), None), CURRENT + 1);
@@ -111,7 +72,7 @@
 
 #[test]
 fn a_tail_that_becomes_sure_of_its_view_tells_everyone_at_once() {
-    let mut tail = start(3, CURRENT);
+    let mut tail = start(3, &disk(), CURRENT);
     tail.tick(CURRENT);
     let (_, own) = heartbeats(&mut tail).pop().expect("a heartbeat at the start");
     let echo = Echo { identity: member(3).identity, sequence: own.sequence };
--- /dev/null
+++ b/tier/chain/tests/three_links/mod.rs
@@ -0,0 +1,55 @@
+//! Three links of a chain that the test speaks for, one by one.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use plankhill_chain::{
+    BadSnapshot, ChainMember, Configuration, Durable, Identity, Member, Millis, StateMachine, View,
+    ViewNumber, Write,
+};
+use plankhill_protocol::ids::{Incarnation, NodeId, Revision};
+
+/// A state without content.
+pub struct Nothing;
+
+impl StateMachine for Nothing {
+    fn apply(&mut self, _: Revision, _: &[u8]) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn restore(&mut self, _: Revision, _: &[u8]) -> Result<(), BadSnapshot> {
+        Ok(())
+    }
+}
+
+/// The link with this number, from 1 on.
+pub fn member(number: u8) -> Member {
+    let identity =
+        Identity { node: NodeId::from(format!("core-{number}").as_str()), incarnation: Incarnation(7) };
+    Member { identity, address: SocketAddr::from(([10, 0, 0, number], 7_000)) }
+}
+
+/// The link with this number, started at this time of its clock, with this on its disk.
+pub fn start(number: u8, disk: &Durable, now: Millis) -> ChainMember<Nothing> {
+    let configuration = Configuration {
+        member: member(number),
+        tolerated: 1,
+        seeds: (1..=3).map(|number| member(number).address).collect(),
+        random: 5,
+    };
+    ChainMember::new(configuration, disk.clone(), Nothing, now).expect("a member")
+}
+
+/// The disk of a link of the first view, without operations.
+pub fn disk() -> Durable {
+    let voters: Vec<Member> = (1..=3).map(member).collect();
+    let chain = voters.iter().map(|voter| voter.identity.node.clone()).collect();
+    let mut disk = Durable::default();
+    disk.apply(&Write::Incarnation(Incarnation(7)));
+    disk.apply(&Write::View(View { number: ViewNumber(1), voters, chain, base: Revision(0) }));
+    disk
+}
