--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,8 @@
 
 mod case_budget;
 mod case_chain;
+mod case_successor;
+mod conversation;
 mod http;
 mod record;
 mod targets;
@@ -23,6 +25,7 @@
     let root = PathBuf::from(root);
     let outcome = match case.as_str() {
         "chain" => case_chain::run(&root, &folder, trouble),
+        "successor" => case_successor::run(&root, &folder, trouble),
         "budget" => case_budget::run(&root, &folder, trouble),
         _ => Err(format!("no case is called {case}")),
     };
