--- a/review/standin/case_budget.rs
+++ b/review/standin/case_budget.rs
@@ -26,6 +26,7 @@
 
 struct Program {
     name: String,
+    began: Instant,
     /// Events that clients received in all turns of the program, whole or not.
     events: AtomicU64,
     answers: Mutex<Vec<String>>,
@@ -112,6 +113,7 @@
 fn new_program(name: String) -> Arc<Program> {
     Arc::new(Program {
         name,
+        began: Instant::now(),
         events: AtomicU64::new(0),
         answers: Mutex::default(),
     })
@@ -185,13 +187,14 @@
         "{:016x}",
         0x5000_0000_0000 + world.ids.fetch_add(1, Ordering::SeqCst)
     );
+    let finish_ms = 12_000_i128 - program.began.elapsed().as_millis() as i128;
     let headers = [
         ("Host", "gams.example".to_string()),
         ("Request-Id", id.clone()),
         ("Deadline-Ms", "5000".to_string()),
         ("Program", program.name.clone()),
         ("Session", format!("{}-{session}", program.name)),
-        ("Finish-Ms", "9000".to_string()),
+        ("Finish-Ms", finish_ms.to_string()),
         ("Budget", budget.to_string()),
         ("Model", "m".to_string()),
         ("Token-Usage", format!("10,{TURN_TOKENS}")),
--- a/review/standin/case_chain.rs
+++ b/review/standin/case_chain.rs
@@ -58,6 +58,7 @@
     tier.wait_ready(1, Duration::from_secs(20))?;
     thread::sleep(Duration::from_secs(2));
     let world = World {
+        began: Instant::now(),
         proxy: tier.proxy(0),
         record: record.clone(),
         ids: Arc::default(),
--- a/review/standin/case_successor.rs
+++ b/review/standin/case_successor.rs
@@ -15,10 +15,12 @@
 const RETENTION_S: u64 = 8;
 const PROGRAMS: u64 = 90;
 /// Turns of each conversation after the final fault, the first of which begins the new program.
-const TURNS: u64 = 7;
-const PAUSE: Duration = Duration::from_millis(3600);
+const TURNS: u64 = 9;
+const PAUSE: Duration = Duration::from_millis(2800);
 const TRIES: usize = 7;
-const DEADLINE_MS: u64 = 1_200;
+const DEADLINE_MS: u64 = 1_000;
+/// A turn is tried for this long: all tries lie within the retention of the turn before.
+const TRIED_FOR: Duration = Duration::from_millis(4_700);
 
 struct Outcome {
     program: String,
@@ -55,6 +57,7 @@
     // All stores are in the view.
     thread::sleep(Duration::from_secs(5));
     let world = World {
+        began: Instant::now(),
         proxy: tier.proxy(0),
         record: record.clone(),
         ids: Arc::default(),
@@ -162,7 +165,7 @@
         let input = format!("after {number}\n");
         let mut tries = 0;
         let mut answered = None;
-        while tries < TRIES && answered.is_none() && began.elapsed() < Duration::from_millis(7000) {
+        while tries < TRIES && answered.is_none() && began.elapsed() < TRIED_FOR {
             tries += 1;
             let (id, answer) = turn(
                 world,
--- a/review/standin/conversation.rs
+++ b/review/standin/conversation.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{self, call, Response};
 use crate::record::Record;
@@ -11,6 +11,7 @@
 
 #[derive(Clone)]
 pub struct World {
+    pub began: Instant,
     pub proxy: SocketAddr,
     pub record: Record,
     pub ids: Arc<AtomicU64>,
@@ -64,13 +65,14 @@
         "{:016x}",
         0x6000_0000_0000 + world.ids.fetch_add(1, Ordering::SeqCst)
     );
+    let finish_ms = 90_000_i128 - world.began.elapsed().as_millis() as i128;
     let mut headers = vec![
         ("Host", "gams.example".to_string()),
         ("Request-Id", id.clone()),
         ("Deadline-Ms", deadline_ms.to_string()),
         ("Program", program.to_string()),
         ("Session", session.to_string()),
-        ("Finish-Ms", "60000".to_string()),
+        ("Finish-Ms", finish_ms.to_string()),
         ("Budget", "3000".to_string()),
         ("Model", "m".to_string()),
         ("Token-Usage", "10,150".to_string()),
