--- a/review/standin/case_chain.rs
+++ b/review/standin/case_chain.rs
@@ -11,11 +11,11 @@
 use crate::targets::{self, Runs};
 use crate::tier::{Role, Tier, ZONES};
 
-const RETENTION_S: u64 = 8;
-/// The tools of a program take this long, after which its next turn follows.
-const TOOLS: Duration = Duration::from_millis(7000);
-/// Events of the long turn, with 390 ms between them: more than 14 s.
-const LONG_EVENTS: u64 = 37;
+const RETENTION_S: u64 = 60;
+/// The next turn follows after this time, while the turn before is retained.
+const PAUSE: Duration = Duration::from_secs(57);
+/// Events of the long turn, with 390 ms between them: 17.5 s.
+const LONG_EVENTS: u64 = 45;
 const PROGRAMS: u64 = 6;
 /// Tries of the turn that goes on from the long one.
 const TRIES: usize = 8;
@@ -52,7 +52,7 @@
     targets::configure(
         &tier.controllers(),
         0,
-        &configuration(RETENTION_S),
+        &configuration(1, RETENTION_S),
         Duration::from_secs(20),
     )?;
     tier.wait_ready(1, Duration::from_secs(20))?;
@@ -71,8 +71,8 @@
             thread::spawn(move || play(&world, index))
         })
         .collect();
-    // The long turns begin about 7.3 s after the start and end 14.5 s later.
-    thread::sleep(Duration::from_millis(10_500).saturating_sub(began.elapsed()));
+    // The long turns begin about 57.3 s after the start and end 17.5 s later.
+    thread::sleep(Duration::from_millis(60_500).saturating_sub(began.elapsed()));
     if trouble {
         for role in [Role::Store, Role::Controller] {
             for index in 0..3 {
@@ -140,7 +140,7 @@
     if !is_whole(&answer) {
         return (outcome, false);
     }
-    thread::sleep(TOOLS);
+    thread::sleep(PAUSE);
     let path = format!("/chat/{LONG_EVENTS}/390");
     let (second, answer) = turn_with_tries(
         world,
--- a/review/standin/case_successor.rs
+++ b/review/standin/case_successor.rs
@@ -12,15 +12,15 @@
 use crate::tier::{Role, Tier, ZONES};
 
 const STORES: u8 = 6;
-const RETENTION_S: u64 = 8;
+const RETENTION_S: u64 = 60;
 const PROGRAMS: u64 = 90;
 /// Turns of each conversation after the final fault, the first of which begins the new program.
-const TURNS: u64 = 9;
-const PAUSE: Duration = Duration::from_millis(2800);
+const TURNS: u64 = 13;
+const PAUSE: Duration = Duration::from_millis(6200);
 const TRIES: usize = 7;
-const DEADLINE_MS: u64 = 1_000;
+const DEADLINE_MS: u64 = 1_200;
 /// A turn is tried for this long: all tries lie within the retention of the turn before.
-const TRIED_FOR: Duration = Duration::from_millis(4_700);
+const TRIED_FOR: Duration = Duration::from_millis(6_000);
 
 struct Outcome {
     program: String,
@@ -50,7 +50,7 @@
     targets::configure(
         &tier.controllers(),
         0,
-        &configuration(RETENTION_S),
+        &configuration(1, RETENTION_S),
         Duration::from_secs(20),
     )?;
     tier.wait_ready(1, Duration::from_secs(20))?;
@@ -122,8 +122,12 @@
     Ok(broken == 0)
 }
 
-/// All processes are killed, and started again on their disks.
+/// Right after the acknowledgement of a configuration all processes are killed; they are started again
+/// on their disks.
 fn final_fault(tier: &mut Tier, record: &Record) -> Result<(), String> {
+    let changed = configuration(2, RETENTION_S);
+    targets::configure(&tier.controllers(), 1, &changed, Duration::from_secs(4))?;
+    record.line("configuration 2 is acknowledged");
     let processes = [
         (Role::Store, STORES),
         (Role::Controller, 3),
--- a/review/standin/conversation.rs
+++ b/review/standin/conversation.rs
@@ -65,7 +65,7 @@
         "{:016x}",
         0x6000_0000_0000 + world.ids.fetch_add(1, Ordering::SeqCst)
     );
-    let finish_ms = 90_000_i128 - world.began.elapsed().as_millis() as i128;
+    let finish_ms = 120_000_i128 - world.began.elapsed().as_millis() as i128;
     let mut headers = vec![
         ("Host", "gams.example".to_string()),
         ("Request-Id", id.clone()),
@@ -99,9 +99,9 @@
     (id, answer)
 }
 
-pub fn configuration(retention_s: u64) -> String {
+pub fn configuration(version: u64, retention_s: u64) -> String {
     format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"chat\",\"host\":\"gams.example\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"chat\",\"host\":\"gams.example\",\
          \"path_prefix\":\"/chat/\",\"type\":\"streaming\",\"timeout_ms\":20000,\
          \"target_latency_ms\":250,\"priority\":0,\"service\":\"models\",\"max_attempts\":2,\
          \"retained\":true,\"retention_s\":{retention_s}.0,\"session_affinity\":true,\
--- a/review/standin/tier.rs
+++ b/review/standin/tier.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -12,8 +13,12 @@
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
+const SIGKILL: u64 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
+
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -211,14 +216,22 @@
             .open(self.folder.join(format!("{name}.log")))
             .map_err(|error| error.to_string())?;
         let log_copy = log.try_clone().map_err(|error| error.to_string())?;
-        Command::new(&self.executable)
+        let mut command = Command::new(&self.executable);
+        command
             .arg(role.name())
             .env("PLANKHILL_SETTINGS", &settings)
             .stdin(Stdio::null())
             .stdout(log_copy)
-            .stderr(log)
-            .spawn()
-            .map_err(|error| error.to_string())
+            .stderr(log);
+        // A process ends with this one, however this one ends.
+        // SAFETY: `prctl` is called between fork and exec and touches no memory.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
+        command.spawn().map_err(|error| error.to_string())
     }
 
     fn find(&mut self, role: Role, index: usize) -> &mut Process {
