--- a/review/standin/case_budget.rs
+++ b/review/standin/case_budget.rs
@@ -21,7 +21,7 @@
 const PROGRAMS: u64 = 30;
 /// Lines in which each program starts sub-agents again and again.
 const LOOPS: u64 = 5;
-const ROUNDS: u64 = 5;
+const ROUNDS: u64 = 8;
 const FREEZE: Duration = Duration::from_millis(1500);
 
 struct Program {
