Stores: log a chain whose ancestor is absent

A turn that continues an incomplete chain is answered 503 without any log line, so that an operator could not tell it from stores that do not answer.

--- a/tier/store/src/node/coordinator/read_chain.rs
+++ b/tier/store/src/node/coordinator/read_chain.rs
@@ -57,9 +57,12 @@
                 Err(SegmentError::NotFound) if turns.is_empty() => return ChainLookup::NotFound,
                 // An ancestor is retained as long as its descendants, so its absence does not show that the
                 // chain has expired: the newest turn was found.
-                Err(SegmentError::NotFound | SegmentError::Unavailable) => {
-                    return ChainLookup::Unavailable
+                Err(SegmentError::NotFound) => {
+                    let ancestor = &location.turn;
+                    tracing::warn!(%turn, %ancestor, "conversation chain incomplete");
+                    return ChainLookup::Unavailable;
                 }
+                Err(SegmentError::Unavailable) => return ChainLookup::Unavailable,
             };
             bytes += segment.bytes();
             if bytes > MAX_CHAIN_BYTES {
