Stores: the retention of a running turn's chain survives a restart of all stores

Cause: `TurnTable::reserve` extended the chain that the turn continues in memory alone. After the restart the chain had its earlier expiry time again, was removed while the turn ran, and the turn was stored with an ancestor that no store had.

Fix: `TurnTable::extend` is the only way to extend a retention; it returns the row with the expiry time in force, and `reserve` and `retain` write it in the commit that they wait for. So nothing is acknowledged that a restart undoes. Two related places had the same cause and go through it now: a shorter extension replaced the row of a longer one, and a repeated end of a turn extended it in memory alone.

--- a/tier/conversations/src/turn_index.rs
+++ b/tier/conversations/src/turn_index.rs
@@ -128,7 +128,7 @@
         let pending = self.pending_extensions.remove(turn).unwrap_or(0);
         let expires_ms = entry.expires_ms.max(pending);
         if self.turns.contains_key(turn) {
-            self.extend(turn, expires_ms);
+            self.extend_chain(turn, expires_ms);
             return false;
         }
         entry.expires_ms = expires_ms;
@@ -138,15 +138,23 @@
         let previous = entry.previous_turn();
         self.turns.insert(turn.clone(), entry);
         if let Some(previous) = previous {
-            self.extend(&previous, expires_ms);
+            self.extend_chain(&previous, expires_ms);
         }
         true
     }
 
     /// Retains a turn and its ancestors at least until `until_ms`. For a turn or ancestor that is not
-    /// present, the extension is applied when it arrives.
-    pub fn extend(&mut self, turn: &RequestId, until_ms: u64) {
-        let mut next = Some(turn.clone());
+    /// present, the extension is applied when it arrives. Returns the time until which the turn is
+    /// retained now, which is later than `until_ms` after an earlier, longer extension.
+    pub fn extend(&mut self, turn: &RequestId, until_ms: u64) -> u64 {
+        self.extend_chain(turn, until_ms);
+        let retained_ms = self.turns.get(turn).map(|entry| entry.expires_ms);
+        let pending_ms = self.pending_extensions.get(turn).copied();
+        retained_ms.or(pending_ms).unwrap_or(until_ms)
+    }
+
+    fn extend_chain(&mut self, newest: &RequestId, until_ms: u64) {
+        let mut next = Some(newest.clone());
         while let Some(turn) = next.take() {
             let Some(entry) = self.turns.get_mut(&turn) else {
                 let pending = self.pending_extensions.entry(turn).or_default();
--- a/tier/store/src/node/replica/updates.rs
+++ b/tier/store/src/node/replica/updates.rs
@@ -25,10 +25,10 @@
             .turns
             .borrow_mut()
             .reserve(program, turn, max_tokens, previous, now_ms);
-        let Ok(change) = reserved else {
+        let Ok(changes) = reserved else {
             return PeerResponse::Unavailable;
         };
-        if self.rows.commit(vec![change]).await.is_err() {
+        if self.rows.commit(changes).await.is_err() {
             return PeerResponse::Unavailable;
         }
         let account = self.turns.borrow().account(program).cloned();
--- a/tier/store/src/node/state/turn_table.rs
+++ b/tier/store/src/node/state/turn_table.rs
@@ -55,7 +55,7 @@
     }
 
     /// Adds a turn's reservation to its program's account, and retains the chain that the turn continues
-    /// while the turn runs. Returns the row to be written.
+    /// while the turn runs. Returns the rows to be written.
     ///
     /// # Errors
     /// [`NoCapacity`] if the limit on bytes, or on the turns of one account, is reached.
@@ -66,20 +66,20 @@
         max_tokens: u64,
         previous: Option<&RequestId>,
         now_ms: u64,
-    ) -> Result<RowChange, NoCapacity> {
+    ) -> Result<Vec<RowChange>, NoCapacity> {
         if self.index.bytes() >= self.max_bytes {
             return Err(NoCapacity);
         }
-        if let Some(previous) = previous {
-            if self.index.turn(previous).is_some() {
-                self.index.extend(previous, now_ms + RUNNING_TURN_TTL_MS);
-            }
+        let mut changes = Vec::new();
+        if let Some(previous) = previous.filter(|previous| self.contains(previous)) {
+            changes.push(self.extend(previous, now_ms.saturating_add(RUNNING_TURN_TTL_MS)));
         }
         self.index
             .merge_state(program, turn, TurnState::Reserved { max_tokens }, now_ms);
         // The row contains the merged state, which may already be later than this reservation.
         let state = self.account_state(program, turn).ok_or(NoCapacity)?;
-        Ok(account_row(program, turn, state, now_ms))
+        changes.push(account_row(program, turn, state, now_ms));
+        Ok(changes)
     }
 
     /// Merges an update, and adds its rows to the batch.
@@ -125,8 +125,8 @@
             .push(self.unwritten_states.begin_write(program, turn));
     }
 
-    /// Retains a turn, and adds its row to the batch. A turn that is already present needs no row: its row is
-    /// on disk, or is written before every row of this batch.
+    /// Retains a turn, and adds its row to the batch. A turn that is already present needs no row of its own:
+    /// its row is on disk, or is written before every row of this batch. Its retention may be extended.
     fn retain(
         &mut self,
         turn: RequestId,
@@ -135,14 +135,15 @@
         batch: &mut UpdateBatch,
     ) -> Result<(), NoCapacity> {
         let expires_ms = now_ms.saturating_add(retained.remaining_ms);
+        if self.contains(&turn) {
+            batch.changes.push(self.extend(&turn, expires_ms));
+            return Ok(());
+        }
         let entry = TurnEntry::new(&retained.record, expires_ms);
-        let bytes = self.index.bytes().saturating_add(entry.bytes);
-        if !self.contains(&turn) && bytes > self.max_bytes {
+        if self.index.bytes().saturating_add(entry.bytes) > self.max_bytes {
             return Err(NoCapacity);
         }
-        if !self.index.retain(&turn, entry) {
-            return Ok(());
-        }
+        self.index.retain(&turn, entry);
         let row = TurnRow {
             expires_ms,
             record: retained.record,
@@ -174,9 +175,11 @@
         }
     }
 
-    /// Retains a turn and its ancestors at least until `until_ms`. Returns the row to be written.
+    /// Retains a turn and its ancestors at least until `until_ms`. Returns the row to be written: a store
+    /// that restarts knows no extension that is in memory alone. The row never shortens an earlier
+    /// extension.
     pub(in crate::node) fn extend(&mut self, turn: &RequestId, until_ms: u64) -> RowChange {
-        self.index.extend(turn, until_ms);
+        let until_ms = self.index.extend(turn, until_ms);
         RowChange::set(Table::Extensions, turn_key(turn), &until_ms)
     }
 
--- /dev/null
+++ b/tier/store/tests/running_turn.rs
@@ -0,0 +1,201 @@
+//! Tests that the chain of a conversation is retained while a turn that continues it runs.
+
+mod simulation;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse};
+use plankhill_conversations::wire::{StoreRequest, StoreResponse};
+use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
+use plankhill_protocol::store_calls::{Reservation, TurnLocation, TurnRecord};
+use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn, StoreClient};
+use simulation::proxy::SimulatedTransport;
+use simulation::{milliseconds, run, SeededBug, World};
+use tokio::time::Instant;
+
+const SEEDS: u64 = 20;
+/// Time before the first turn, within which all stores receive their view.
+const START: Duration = Duration::from_millis(500);
+const RETENTION: Duration = Duration::from_millis(2_000);
+/// The simulated stores retain turns for this long beyond their retention.
+const RETENTION_SLACK: Duration = Duration::from_millis(10_000);
+/// Time for which a store is down.
+const DOWNTIME: Duration = Duration::from_millis(700);
+const TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Budget of a program in tokens: large enough not to be exhausted.
+const BUDGET: u64 = 1_000_000;
+
+/// A client of the stores that begins and ends turns.
+struct Client {
+    stores: StoreClient<SimulatedTransport>,
+    reservation: Option<Reservation>,
+}
+
+/// A turn that has begun, with what its record needs.
+struct BegunTurn {
+    program: ProgramId,
+    turn: RequestId,
+    previous: Option<TurnLocation>,
+    history: Arc<[u8]>,
+}
+
+impl Client {
+    fn new(world: &Rc<World>) -> Self {
+        let reservation = Reservation {
+            budget: BUDGET,
+            max_tokens: 20,
+        };
+        Client {
+            stores: world.store_client(0),
+            reservation: Some(reservation),
+        }
+    }
+
+    async fn begin(&self, program: &str, turn: &str, previous: Option<&str>) -> BegunTurn {
+        let begin = BeginTurn {
+            program: ProgramId::from(program),
+            turn: RequestId::from(turn),
+            reservation: self.reservation.clone(),
+            previous: previous.map(RequestId::from),
+        };
+        match self.stores.begin_turn(begin, TIMEOUT).await {
+            BeginOutcome::Begun { history, previous } => BegunTurn {
+                program: ProgramId::from(program),
+                turn: RequestId::from(turn),
+                previous,
+                history,
+            },
+            other => panic!("{turn} of {program} does not begin: {other:?}"),
+        }
+    }
+
+    /// Ends a turn whose input and output consist of its name.
+    async fn end(&self, begun: &BegunTurn) {
+        let record = TurnRecord {
+            turn: begun.turn.clone(),
+            program: begun.program.clone(),
+            previous: begun.previous.clone(),
+            input: Arc::from(format!("{};", begun.turn).as_bytes()),
+            output: Arc::from([]),
+            retention_ms: RETENTION.as_millis() as u64,
+        };
+        let end = EndTurn {
+            program: begun.program.clone(),
+            turn: begun.turn.clone(),
+            tokens: self.reservation.as_ref().map(|_| 20),
+            record: Some(record),
+        };
+        assert_eq!(self.stores.end_turn(end, TIMEOUT).await, EndOutcome::Ended);
+    }
+}
+
+async fn start_world(seed: u64, stores: u64) -> Rc<World> {
+    let world = World::new(seed, stores, 1, SeededBug::None);
+    tokio::task::spawn_local(world.clone().run_control_plane());
+    tokio::time::sleep(START).await;
+    world
+}
+
+/// Extends the retention of a turn at all stores, as the end of a turn of another program does.
+async fn extend_retention(world: &Rc<World>, turn: &str, retention: Duration) {
+    for node in world.nodes() {
+        assert_eq!(
+            call_as_peer(world, &node, extension(turn, retention)).await,
+            PeerResponse::Done
+        );
+    }
+}
+
+fn extension(turn: &str, retention: Duration) -> PeerRequest {
+    PeerRequest::ExtendRetention {
+        turn: RequestId::from(turn),
+        retention_ms: retention.as_millis() as u64,
+    }
+}
+
+/// Calls a store as another store of the current view.
+async fn call_as_peer(world: &Rc<World>, node: &NodeId, body: PeerRequest) -> PeerResponse {
+    let epoch = world.view.borrow().epoch;
+    let address = world.machines.borrow()[node].member.address;
+    let request = StoreRequest::Peer(PeerCall { epoch, body });
+    match world.call(None, address, request, TIMEOUT).await {
+        Ok(StoreResponse::Peer(reply)) => reply.body,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Kills the stores at once and restarts them on their disks.
+async fn lose_power(world: &Rc<World>) {
+    let nodes = world.nodes();
+    for node in &nodes {
+        world.kill(node);
+    }
+    tokio::time::sleep(DOWNTIME).await;
+    for node in &nodes {
+        world.start(node);
+    }
+}
+
+/// Guards against the loss of a conversation whose stores all restart during a long turn: the chain that
+/// the turn continues expired before the turn ended, because its extension was in memory alone.
+#[test]
+fn a_power_loss_during_a_long_turn_does_not_lose_the_chain() {
+    for seed in 0..SEEDS {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let client = Client::new(&world);
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            let ended_at = Instant::now();
+            tokio::time::sleep(RETENTION * 3 / 4).await;
+            let second = client.begin("program", "second", Some("first")).await;
+            tokio::time::sleep(milliseconds(world.random_range(20..3_000))).await;
+            lose_power(&world).await;
+            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
+            client.end(&second).await;
+            let third = client.begin("program", "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against a shorter extension that replaces an earlier, longer one on disk, which a restart shows.
+#[test]
+fn a_shorter_extension_does_not_shorten_the_retention_after_a_power_loss() {
+    run(async {
+        let world = start_world(1, 3).await;
+        let client = Client::new(&world);
+        let first = client.begin("program", "first", None).await;
+        client.end(&first).await;
+        extend_retention(&world, "first", RETENTION_SLACK * 5).await;
+        extend_retention(&world, "first", RETENTION).await;
+        lose_power(&world).await;
+        tokio::time::sleep(RETENTION_SLACK * 4).await;
+        let second = client.begin("program", "second", Some("first")).await;
+        assert_eq!(&*second.history, b"first;");
+        world.ended.set(true);
+    });
+}
+
+/// Guards against a turn whose repeated end extends its retention in memory alone: a proxy repeats the end
+/// until the turn's deadline, and the turn is retained from the acknowledged one on.
+#[test]
+fn a_repeated_end_extends_the_retention_over_a_power_loss() {
+    run(async {
+        let world = start_world(2, 3).await;
+        let client = Client::new(&world);
+        let first = client.begin("program", "first", None).await;
+        client.end(&first).await;
+        tokio::time::sleep(RETENTION_SLACK * 9 / 10).await;
+        client.end(&first).await;
+        let repeated_at = Instant::now();
+        lose_power(&world).await;
+        tokio::time::sleep_until(repeated_at + RETENTION_SLACK).await;
+        let second = client.begin("program", "second", Some("first")).await;
+        assert_eq!(&*second.history, b"first;");
+        world.ended.set(true);
+    });
+}
