Stores: a begin that is executed late releases no tokens of a running turn

Cause: the proxy sends the begin to the frozen store and 200 ms later to another one, which grants it. The frozen store wakes, decides again on the running turn, sees the reservation of another turn that is about to be rejected, and released the running turn's reservation (`Rejected` replaces `Reserved`). Its tokens were granted again. The same release was made where the previous turn was not found.

Fix: stores release nothing by themselves. Only the proxy knows whether the turn runs, so it ends each turn that does not with 0 tokens: after 402 and 404 as it did after 503. Merging a reservation or an end late changes nothing.

The simulation's check is stricter: all granted turns have to fit into the budget, those that run at their most. The proxy test `a_turn_that_the_stores_reject_is_settled_with_no_tokens` fails without the proxy's part.

--- a/tier/conversations/src/account.rs
+++ b/tier/conversations/src/account.rs
@@ -23,7 +23,8 @@
         /// Maximum number of tokens that the turn generates.
         max_tokens: u64,
     },
-    /// The turn did not fit into the budget, and never runs.
+    /// The turn did not fit into the budget, and never runs. Written by earlier versions of the stores
+    /// only: a turn that was rejected is committed with 0 tokens.
     Rejected,
     /// The turn has ended.
     Committed {
--- a/tier/proxy/src/stream/turn_completion.rs
+++ b/tier/proxy/src/stream/turn_completion.rs
@@ -38,7 +38,8 @@
     }
 
     /// Reserves tokens, fetches the history that the turn continues, and puts the history before the
-    /// input in the body of the request.
+    /// input in the body of the request. A turn that does not begin remains unsettled: its reservation
+    /// may be at the stores whatever they replied.
     ///
     /// # Errors
     /// A [`TurnError`] if the turn must not be sent. An exhausted memory budget is reported as
@@ -53,14 +54,7 @@
         };
         let now = proxy.clock.now();
         let until = now + (request.deadline - now) * BEGIN_SHARE;
-        let body = match turn.begin(proxy.clock.instant(until)).await {
-            Ok(body) => body,
-            Err(error) => {
-                // A turn that does not fit into the budget has no reservation to settle.
-                self.is_settled = error == TurnError::BudgetExhausted;
-                return Err(error);
-            }
-        };
+        let body = turn.begin(proxy.clock.instant(until)).await?;
         let history_bytes = body.len() - request.upstream.body.len();
         if request.memory.grow(history_bytes).is_err() {
             return Err(TurnError::StoresUnavailable);
--- a/tier/proxy/tests/turns.rs
+++ b/tier/proxy/tests/turns.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, TurnLocation};
@@ -11,6 +12,10 @@
 use support::on_one_thread;
 use support::peer::ScriptedTarget;
 use tokio::join;
+use tokio::time::timeout;
+
+/// Time within which a turn that does not run must be settled.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A complete stream of two events.
 fn two_events() -> String {
@@ -118,6 +123,30 @@
     });
 }
 
+/// Guards against tokens that stay reserved for a turn that never runs: stores release no reservation by
+/// themselves, because only the proxy knows whether a turn runs.
+#[test]
+fn a_turn_that_the_stores_reject_is_settled_with_no_tokens() {
+    let rejections = [
+        BeginOutcome::BudgetExhausted,
+        BeginOutcome::NoSuchTurn,
+        BeginOutcome::Unavailable,
+    ];
+    for outcome in rejections {
+        on_one_thread(async {
+            let (_target, fixture) = ProxyFixture::with_one_target().await;
+            *fixture.stores.next_begin.borrow_mut() = Some(outcome);
+            let request = turn("kept", "r1", "Previous: r0\r\n", "in");
+            fixture.send_request(&request).await.expect("a response");
+            let end = timeout(SETTLE_TIMEOUT, fixture.stores.first_end()).await;
+            let end = end.expect("the turn is settled");
+            assert_eq!(end.turn, RequestId::from("r1"));
+            assert_eq!(end.tokens, Some(0));
+            assert!(end.record.is_none());
+        });
+    }
+}
+
 #[test]
 fn a_turn_not_executed_is_settled_with_no_tokens() {
     on_one_thread(async {
--- a/tier/store-client/src/turns.rs
+++ b/tier/store-client/src/turns.rs
@@ -18,10 +18,12 @@
     pub previous: Option<RequestId>,
 }
 
-/// The outcome of [`crate::StoreClient::begin_turn`].
+/// The outcome of [`crate::StoreClient::begin_turn`]. Whatever the outcome, a requested reservation may
+/// have been made, and the stores never release it by themselves: the caller ends the turn with
+/// [`crate::StoreClient::end_turn`], with 0 tokens if it does not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BeginOutcome {
-    /// The turn may run; the caller ends it with [`crate::StoreClient::end_turn`] whatever its outcome.
+    /// The turn may run.
     Begun {
         /// Inputs and outputs of the chain that the turn continues, concatenated from oldest to newest.
         history: Arc<[u8]>,
@@ -32,8 +34,7 @@
     BudgetExhausted,
     /// The previous turn does not exist (404): it is absent from a read quorum of the stores.
     NoSuchTurn,
-    /// No store gave a conclusive reply in time (503). A requested reservation may have been made, so the
-    /// caller ends the turn with 0 tokens.
+    /// No store gave a conclusive reply in time (503).
     Unavailable,
 }
 
--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -1,17 +1,20 @@
 //! Coordination of the begin of a turn: makes its reservation and reads the chain that it continues,
 //! concurrently.
+//!
+//! A coordinator never releases a reservation, whatever it replies. Its proxy may have given up the call
+//! and run the turn by the reply of another store, at any time: a store that was frozen executes the call
+//! when it wakes. Only the proxy knows whether the turn runs, and ends it with 0 tokens if it does not.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
-use plankhill_conversations::account::{Account, BudgetDecision, TurnState};
-use plankhill_conversations::peer::{PeerRequest, PeerResponse, TurnUpdate};
+use plankhill_conversations::account::{Account, BudgetDecision};
+use plankhill_conversations::peer::{PeerRequest, PeerResponse};
 use plankhill_conversations::quorum::WriteQuorum;
 use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, StoreReply};
 use plankhill_protocol::tables::StoreView;
 
-use super::end_turn::WriteOutcome;
 use super::read_chain::ChainLookup;
 use crate::clock::Clock;
 use crate::node::Node;
@@ -42,21 +45,14 @@
     pub(super) async fn begin_turn(self: &Rc<Self>, start: TurnStart) -> StoreReply {
         let (reserved, chain) = tokio::join!(self.reserve(&start), self.read_previous(&start));
         match (reserved, chain) {
-            (ReserveOutcome::BudgetExhausted, _) => {
-                self.release_reservation(&start, TurnState::Rejected);
-                StoreReply::BudgetExhausted
-            }
-            (_, ChainLookup::NotFound) => {
-                self.release_reservation(&start, TurnState::Committed { tokens: 0 });
-                StoreReply::NoSuchTurn
-            }
+            (ReserveOutcome::BudgetExhausted, _) => StoreReply::BudgetExhausted,
+            (_, ChainLookup::NotFound) => StoreReply::NoSuchTurn,
             (ReserveOutcome::Granted, ChainLookup::Found { history, newest }) => {
                 StoreReply::Begun {
                     history,
                     previous: newest,
                 }
             }
-            // A reservation that was made remains until the proxy ends the turn.
             (ReserveOutcome::Unavailable | ReserveOutcome::ViewChanged, _)
             | (_, ChainLookup::Unavailable) => StoreReply::Unavailable,
         }
@@ -127,25 +123,4 @@
         }
         ReserveOutcome::Unavailable
     }
-
-    /// Releases the reservation of a turn that does not run, in the background.
-    fn release_reservation(self: &Rc<Self>, start: &TurnStart, state: TurnState) {
-        if start.reservation.is_none() {
-            return;
-        }
-        let update = TurnUpdate {
-            program: start.program.clone(),
-            turn: start.turn.clone(),
-            state: Some(state),
-            retained: None,
-        };
-        let node = self.clone();
-        tokio::task::spawn_local(async move {
-            let program = update.program.clone();
-            let turn = update.turn.clone();
-            if node.write_update(update).await != WriteOutcome::Written {
-                tracing::debug!(%program, %turn, "releasing a reservation failed");
-            }
-        });
-    }
 }
--- a/tier/store/src/node/coordinator/end_turn.rs
+++ b/tier/store/src/node/coordinator/end_turn.rs
@@ -28,7 +28,7 @@
 
 /// The outcome of a write to a program's replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WriteOutcome {
+enum WriteOutcome {
     /// A write quorum of every set of the view has synced the write.
     Written,
     TooFewReplicas,
@@ -49,13 +49,14 @@
                 return StoreReply::Unavailable;
             }
         }
+        let program = end.program.clone();
         let update = TurnUpdate {
             program: end.program,
             turn: end.turn,
             state,
             retained,
         };
-        match self.write_update(update).await {
+        match self.write(&program, &PeerRequest::EndTurn(update)).await {
             WriteOutcome::Written => StoreReply::Ended,
             WriteOutcome::TooFewReplicas | WriteOutcome::ViewChanged => StoreReply::Unavailable,
         }
@@ -69,12 +70,6 @@
         }
     }
 
-    /// Writes an update of a turn to its program's replicas.
-    pub(super) async fn write_update(self: &Rc<Self>, update: TurnUpdate) -> WriteOutcome {
-        let program = update.program.clone();
-        self.write(&program, &PeerRequest::EndTurn(update)).await
-    }
-
     /// Extends the retention of the chain that a turn continues if the chain belongs to another program,
     /// and so to other replicas. Within the turn's own program the replicas extend the chain when they
     /// store the turn.
--- a/tier/store/tests/simulation/oracle.rs
+++ b/tier/store/tests/simulation/oracle.rs
@@ -15,6 +15,10 @@
     pub max_tokens: u64,
     /// Tokens sent to the client so far.
     pub delivered_tokens: u64,
+    /// Whether the stores have granted the turn.
+    pub is_granted: bool,
+    /// Whether the proxy has sent the end of the turn.
+    pub is_ending: bool,
     /// Whether the end of the turn was acknowledged.
     pub is_committed: bool,
 }
@@ -48,6 +52,8 @@
         turns.entry(turn.clone()).or_insert(ObservedTurn {
             max_tokens: 0,
             delivered_tokens: 0,
+            is_granted: false,
+            is_ending: false,
             is_committed: false,
         })
     }
@@ -67,6 +73,24 @@
         );
     }
 
+    /// Records that a turn was granted, and checks that it fits into the budget together with all others
+    /// that were granted: those that have not ended may still send their maximum.
+    pub fn check_grant(&mut self, program: &ProgramId, turn: &RequestId) {
+        self.turn(program, turn).is_granted = true;
+        let granted = self.turns[program].values().filter(|turn| turn.is_granted);
+        let at_most: u64 = granted
+            .map(|turn| match turn.is_ending {
+                true => turn.delivered_tokens,
+                false => turn.max_tokens,
+            })
+            .sum();
+        let budget = self.budget(program);
+        assert!(
+            at_most <= budget,
+            "BUDGET: the turns of {program} may send {at_most} tokens; its budget is {budget}"
+        );
+    }
+
     /// Returns the tokens charged for each turn: those sent if the turn's end was acknowledged, and the
     /// turn's maximum otherwise.
     pub fn charged(&self, program: &ProgramId) -> BTreeMap<RequestId, u64> {
--- a/tier/store/tests/simulation/proxy.rs
+++ b/tier/store/tests/simulation/proxy.rs
@@ -23,17 +23,53 @@
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 const END_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The programs of which the clients execute turns.
+#[derive(Clone, Copy, Debug)]
+pub enum Programs {
+    /// For each turn one of 12 programs.
+    AtRandom,
+    /// All clients execute this number of turns of a program before they go on to the next one, so that
+    /// they compete for its budget.
+    InSequence { turns: u64 },
+}
+
+/// The turns that a client executes.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientTurns {
+    pub count: u64,
+    pub programs: Programs,
+    /// Maximum time between two events of a turn, in milliseconds.
+    pub max_event_interval_ms: u64,
+}
+
+/// A turn that a client executes.
+#[derive(Clone, Debug)]
+struct ClientTurn {
+    program: ProgramId,
+    name: RequestId,
+    max_tokens: u64,
+    max_event_interval_ms: u64,
+}
+
 impl World {
     /// Runs a client that executes turns one after the other.
-    pub async fn run_client(self: Rc<Self>, name: u64, turns: u64) {
+    pub async fn run_client(self: Rc<Self>, name: u64, turns: ClientTurns) {
         let client = self.store_client(name % 3);
-        for number in 0..turns {
+        for number in 0..turns.count {
             if self.ended.get() {
                 return;
             }
-            let turn = RequestId::from(format!("turn-{name}-{number}").as_str());
-            let program = ProgramId::from(format!("program-{}", self.random_range(0..12)).as_str());
-            self.execute_turn(&client, &program, &turn).await;
+            let program = match turns.programs {
+                Programs::AtRandom => self.random_range(0..12),
+                Programs::InSequence { turns } => number / turns,
+            };
+            let turn = ClientTurn {
+                program: ProgramId::from(format!("program-{program}").as_str()),
+                name: RequestId::from(format!("turn-{name}-{number}").as_str()),
+                max_tokens: self.random_range(20..60),
+                max_event_interval_ms: turns.max_event_interval_ms,
+            };
+            self.execute_turn(&client, &turn).await;
             tokio::time::sleep(milliseconds(self.random_range(5..150))).await;
         }
     }
@@ -58,21 +94,23 @@
     async fn execute_turn(
         self: &Rc<Self>,
         client: &StoreClient<SimulatedTransport>,
-        program: &ProgramId,
-        turn: &RequestId,
+        turn: &ClientTurn,
     ) {
-        let max_tokens = self.random_range(20..60);
+        let (program, name) = (&turn.program, &turn.name);
         let budget = {
             let budget = self.random_range(80..500);
             let mut oracle = self.oracle.borrow_mut();
-            oracle.turn(program, turn).max_tokens = max_tokens;
+            oracle.turn(program, name).max_tokens = turn.max_tokens;
             *oracle.budgets.entry(program.clone()).or_insert(budget)
         };
         let previous = self.pick_previous(program);
         let begin = BeginTurn {
             program: program.clone(),
-            turn: turn.clone(),
-            reservation: Some(Reservation { budget, max_tokens }),
+            turn: name.clone(),
+            reservation: Some(Reservation {
+                budget,
+                max_tokens: turn.max_tokens,
+            }),
             previous: previous.clone(),
         };
         let charged = self.oracle.borrow().charged(program);
@@ -81,47 +119,67 @@
                 history,
                 previous: location,
             } => {
-                self.oracle
-                    .borrow_mut()
-                    .check_history(previous.as_ref(), &history);
-                self.generate_and_end_turn(client, program, turn, max_tokens, &history, location)
+                {
+                    let mut oracle = self.oracle.borrow_mut();
+                    oracle.check_grant(program, name);
+                    oracle.check_history(previous.as_ref(), &history);
+                }
+                self.generate_and_end_turn(client, turn, &history, location)
                     .await;
             }
             BeginOutcome::BudgetExhausted => {
                 self.oracle
                     .borrow_mut()
-                    .check_rejection(program, turn, &charged);
+                    .check_rejection(program, name, &charged);
+                self.release_in_background(client, turn);
             }
             BeginOutcome::NoSuchTurn => {
                 if let Some(previous) = &previous {
                     self.oracle.borrow().check_absence(previous);
                 }
+                self.release_in_background(client, turn);
             }
             BeginOutcome::Unavailable => {
                 self.oracle.borrow_mut().unavailable += 1;
-                let end = end_turn(program, turn, 0, None);
-                if client.end_turn(end, END_TIMEOUT).await == EndOutcome::Ended {
-                    self.oracle.borrow_mut().turn(program, turn).is_committed = true;
-                }
+                self.release(client, turn).await;
             }
         }
     }
 
+    /// Ends a turn that does not run while its client goes on.
+    fn release_in_background(
+        self: &Rc<Self>,
+        client: &StoreClient<SimulatedTransport>,
+        turn: &ClientTurn,
+    ) {
+        let (world, client, turn) = (self.clone(), client.clone(), turn.clone());
+        tokio::task::spawn_local(async move { world.release(&client, &turn).await });
+    }
+
+    /// Ends a turn that does not run.
+    async fn release(&self, client: &StoreClient<SimulatedTransport>, turn: &ClientTurn) {
+        let end = end_turn(turn, 0, None);
+        if client.end_turn(end, END_TIMEOUT).await == EndOutcome::Ended {
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.turn(&turn.program, &turn.name).is_committed = true;
+        }
+    }
+
     async fn generate_and_end_turn(
         self: &Rc<Self>,
         client: &StoreClient<SimulatedTransport>,
-        program: &ProgramId,
-        turn: &RequestId,
-        max_tokens: u64,
+        turn: &ClientTurn,
         history: &[u8],
         previous: Option<TurnLocation>,
     ) {
-        let tokens = self.random_range(0..max_tokens + 1);
+        let (program, name) = (&turn.program, &turn.name);
+        let tokens = self.random_range(0..turn.max_tokens + 1);
         let mut delivered_tokens = 0;
         while delivered_tokens < tokens {
             let step = self.random_range(1..20).min(tokens - delivered_tokens);
-            tokio::time::sleep(milliseconds(self.random_range(5..60))).await;
-            self.oracle.borrow_mut().record_tokens(program, turn, step);
+            let interval_ms = self.random_range(5..turn.max_event_interval_ms);
+            tokio::time::sleep(milliseconds(interval_ms)).await;
+            self.oracle.borrow_mut().record_tokens(program, name, step);
             delivered_tokens += step;
             if self.random_bool(1) {
                 // The proxy fails while the turn is running.
@@ -130,23 +188,24 @@
         }
         let is_complete = self.random_bool(90);
         let record = TurnRecord {
-            turn: turn.clone(),
+            turn: name.clone(),
             program: program.clone(),
             previous,
-            input: bytes(format!("in {turn};"), self.random_range(0..40)),
-            output: bytes(format!("out {turn};"), self.random_range(0..80)),
+            input: bytes(format!("in {name};"), self.random_range(0..40)),
+            output: bytes(format!("out {name};"), self.random_range(0..80)),
             retention_ms: RETENTION.as_millis() as u64,
         };
         let answered = AnsweredTurn {
-            turn: turn.clone(),
+            turn: name.clone(),
             program: program.clone(),
             history: [history, &record.input, &record.output].concat(),
             at: Instant::now(),
         };
-        let end = end_turn(program, turn, tokens, is_complete.then_some(record));
+        let end = end_turn(turn, tokens, is_complete.then_some(record));
+        self.oracle.borrow_mut().turn(program, name).is_ending = true;
         if client.end_turn(end, END_TIMEOUT).await == EndOutcome::Ended {
             let mut oracle = self.oracle.borrow_mut();
-            oracle.turn(program, turn).is_committed = true;
+            oracle.turn(program, name).is_committed = true;
             if is_complete {
                 oracle.answered.push(AnsweredTurn {
                     at: Instant::now(),
@@ -203,15 +262,10 @@
     fn retain_addresses(&self, _: &[SocketAddr]) {}
 }
 
-fn end_turn(
-    program: &ProgramId,
-    turn: &RequestId,
-    tokens: u64,
-    record: Option<TurnRecord>,
-) -> EndTurn {
+fn end_turn(turn: &ClientTurn, tokens: u64, record: Option<TurnRecord>) -> EndTurn {
     EndTurn {
-        program: program.clone(),
-        turn: turn.clone(),
+        program: turn.program.clone(),
+        turn: turn.name.clone(),
         tokens: Some(tokens),
         record,
     }
--- a/tier/store/tests/simulation/scenario.rs
+++ b/tier/store/tests/simulation/scenario.rs
@@ -13,7 +13,7 @@
 use super::faults::Fault;
 use super::machine::Machine;
 use super::oracle::RETENTION;
-use super::proxy::SimulatedTransport;
+use super::proxy::{ClientTurns, Programs, SimulatedTransport};
 use super::{milliseconds, run, SeededBug, World};
 
 /// The parameters of a scenario.
@@ -22,7 +22,7 @@
     pub stores: u64,
     pub tolerated_faults: u32,
     pub clients: u64,
-    pub turns: u64,
+    pub turns: ClientTurns,
     pub fault_count: u64,
     /// Maximum percentage of lost messages.
     pub loss: u64,
@@ -35,7 +35,11 @@
         stores: 3,
         tolerated_faults: 1,
         clients: 4,
-        turns: 25,
+        turns: ClientTurns {
+            count: 25,
+            programs: Programs::AtRandom,
+            max_event_interval_ms: 60,
+        },
         fault_count: 2,
         loss: 2,
         fault_kinds: &[],
--- a/tier/store/tests/simulation_seeds.rs
+++ b/tier/store/tests/simulation_seeds.rs
@@ -3,6 +3,7 @@
 mod simulation;
 
 use simulation::faults::Fault;
+use simulation::proxy::{ClientTurns, Programs};
 use simulation::scenario::{run_scenario, Scenario, Summary};
 
 fn seeds(count: u64) -> std::ops::Range<u64> {
@@ -86,3 +87,24 @@
         },
     );
 }
+
+/// Guards against tokens that are spent twice: a store that was frozen executes the begins of turns that
+/// other stores have granted in the meantime.
+#[test]
+fn frozen_stores_release_no_tokens_of_running_turns() {
+    let summary = run_seeds(
+        40,
+        Scenario {
+            clients: 8,
+            turns: ClientTurns {
+                count: 60,
+                programs: Programs::InSequence { turns: 10 },
+                max_event_interval_ms: 600,
+            },
+            fault_count: 3,
+            fault_kinds: &[Fault::Freeze],
+            ..Scenario::SMALL
+        },
+    );
+    assert!(summary.rejected > summary.begun / 10, "{summary:?}");
+}
