Stores: extensions of turns that never arrive are removed from the disk

An extension reaches all replicas of a program, also one that does not have the turn. That replica kept the extension in memory until it expired, but its row stayed on disk for ever, and was loaded again at each start: only rows of turns that expire were removed. `TurnIndex::expire` returns expired extensions as well, and their rows are removed with the others.

The test `the_extension_of_an_absent_turn_is_removed_from_the_disks` failed before with 3 rows left on three disks.

--- a/tier/conversations/src/turn_index.rs
+++ b/tier/conversations/src/turn_index.rs
@@ -70,10 +70,19 @@
 pub struct Expired {
     /// The expired turns.
     pub turns: Vec<RequestId>,
+    /// Turns that were not present when their extension expired.
+    pub extensions: Vec<RequestId>,
     /// The expired budget accounts.
     pub accounts: Vec<ExpiredAccount>,
 }
 
+impl Expired {
+    /// Whether nothing has expired.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty() && self.extensions.is_empty() && self.accounts.is_empty()
+    }
+}
+
 #[derive(Debug, Default)]
 struct Program {
     account: Account,
@@ -184,17 +193,20 @@
         }
     }
 
-    /// Removes and returns all turns and accounts that have expired.
+    /// Removes and returns all turns, extensions and accounts that have expired.
     pub fn expire(&mut self, now_ms: u64) -> Expired {
         let turns = self.expired_turns(now_ms);
         for turn in &turns {
             self.remove(turn);
         }
-        self.pending_extensions
-            .retain(|_, until_ms| *until_ms > now_ms);
+        let extensions = self.expire_extensions(now_ms);
         let accounts = self.expire_accounts(now_ms);
         self.programs.retain(|_, program| !program.is_empty());
-        Expired { turns, accounts }
+        Expired {
+            turns,
+            extensions,
+            accounts,
+        }
     }
 
     fn expired_turns(&self, now_ms: u64) -> Vec<RequestId> {
@@ -205,6 +217,18 @@
         expired.map(|(turn, _)| turn.clone()).collect()
     }
 
+    fn expire_extensions(&mut self, now_ms: u64) -> Vec<RequestId> {
+        let pending = self.pending_extensions.iter();
+        let expired: Vec<RequestId> = pending
+            .filter(|(_, until_ms)| **until_ms <= now_ms)
+            .map(|(turn, _)| turn.clone())
+            .collect();
+        for turn in &expired {
+            self.pending_extensions.remove(turn);
+        }
+        expired
+    }
+
     fn expire_accounts(&mut self, now_ms: u64) -> Vec<ExpiredAccount> {
         let mut accounts = Vec::new();
         for (name, program) in &mut self.programs {
--- a/tier/conversations/tests/turn_index.rs
+++ b/tier/conversations/tests/turn_index.rs
@@ -152,3 +152,25 @@
     assert_eq!(index.bytes(), 0);
     assert!(index.retain(&turn(1), TurnEntry::new(&record(1, None), 100)));
 }
+
+/// Guards against rows of extensions that stay on disk because their turns never arrive.
+#[test]
+fn the_extension_of_an_absent_turn_is_returned_once_when_it_expires() {
+    let mut index = TurnIndex::default();
+    assert_eq!(index.extend(&turn(1), 100), 100);
+    assert_eq!(index.extend(&turn(1), 50), 100);
+    assert!(index.expire(99).is_empty());
+    assert_eq!(index.expire(100).extensions, [turn(1)]);
+    assert!(index.expire(1_000).is_empty());
+}
+
+#[test]
+fn an_extension_is_applied_to_a_turn_that_arrives_later() {
+    let mut index = TurnIndex::default();
+    index.extend(&turn(1), 100);
+    index.retain(&turn(1), TurnEntry::new(&record(1, None), 50));
+    assert_eq!(index.extend(&turn(1), 20), 100);
+    assert!(index.expire(99).is_empty());
+    let expired = index.expire(100);
+    assert_eq!((expired.turns, expired.extensions), (vec![turn(1)], vec![]));
+}
--- a/tier/store/src/node/state/turn_table.rs
+++ b/tier/store/src/node/state/turn_table.rs
@@ -252,6 +252,8 @@
     let mut changes = Vec::new();
     for turn in &expired.turns {
         changes.push(RowChange::remove(Table::Turns, turn_key(turn)));
+    }
+    for turn in expired.turns.iter().chain(&expired.extensions) {
         changes.push(RowChange::remove(Table::Extensions, turn_key(turn)));
     }
     for expired in &expired.accounts {
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse};
+use plankhill_conversations::rows::Table;
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, TurnLocation, TurnRecord};
+use plankhill_store::storage::Storage;
 use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn, StoreClient};
 use simulation::proxy::SimulatedTransport;
 use simulation::{milliseconds, run, SeededBug, World};
@@ -199,3 +201,27 @@
         world.ended.set(true);
     });
 }
+
+/// Guards against rows that stay on disk for ever: an extension also reaches replicas that do not have the
+/// turn.
+#[test]
+fn the_extension_of_an_absent_turn_is_removed_from_the_disks() {
+    run(async {
+        let world = start_world(3, 3).await;
+        extend_retention(&world, "absent", RETENTION).await;
+        assert_eq!(extension_rows(&world), 3);
+        tokio::time::sleep(RETENTION * 2).await;
+        assert_eq!(extension_rows(&world), 0);
+        world.ended.set(true);
+    });
+}
+
+/// Number of extensions on all disks.
+fn extension_rows(world: &World) -> usize {
+    let mut rows = 0;
+    for machine in world.machines.borrow().values() {
+        let scanned = machine.disk.scan(Table::Extensions, &mut |_, _| rows += 1);
+        scanned.expect("disks in memory can be read");
+    }
+    rows
+}
