Stores: a chain is retained at the replicas of all its programs

Cause: when a turn began, only its reservation extended the chain that it continues, and only at the replicas of its own program. A replica extends ancestors as far as it has them, so the walk ends at the first turn of another program.

Fix: the coordinator of a begin has read the chain and extends the newest turn of each part that the reservation does not cover, at that part's program, before it replies (`chain_retention.rs`). A chain of one program with a reservation, which is nearly every one, costs no further call. Writes to replicas have a module of their own now (`replicated_write.rs`).

--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -1,12 +1,11 @@
-//! Coordination of the begin of a turn: makes its reservation and reads the chain that it continues,
-//! concurrently.
+//! Coordination of the begin of a turn: makes its reservation, and concurrently reads and retains the chain
+//! that it continues.
 //!
 //! A coordinator never releases a reservation, whatever it replies. Its proxy may have given up the call
 //! and run the turn by the reply of another store, at any time: a store that was frozen executes the call
 //! when it wakes. Only the proxy knows whether the turn runs, and ends it with 0 tokens if it does not.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use plankhill_conversations::account::{Account, BudgetDecision};
 use plankhill_conversations::peer::{PeerRequest, PeerResponse};
@@ -15,7 +14,7 @@
 use plankhill_protocol::store_calls::{Reservation, StoreReply};
 use plankhill_protocol::tables::StoreView;
 
-use super::read_chain::ChainLookup;
+use super::read_chain::{Chain, ChainLookup};
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::peers::Peers;
@@ -43,29 +42,32 @@
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     pub(super) async fn begin_turn(self: &Rc<Self>, start: TurnStart) -> StoreReply {
-        let (reserved, chain) = tokio::join!(self.reserve(&start), self.read_previous(&start));
+        let (reserved, chain) = tokio::join!(self.reserve(&start), self.prepare_chain(&start));
         match (reserved, chain) {
             (ReserveOutcome::BudgetExhausted, _) => StoreReply::BudgetExhausted,
             (_, ChainLookup::NotFound) => StoreReply::NoSuchTurn,
-            (ReserveOutcome::Granted, ChainLookup::Found { history, newest }) => {
-                StoreReply::Begun {
-                    history,
-                    previous: newest,
-                }
-            }
+            (ReserveOutcome::Granted, ChainLookup::Found(chain)) => StoreReply::Begun {
+                history: chain.history,
+                previous: chain.parts.into_iter().next(),
+            },
             (ReserveOutcome::Unavailable | ReserveOutcome::ViewChanged, _)
             | (_, ChainLookup::Unavailable) => StoreReply::Unavailable,
         }
     }
 
-    async fn read_previous(self: &Rc<Self>, start: &TurnStart) -> ChainLookup {
-        match &start.previous {
-            Some(previous) => self.read_chain(&start.program, previous).await,
-            None => ChainLookup::Found {
-                history: Arc::from([]),
-                newest: None,
-            },
+    /// Reads the chain that the turn continues, and retains it while the turn runs.
+    async fn prepare_chain(self: &Rc<Self>, start: &TurnStart) -> ChainLookup {
+        let Some(previous) = &start.previous else {
+            return ChainLookup::Found(Chain::empty());
+        };
+        let chain = match self.read_chain(&start.program, previous).await {
+            ChainLookup::Found(chain) => chain,
+            other => return other,
+        };
+        if !self.retain_chain(start, &chain).await {
+            return ChainLookup::Unavailable;
         }
+        ChainLookup::Found(chain)
     }
 
     /// Reserves a turn's tokens; retries under the new view if the view changes during an attempt.
--- a/tier/store/src/node/coordinator/mod.rs
+++ b/tier/store/src/node/coordinator/mod.rs
@@ -6,8 +6,10 @@
 
 mod begin_turn;
 mod broadcast;
+mod chain_retention;
 mod end_turn;
 mod read_chain;
+mod replicated_write;
 
 use std::rc::Rc;
 
--- a/tier/store/src/node/coordinator/read_chain.rs
+++ b/tier/store/src/node/coordinator/read_chain.rs
@@ -12,19 +12,40 @@
 
 use crate::clock::Clock;
 use crate::limits::{MAX_CHAIN_BYTES, PEER_TIMEOUT, PREFERRED_REPLICA_TIMEOUT};
-use crate::node::chain_segment::ChainSegment;
+use crate::node::chain_segment::{record_bytes, ChainSegment};
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::storage::Storage;
 
+/// A chain that was read completely.
+pub(super) struct Chain {
+    /// Inputs and outputs of all turns, concatenated from oldest to newest.
+    pub(super) history: Arc<[u8]>,
+    /// The newest turn of each part of the chain that belongs to one program, newest first.
+    pub(super) parts: Vec<TurnLocation>,
+    /// Retention time of the newest turn after its end, in milliseconds.
+    pub(super) retention_ms: u64,
+}
+
+impl Chain {
+    /// The chain of a turn that continues no other turn.
+    pub(super) fn empty() -> Self {
+        Chain::from_turns(&[])
+    }
+
+    /// Creates a chain from its turns, the newest first.
+    fn from_turns(turns: &[Arc<TurnRecord>]) -> Self {
+        Chain {
+            history: join_history(turns),
+            parts: newest_of_programs(turns),
+            retention_ms: turns.first().map_or(0, |newest| newest.retention_ms),
+        }
+    }
+}
+
 /// The outcome of reading a chain.
 pub(super) enum ChainLookup {
-    Found {
-        /// Inputs and outputs of all turns, concatenated from oldest to newest.
-        history: Arc<[u8]>,
-        /// The newest turn of the chain; None if the chain is empty.
-        newest: Option<TurnLocation>,
-    },
+    Found(Chain),
     /// The newest turn does not exist: it is absent from a read quorum of the stores.
     NotFound,
     /// Too few stores answered, or the chain is incomplete or too long.
@@ -72,11 +93,7 @@
             turns.extend(segment.turns);
             next = segment.rest;
         }
-        let newest = turns.first().map(|newest| location_of(newest));
-        ChainLookup::Found {
-            history: join_history(&turns, bytes),
-            newest,
-        }
+        ChainLookup::Found(Chain::from_turns(&turns))
     }
 
     async fn read_segment(
@@ -169,15 +186,24 @@
     }
 }
 
-fn location_of(record: &TurnRecord) -> TurnLocation {
-    TurnLocation {
-        turn: record.turn.clone(),
-        program: record.program.clone(),
+/// The newest turn of each run of turns of one program; `turns` has the newest first.
+fn newest_of_programs(turns: &[Arc<TurnRecord>]) -> Vec<TurnLocation> {
+    let mut newest: Vec<TurnLocation> = Vec::new();
+    for record in turns {
+        let part = newest.last();
+        if part.is_none_or(|part| part.program != record.program) {
+            newest.push(TurnLocation {
+                turn: record.turn.clone(),
+                program: record.program.clone(),
+            });
+        }
     }
+    newest
 }
 
 /// Concatenates inputs and outputs, oldest first; `turns` has the newest first.
-fn join_history(turns: &[Arc<TurnRecord>], bytes: usize) -> Arc<[u8]> {
+fn join_history(turns: &[Arc<TurnRecord>]) -> Arc<[u8]> {
+    let bytes = turns.iter().map(|turn| record_bytes(turn)).sum();
     let mut history = Vec::with_capacity(bytes);
     for turn in turns.iter().rev() {
         history.extend_from_slice(&turn.input);
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse};
+use plankhill_conversations::placement::replicas;
 use plankhill_conversations::rows::Table;
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
@@ -26,6 +27,9 @@
 /// Time for which a store is down.
 const DOWNTIME: Duration = Duration::from_millis(700);
 const TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Turns of a program that continues the conversation of another one; they last for two minutes.
+const SUCCESSOR_TURNS: u64 = 80;
+const SUCCESSOR_SEEDS: u64 = 4;
 /// Budget of a program in tokens: large enough not to be exhausted.
 const BUDGET: u64 = 1_000_000;
 
@@ -225,3 +229,97 @@
     }
     rows
 }
+
+/// Two programs that have no replica in common.
+fn disjoint_programs(world: &World) -> (String, String) {
+    let view = world.view.borrow();
+    let nodes = |name: &str| -> Vec<NodeId> {
+        let members = replicas(
+            &view.serving,
+            &ProgramId::from(name),
+            world.tolerated_faults,
+        );
+        members.iter().map(|member| member.node.clone()).collect()
+    };
+    let ended = String::from("ended-program");
+    let of_ended = nodes(&ended);
+    let successor = (0..1_000)
+        .map(|number| format!("successor-{number}"))
+        .find(|name| nodes(name).iter().all(|node| !of_ended.contains(node)));
+    (ended, successor.expect("a program with other replicas"))
+}
+
+/// Guards against the loss of a conversation on a route without budgets: a turn without a reservation did not
+/// extend the chain that it continues, which expired while the turn ran.
+#[test]
+fn a_long_turn_without_a_budget_does_not_lose_the_chain() {
+    for seed in 0..SEEDS {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let client = Client {
+                reservation: None,
+                ..Client::new(&world)
+            };
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            let ended_at = Instant::now();
+            tokio::time::sleep(RETENTION * 3 / 4).await;
+            let second = client.begin("program", "second", Some("first")).await;
+            lose_power(&world).await;
+            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
+            client.end(&second).await;
+            let third = client.begin("program", "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against the loss of a conversation that a new program continues with a long turn: the chain was
+/// extended at the replicas of the new program only, which do not have it.
+#[test]
+fn a_long_turn_does_not_lose_the_chain_of_another_program() {
+    for seed in 0..SEEDS {
+        run(async {
+            let world = start_world(seed, 6).await;
+            let client = Client::new(&world);
+            let (ended, successor) = disjoint_programs(&world);
+            let first = client.begin(&ended, "first", None).await;
+            client.end(&first).await;
+            let ended_at = Instant::now();
+            tokio::time::sleep(RETENTION * 3 / 4).await;
+            let second = client.begin(&successor, "second", Some("first")).await;
+            lose_power(&world).await;
+            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
+            client.end(&second).await;
+            let third = client.begin(&successor, "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against the loss of a conversation that a new program continues: its later turns did not extend the
+/// turns of the ended program, which expired while the conversation went on.
+#[test]
+fn the_turns_of_an_ended_program_are_retained_while_its_successor_continues_them() {
+    for seed in 0..SUCCESSOR_SEEDS {
+        run(async {
+            let world = start_world(seed, 6).await;
+            let client = Client::new(&world);
+            let (ended, successor) = disjoint_programs(&world);
+            let first = client.begin(&ended, "turn-0", None).await;
+            client.end(&first).await;
+            let mut expected = b"turn-0;".to_vec();
+            for number in 1..=SUCCESSOR_TURNS {
+                tokio::time::sleep(RETENTION * 3 / 4).await;
+                let (turn, previous) = (format!("turn-{number}"), format!("turn-{}", number - 1));
+                let begun = client.begin(&successor, &turn, Some(&previous)).await;
+                assert_eq!(&*begun.history, expected, "seed {seed}, turn {number}");
+                client.end(&begun).await;
+                expected.extend_from_slice(format!("{turn};").as_bytes());
+            }
+            world.ended.set(true);
+        });
+    }
+}
