Stores: a chain is retained by the lifetime of the turn that continues it

What callers would see: after a turn of more than a minute no turn can continue the conversation, without any fault; the same where a route's retention is raised by more than a minute while a new program continues an ended one. Not met by a caller; the review suspected the first one from the code, and the tests below show both.

Cause: a begin did not say how long its turn may run and is retained, so stores retained the chain for a fixed 60 s, and took the retention of the turn before for that of the running one.

Fix: the begin carries the turn's lifetime, the time until its deadline and its retention, in a last field. Earlier stores pass over it, and calls of earlier proxies are read without it (`none_where_missing`, shared with the heartbeats of the chain now); both forms are pinned. 60 s remain the minimum.

Tests: two in `running_turn.rs` fail where the lifetime is not used (`Unavailable`); `a_retained_turn_begins_with_its_lifetime` for the proxy; three for the two forms on the wire.

--- a/tier/chain/src/message.rs
+++ b/tier/chain/src/message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use plankhill_protocol::ids::Revision;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 
 use crate::acceptor::Ballot;
 use crate::entry::{Entry, RequestNumber};
@@ -40,16 +40,10 @@
     /// Typical duration of a sync of the sender's disk, in ms; `None` before the first sync.
     /// Members of versions without this field do not send it and decode a heartbeat only up to the
     /// previous field.
-    #[serde(deserialize_with = "none_where_missing")]
+    #[serde(deserialize_with = "plankhill_protocol::appended_field::none_where_missing")]
     pub sync_ms: Option<u64>,
 }
 
-/// Deserializes the last field of a message as `None` if the message ends before it, as messages
-/// from earlier versions do.
-fn none_where_missing<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
-    Ok(Option::deserialize(deserializer).unwrap_or_default())
-}
-
 impl Heartbeat {
     /// Returns whether the sender has recently received a heartbeat of this member.
     pub(crate) fn echoes_identity(&self, identity: &Identity) -> bool {
--- a/tier/conversations/tests/wire_format.rs
+++ b/tier/conversations/tests/wire_format.rs
@@ -16,7 +16,7 @@
 use plankhill_conversations::turn_index::{TurnEntry, TurnIndex};
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{ProgramId, StoreEpoch};
-use plankhill_protocol::store_calls::{Reservation, StoreCall, StoreReply};
+use plankhill_protocol::store_calls::{Reservation, StoreCall, StoreReply, TurnLifetime};
 
 fn next_store_set(last: Option<&StoreSet>) -> Option<StoreSet> {
     match last {
@@ -128,16 +128,10 @@
 
 fn next_store_call(last: Option<&StoreCall>) -> Option<StoreCall> {
     match last {
-        None => Some(StoreCall::BeginTurn {
-            epoch: StoreEpoch(300),
-            program: program(),
-            turn: turn(),
-            reservation: Some(Reservation {
-                budget: 100_000,
-                max_tokens: 70_000,
-            }),
-            previous: Some(previous()),
-        }),
+        None => Some(begin_turn(Some(TurnLifetime {
+            timeout_ms: 5_000,
+            retention_ms: 60_000,
+        }))),
         Some(StoreCall::BeginTurn { .. }) => Some(StoreCall::EndTurn {
             epoch: StoreEpoch(300),
             program: program(),
@@ -149,6 +143,20 @@
     }
 }
 
+fn begin_turn(lifetime: Option<TurnLifetime>) -> StoreCall {
+    StoreCall::BeginTurn {
+        epoch: StoreEpoch(300),
+        program: program(),
+        turn: turn(),
+        reservation: Some(Reservation {
+            budget: 100_000,
+            max_tokens: 70_000,
+        }),
+        previous: Some(previous()),
+        lifetime,
+    }
+}
+
 fn store_call_name(call: &StoreCall) -> &'static str {
     match call {
         StoreCall::BeginTurn { .. } => "BeginTurn",
@@ -242,6 +250,15 @@
     pins.finish();
 }
 
+/// A proxy of a version without the field `lifetime` sends a frame that ends before it.
+#[test]
+fn a_request_to_begin_a_turn_without_lifetime_is_decoded() {
+    let text = include_str!("wire_format/begin_turn_without_lifetime.txt");
+    let earlier = Pins::parse(text).take("Proxy.BeginTurn");
+    let decoded: StoreRequest = postcard::from_bytes(&earlier).expect("an earlier request");
+    assert_eq!(decoded, StoreRequest::Proxy(begin_turn(None)));
+}
+
 #[test]
 fn replies_of_stores_keep_their_bytes() {
     let mut pins = Pins::parse(include_str!("wire_format/answers.txt"));
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -14,6 +14,7 @@
 //! The wire format depends on the order of variants and fields, because `postcard` writes no names;
 //! `tests/wire_format.rs` pins the format.
 
+pub mod appended_field;
 pub mod document;
 pub mod feed;
 pub mod feed_position;
--- a/tier/protocol/src/store_calls.rs
+++ b/tier/protocol/src/store_calls.rs
@@ -16,6 +16,16 @@
     pub max_tokens: u64,
 }
 
+/// How long a turn may run and is retained afterwards. The chain that it continues has to be retained
+/// as long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnLifetime {
+    /// Time until the turn's deadline, in milliseconds.
+    pub timeout_ms: u64,
+    /// Retention time of the turn after its end, in milliseconds.
+    pub retention_ms: u64,
+}
+
 /// A completed turn that is stored so that later turns can continue it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRecord {
@@ -59,6 +69,10 @@
         reservation: Option<Reservation>,
         /// The `Request-Id` in the `Previous` header, if any.
         previous: Option<RequestId>,
+        /// The turn's lifetime on a route with retention. Proxies of versions without this field do
+        /// not send it, and stores of such versions decode a call only up to the previous field.
+        #[serde(deserialize_with = "crate::appended_field::none_where_missing")]
+        lifetime: Option<TurnLifetime>,
     },
     /// Commits the tokens that the turn has used, and stores the turn if it was answered completely
     /// on a route with retention. Idempotent.
--- a/tier/protocol/tests/wire_format/messages.rs
+++ b/tier/protocol/tests/wire_format/messages.rs
@@ -9,7 +9,7 @@
     ZoneName,
 };
 use plankhill_protocol::store_calls::{
-    Reservation, StoreCall, StoreReply, TurnLocation, TurnRecord,
+    Reservation, StoreCall, StoreReply, TurnLifetime, TurnLocation, TurnRecord,
 };
 use plankhill_protocol::tables::{
     ConfigurationText, Drain, Edge, ServedModel, StoreMember, StoreView, Tables, TablesChange,
@@ -17,7 +17,7 @@
 };
 use plankhill_protocol::transport::{Channel, Hello};
 
-use crate::pinned::{assert_pinned, Pinned};
+use crate::pinned::{assert_pinned, fixture, Pinned};
 use crate::values;
 
 /// Implements [`Pinned`] for structs. The fixture of a struct has one line, with the name that the
@@ -326,13 +326,10 @@
     assert_pinned("turn_place", &[values::turn_location()]);
     assert_pinned("turn_record", &[values::turn_record()]);
     let calls = [
-        StoreCall::BeginTurn {
-            epoch: StoreEpoch(131),
-            program: ProgramId::from("p-3"),
-            turn: RequestId::from("r-8"),
-            reservation: Some(values::reservation()),
-            previous: Some(RequestId::from("r-7")),
-        },
+        begin_turn(Some(TurnLifetime {
+            timeout_ms: 5_000,
+            retention_ms: 60_000,
+        })),
         StoreCall::EndTurn {
             epoch: StoreEpoch(132),
             program: ProgramId::from("p-4"),
@@ -356,3 +353,35 @@
     ];
     assert_pinned("store_reply", &replies);
 }
+
+fn begin_turn(lifetime: Option<TurnLifetime>) -> StoreCall {
+    StoreCall::BeginTurn {
+        epoch: StoreEpoch(131),
+        program: ProgramId::from("p-3"),
+        turn: RequestId::from("r-8"),
+        reservation: Some(values::reservation()),
+        previous: Some(RequestId::from("r-7")),
+        lifetime,
+    }
+}
+
+#[test]
+fn a_begin_without_lifetime_is_decoded() {
+    let [(name, bytes)] = &fixture("store_call_without_lifetime")[..] else {
+        panic!("not one call")
+    };
+    let decoded: StoreCall = postcard::from_bytes(bytes).unwrap();
+    assert_eq!(name, decoded.variant());
+    assert_eq!(decoded, begin_turn(None));
+}
+
+/// A store of a version without the field decodes the fields before it and ignores the remaining
+/// bytes.
+#[test]
+fn the_lifetime_follows_all_fields_that_earlier_versions_decode() {
+    let present = fixture("store_call");
+    for (name, earlier) in fixture("store_call_without_lifetime") {
+        let (_, bytes) = present.iter().find(|(other, _)| *other == name).unwrap();
+        assert!(bytes.starts_with(&earlier), "{name}");
+    }
+}
--- a/tier/proxy/src/stream/turn_completion.rs
+++ b/tier/proxy/src/stream/turn_completion.rs
@@ -54,7 +54,8 @@
         };
         let now = proxy.clock.now();
         let until = now + (request.deadline - now) * BEGIN_SHARE;
-        let body = turn.begin(proxy.clock.instant(until)).await?;
+        let deadline = proxy.clock.instant(request.deadline);
+        let body = turn.begin(proxy.clock.instant(until), deadline).await?;
         let history_bytes = body.len() - request.upstream.body.len();
         if request.memory.grow(history_bytes).is_err() {
             return Err(TurnError::StoresUnavailable);
--- a/tier/proxy/src/turn.rs
+++ b/tier/proxy/src/turn.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use plankhill_configuration::Route;
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::store_calls::{Reservation, TurnLocation, TurnRecord};
+use plankhill_protocol::store_calls::{Reservation, TurnLifetime, TurnLocation, TurnRecord};
 use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn};
 use tokio::time::Instant;
 
@@ -111,21 +111,28 @@
         self.reservation.is_some() || self.previous.is_some()
     }
 
-    /// Reserves tokens and fetches the previous turn; returns the body for the target.
+    /// Reserves tokens and fetches the previous turn until `until`; returns the body for the target. The
+    /// turn ends by `deadline`.
     ///
     /// # Errors
     /// A [`TurnError`] if the turn must not be sent.
-    pub async fn begin(&mut self, until: Instant) -> Result<Bytes, TurnError> {
+    pub async fn begin(&mut self, until: Instant, deadline: Instant) -> Result<Bytes, TurnError> {
         if !self.needs_begin() {
             return Ok(self.input.clone());
         }
+        let now = Instant::now();
+        let lifetime = self.retention.map(|retention| TurnLifetime {
+            timeout_ms: whole_milliseconds(deadline.saturating_duration_since(now)),
+            retention_ms: whole_milliseconds(retention),
+        });
         let call = BeginTurn {
             program: self.program.clone(),
             turn: self.turn.clone(),
             reservation: self.reservation.clone(),
             previous: self.previous.clone(),
+            lifetime,
         };
-        let timeout = until.saturating_duration_since(Instant::now());
+        let timeout = until.saturating_duration_since(now);
         match self.store.begin(call, timeout).await {
             BeginOutcome::Begun { history, previous } => {
                 self.previous_location = previous;
@@ -185,7 +192,7 @@
             previous: self.previous_location.clone(),
             input: Arc::from(self.input.as_ref()),
             output: Arc::from(delivered.data.as_slice()),
-            retention_ms: u64::try_from(retention.as_millis()).unwrap_or(u64::MAX),
+            retention_ms: whole_milliseconds(retention),
         }
     }
 }
@@ -201,6 +208,10 @@
     Some(Reservation { budget, max_tokens })
 }
 
+fn whole_milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn prepend_history(history: &[u8], input: &Bytes) -> Bytes {
     if history.is_empty() {
         return input.clone();
--- a/tier/proxy/tests/turns.rs
+++ b/tier/proxy/tests/turns.rs
@@ -14,6 +14,8 @@
 use tokio::join;
 use tokio::time::timeout;
 
+/// The deadline that the clients of the fixture state.
+const DEADLINE: Duration = Duration::from_secs(9);
 /// Time within which a turn that does not run must be settled.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -88,6 +90,32 @@
     });
 }
 
+/// Guards against a chain that expires while a long turn continues it: the stores retain it by the lifetime
+/// that the proxy sends.
+#[test]
+fn a_retained_turn_begins_with_its_lifetime() {
+    on_one_thread(async {
+        let (target, fixture) = ProxyFixture::with_one_target().await;
+        for (route, is_retained) in [("kept", true), ("stream", false)] {
+            let request = turn(route, "r1", "", "in");
+            let serve = async {
+                let (mut peer, _) = target.accept_request().await;
+                peer.send(&two_events()).await;
+                peer
+            };
+            let (response, _peer) = join!(fixture.send_request(&request), serve);
+            assert!(response.is_some(), "the response is complete");
+            let begun = fixture.stores.begun.borrow_mut().pop().expect("a begin");
+            assert_eq!(begun.lifetime.is_some(), is_retained, "{route}");
+            if let Some(lifetime) = begun.lifetime {
+                assert_eq!(lifetime.retention_ms, 60_000);
+                let timeout = Duration::from_millis(lifetime.timeout_ms);
+                assert!(timeout > DEADLINE / 2 && timeout <= DEADLINE, "{timeout:?}");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_retained_turn_that_cannot_be_stored_is_truncated() {
     on_one_thread(async {
--- a/tier/store-client/src/turns.rs
+++ b/tier/store-client/src/turns.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use plankhill_protocol::ids::{ProgramId, RequestId, StoreEpoch};
-use plankhill_protocol::store_calls::{Reservation, StoreCall, TurnLocation, TurnRecord};
+use plankhill_protocol::store_calls::{
+    Reservation, StoreCall, TurnLifetime, TurnLocation, TurnRecord,
+};
 
 /// The request to begin a turn: reserves its tokens and fetches the turns that it continues.
 #[derive(Clone, Debug)]
@@ -16,6 +18,8 @@
     pub reservation: Option<Reservation>,
     /// The turn that this one continues: the `Request-Id` in the `Previous` header.
     pub previous: Option<RequestId>,
+    /// How long the turn may run and is retained; None on a route without retention.
+    pub lifetime: Option<TurnLifetime>,
 }
 
 /// The outcome of [`crate::StoreClient::begin_turn`]. Whatever the outcome, a requested reservation may
@@ -72,6 +76,7 @@
             turn: self.turn.clone(),
             reservation: self.reservation.clone(),
             previous: self.previous.clone(),
+            lifetime: self.lifetime,
         }
     }
 }
--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -11,7 +11,7 @@
 use plankhill_conversations::peer::{PeerRequest, PeerResponse};
 use plankhill_conversations::quorum::WriteQuorum;
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::store_calls::{Reservation, StoreReply};
+use plankhill_protocol::store_calls::{Reservation, StoreReply, TurnLifetime};
 use plankhill_protocol::tables::StoreView;
 
 use super::read_chain::{Chain, ChainLookup};
@@ -28,6 +28,8 @@
     pub(super) reservation: Option<Reservation>,
     /// The turn that this one continues.
     pub(super) previous: Option<RequestId>,
+    /// How long the turn may run and is retained, if the proxy has sent it.
+    pub(super) lifetime: Option<TurnLifetime>,
 }
 
 /// The outcome of a reservation.
--- a/tier/store/src/node/coordinator/chain_retention.rs
+++ b/tier/store/src/node/coordinator/chain_retention.rs
@@ -5,7 +5,7 @@
 //! has to extend each part of a chain that belongs to one program.
 //!
 //! - When a turn begins, its chain is retained until the turn has ended. The turn's reservation does this for
-//!   the newest part, if that belongs to the turn's own program.
+//!   the newest part, if that belongs to the turn's own program and the turn is not long.
 //! - When a turn ends and is retained, the newest part is retained as long as the turn. The replicas of the
 //!   turn's own program do this when they store the turn.
 //! - The older parts are known only when a turn begins, since its chain is read then. They are retained
@@ -83,18 +83,40 @@
 
 /// The extensions that a turn needs when it begins, in addition to its reservation.
 fn extensions_at_begin(start: &TurnStart, chain: &Chain, slack_ms: u64) -> Vec<Extension> {
-    let next_begin_ms = chain.retention_ms.saturating_add(slack_ms);
+    let until_end_ms = match start.lifetime {
+        Some(lifetime) => lifetime.timeout_ms.saturating_add(slack_ms),
+        None => RUNNING_TURN_TTL_MS,
+    };
+    let until_end_ms = until_end_ms.max(RUNNING_TURN_TTL_MS);
+    // A proxy that does not send the retention of the turn is taken to use that of the previous one.
+    let retention_ms = match start.lifetime {
+        Some(lifetime) => lifetime.retention_ms,
+        None => chain.retention_ms,
+    };
+    let until_next_begin_ms = until_end_ms
+        .saturating_add(retention_ms)
+        .saturating_add(slack_ms);
     let mut extensions = Vec::new();
     for (position, newest) in chain.parts.iter().enumerate() {
         let is_newest_part = position == 0;
-        if is_newest_part && start.reservation.is_some() && newest.program == start.program {
+        if is_newest_part && is_covered_by_reservation(start, newest, until_end_ms) {
             continue;
         }
-        let after_end_ms = if is_newest_part { 0 } else { next_begin_ms };
+        let retention_ms = if is_newest_part {
+            until_end_ms
+        } else {
+            until_next_begin_ms
+        };
         extensions.push(Extension {
             newest: newest.clone(),
-            retention_ms: RUNNING_TURN_TTL_MS.saturating_add(after_end_ms),
+            retention_ms,
         });
     }
     extensions
 }
+
+/// Whether a turn's reservation retains the newest part of its chain for long enough.
+fn is_covered_by_reservation(start: &TurnStart, newest: &TurnLocation, until_end_ms: u64) -> bool {
+    let is_at_same_replicas = newest.program == start.program;
+    start.reservation.is_some() && is_at_same_replicas && until_end_ms <= RUNNING_TURN_TTL_MS
+}
--- a/tier/store/src/node/coordinator/mod.rs
+++ b/tier/store/src/node/coordinator/mod.rs
@@ -44,12 +44,14 @@
                 turn,
                 reservation,
                 previous,
+                lifetime,
             } => {
                 self.begin_turn(TurnStart {
                     program,
                     turn,
                     reservation,
                     previous,
+                    lifetime,
                 })
                 .await
             }
--- a/tier/store/tests/epoch_fence.rs
+++ b/tier/store/tests/epoch_fence.rs
@@ -36,6 +36,7 @@
             max_tokens: 60,
         }),
         previous: None,
+        lifetime: None,
     };
     match world
         .call(
--- a/tier/store/tests/full_disk.rs
+++ b/tier/store/tests/full_disk.rs
@@ -140,5 +140,6 @@
             max_tokens: 60,
         }),
         previous: None,
+        lifetime: None,
     }
 }
--- a/tier/store/tests/late_begin.rs
+++ b/tier/store/tests/late_begin.rs
@@ -51,6 +51,7 @@
             max_tokens: MAX_TOKENS,
         }),
         previous: previous.map(RequestId::from),
+        lifetime: None,
     };
     call_as_proxy(world, at, begin).await
 }
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -11,7 +11,7 @@
 use plankhill_conversations::rows::Table;
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
-use plankhill_protocol::store_calls::{Reservation, TurnLocation, TurnRecord};
+use plankhill_protocol::store_calls::{Reservation, TurnLifetime, TurnLocation, TurnRecord};
 use plankhill_store::storage::Storage;
 use plankhill_store_client::{BeginOutcome, BeginTurn, EndOutcome, EndTurn, StoreClient};
 use simulation::proxy::SimulatedTransport;
@@ -19,6 +19,8 @@
 use tokio::time::Instant;
 
 const SEEDS: u64 = 20;
+/// Seeds of tests that last for minutes of virtual time.
+const LONG_SEEDS: u64 = 4;
 /// Time before the first turn, within which all stores receive their view.
 const START: Duration = Duration::from_millis(500);
 const RETENTION: Duration = Duration::from_millis(2_000);
@@ -29,7 +31,6 @@
 const TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Turns of a program that continues the conversation of another one; they last for two minutes.
 const SUCCESSOR_TURNS: u64 = 80;
-const SUCCESSOR_SEEDS: u64 = 4;
 /// Budget of a program in tokens: large enough not to be exhausted.
 const BUDGET: u64 = 1_000_000;
 
@@ -37,6 +38,10 @@
 struct Client {
     stores: StoreClient<SimulatedTransport>,
     reservation: Option<Reservation>,
+    /// The lifetime that is sent with the begin of a turn; a proxy of an earlier version sends none.
+    lifetime: Option<TurnLifetime>,
+    /// The retention with which turns end.
+    retention: Duration,
 }
 
 /// A turn that has begun, with what its record needs.
@@ -56,6 +61,8 @@
         Client {
             stores: world.store_client(0),
             reservation: Some(reservation),
+            lifetime: None,
+            retention: RETENTION,
         }
     }
 
@@ -65,6 +72,7 @@
             turn: RequestId::from(turn),
             reservation: self.reservation.clone(),
             previous: previous.map(RequestId::from),
+            lifetime: self.lifetime,
         };
         match self.stores.begin_turn(begin, TIMEOUT).await {
             BeginOutcome::Begun { history, previous } => BegunTurn {
@@ -85,7 +93,7 @@
             previous: begun.previous.clone(),
             input: Arc::from(format!("{};", begun.turn).as_bytes()),
             output: Arc::from([]),
-            retention_ms: RETENTION.as_millis() as u64,
+            retention_ms: self.retention.as_millis() as u64,
         };
         let end = EndTurn {
             program: begun.program.clone(),
@@ -303,7 +311,7 @@
 /// turns of the ended program, which expired while the conversation went on.
 #[test]
 fn the_turns_of_an_ended_program_are_retained_while_its_successor_continues_them() {
-    for seed in 0..SUCCESSOR_SEEDS {
+    for seed in 0..LONG_SEEDS {
         run(async {
             let world = start_world(seed, 6).await;
             let client = Client::new(&world);
@@ -323,3 +331,65 @@
         });
     }
 }
+
+fn lifetime(timeout: Duration, retention: Duration) -> TurnLifetime {
+    TurnLifetime {
+        timeout_ms: timeout.as_millis() as u64,
+        retention_ms: retention.as_millis() as u64,
+    }
+}
+
+/// Guards against the loss of a conversation by a turn of more than a minute: the chain that the turn
+/// continues was retained for a fixed time, whatever the timeout of the turn.
+#[test]
+fn a_turn_of_several_minutes_does_not_lose_the_chain() {
+    const TURN_TIMEOUT: Duration = Duration::from_secs(300);
+    for seed in 0..LONG_SEEDS {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let client = Client {
+                lifetime: Some(lifetime(TURN_TIMEOUT, RETENTION)),
+                ..Client::new(&world)
+            };
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            tokio::time::sleep(RETENTION * 3 / 4).await;
+            let second = client.begin("program", "second", Some("first")).await;
+            let began_at = Instant::now();
+            tokio::time::sleep(milliseconds(world.random_range(20..100_000))).await;
+            lose_power(&world).await;
+            tokio::time::sleep_until(began_at + TURN_TIMEOUT).await;
+            client.end(&second).await;
+            let third = client.begin("program", "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against the loss of a conversation after an operator has raised the retention of a route: turns of
+/// an ended program were retained by the retention of the turns before the change.
+#[test]
+fn the_turns_of_an_ended_program_are_retained_by_a_raised_retention() {
+    const RAISED_RETENTION: Duration = Duration::from_secs(300);
+    run(async {
+        let world = start_world(4, 6).await;
+        let client = Client::new(&world);
+        let (ended, successor) = disjoint_programs(&world);
+        let first = client.begin(&ended, "first", None).await;
+        client.end(&first).await;
+        let second = client.begin(&successor, "second", Some("first")).await;
+        client.end(&second).await;
+        let client = Client {
+            lifetime: Some(lifetime(TIMEOUT, RAISED_RETENTION)),
+            retention: RAISED_RETENTION,
+            ..client
+        };
+        let third = client.begin(&successor, "third", Some("second")).await;
+        client.end(&third).await;
+        tokio::time::sleep(RAISED_RETENTION - RETENTION).await;
+        let fourth = client.begin(&successor, "fourth", Some("third")).await;
+        assert_eq!(&*fourth.history, b"first;second;third;");
+        world.ended.set(true);
+    });
+}
--- a/tier/store/tests/simulation/proxy.rs
+++ b/tier/store/tests/simulation/proxy.rs
@@ -9,7 +9,7 @@
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{ProgramId, RequestId, ZoneName};
 use plankhill_protocol::store_calls::{
-    Reservation, StoreCall, StoreReply, TurnLocation, TurnRecord,
+    Reservation, StoreCall, StoreReply, TurnLifetime, TurnLocation, TurnRecord,
 };
 use plankhill_protocol::transport::CallError;
 use plankhill_store_client::{
@@ -22,6 +22,8 @@
 
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 const END_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longer than any turn.
+const TURN_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// The programs of which the clients execute turns.
 #[derive(Clone, Copy, Debug)]
@@ -112,6 +114,7 @@
                 max_tokens: turn.max_tokens,
             }),
             previous: previous.clone(),
+            lifetime: Some(lifetime()),
         };
         let charged = self.oracle.borrow().charged(program);
         match client.begin_turn(begin, BEGIN_TIMEOUT).await {
@@ -262,6 +265,13 @@
     fn retain_addresses(&self, _: &[SocketAddr]) {}
 }
 
+fn lifetime() -> TurnLifetime {
+    TurnLifetime {
+        timeout_ms: TURN_TIMEOUT.as_millis() as u64,
+        retention_ms: RETENTION.as_millis() as u64,
+    }
+}
+
 fn end_turn(turn: &ClientTurn, tokens: u64, record: Option<TurnRecord>) -> EndTurn {
     EndTurn {
         program: turn.program.clone(),
--- a/tier/store/tests/simulation/scenario.rs
+++ b/tier/store/tests/simulation/scenario.rs
@@ -186,6 +186,7 @@
         turn: RequestId::from("reader"),
         reservation: None,
         previous: Some(turn.clone()),
+        lifetime: None,
     };
     client.begin_turn(begin, milliseconds(3_000)).await
 }
--- a/tier/store/tests/slow_disks.rs
+++ b/tier/store/tests/slow_disks.rs
@@ -85,6 +85,7 @@
                 max_tokens: 20,
             }),
             previous: previous.take(),
+            lifetime: None,
         };
         let began_at = Instant::now();
         let begun = client.begin_turn(begin, TIMEOUT).await;
