--- a/tier/store-client/src/turns.rs
+++ b/tier/store-client/src/turns.rs
@@ -18,7 +18,7 @@
     pub reservation: Option<Reservation>,
     /// The turn that this one continues: the `Request-Id` in the `Previous` header.
     pub previous: Option<RequestId>,
-    /// How long the turn may run and is retained; None on a route without retention.
+    /// The turn's lifetime; None on a route without retention.
     pub lifetime: Option<TurnLifetime>,
 }
 
--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -1,9 +1,9 @@
 //! Coordination of the begin of a turn: makes its reservation, and concurrently reads and retains the chain
 //! that it continues.
 //!
-//! A coordinator never releases a reservation, whatever it replies. Its proxy may have given up the call
-//! and run the turn by the reply of another store, at any time: a store that was frozen executes the call
-//! when it wakes. Only the proxy knows whether the turn runs, and ends it with 0 tokens if it does not.
+//! A coordinator does not release the reservation of a turn, whatever it replies. Its proxy may have called
+//! another store after a timeout, which has granted the turn, so that the turn is running; a process that
+//! was suspended executes the call any time later. The proxy ends a turn that does not run with 0 tokens.
 
 use std::rc::Rc;
 
@@ -28,7 +28,7 @@
     pub(super) reservation: Option<Reservation>,
     /// The turn that this one continues.
     pub(super) previous: Option<RequestId>,
-    /// How long the turn may run and is retained, if the proxy has sent it.
+    /// The turn's lifetime; None from proxies of earlier versions and on a route without retention.
     pub(super) lifetime: Option<TurnLifetime>,
 }
 
--- a/tier/store/src/node/state/turn_table.rs
+++ b/tier/store/src/node/state/turn_table.rs
@@ -175,9 +175,8 @@
         }
     }
 
-    /// Retains a turn and its ancestors at least until `until_ms`. Returns the row to be written: a store
-    /// that restarts knows no extension that is in memory alone. The row never shortens an earlier
-    /// extension.
+    /// Retains a turn and its ancestors at least until `until_ms`. Returns the row to be written; without
+    /// it a restart would undo the extension. The row never shortens an earlier extension.
     pub(in crate::node) fn extend(&mut self, turn: &RequestId, until_ms: u64) -> RowChange {
         let until_ms = self.index.extend(turn, until_ms);
         RowChange::set(Table::Extensions, turn_key(turn), &until_ms)
--- a/tier/store/tests/epoch_fence.rs
+++ b/tier/store/tests/epoch_fence.rs
@@ -3,16 +3,10 @@
 mod simulation;
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId, StoreEpoch};
 use plankhill_protocol::store_calls::{Reservation, StoreCall, StoreReply};
-use simulation::{milliseconds, run, SeededBug, World};
-
-fn store(number: u64) -> NodeId {
-    NodeId::from(format!("store-{number}").as_str())
-}
+use simulation::{milliseconds, run, store, SeededBug, World};
 
 fn set_isolated(world: &Rc<World>, number: u64, is_isolated: bool) {
     let mut network = world.network.borrow_mut();
@@ -26,7 +20,6 @@
 }
 
 async fn reserve(world: &Rc<World>, at: u64, turn: &str) -> StoreReply {
-    let address = world.machines.borrow()[&store(at)].member.address;
     let call = StoreCall::BeginTurn {
         epoch: StoreEpoch(1),
         program: ProgramId::from("program"),
@@ -38,18 +31,7 @@
         previous: None,
         lifetime: None,
     };
-    match world
-        .call(
-            None,
-            address,
-            StoreRequest::Proxy(call),
-            Duration::from_secs(2),
-        )
-        .await
-    {
-        Ok(StoreResponse::Proxy(reply)) => reply,
-        other => panic!("{other:?}"),
-    }
+    world.call_as_proxy(&store(at), call).await
 }
 
 /// Replaces stores 1 and 2 by 3 and 4 while 1 is isolated; then reserves tokens at 3 and, with an old view,
--- a/tier/store/tests/full_disk.rs
+++ b/tier/store/tests/full_disk.rs
@@ -3,35 +3,12 @@
 mod simulation;
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use plankhill_conversations::account::TurnState;
-use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse, TurnUpdate};
-use plankhill_conversations::wire::{StoreRequest, StoreResponse};
-use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
+use plankhill_conversations::peer::{PeerRequest, PeerResponse, TurnUpdate};
+use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, StoreCall, StoreReply};
-use simulation::{milliseconds, run, SeededBug, World};
-
-fn store(number: u64) -> NodeId {
-    NodeId::from(format!("store-{number}").as_str())
-}
-
-async fn call_store(world: &Rc<World>, at: u64, request: StoreRequest) -> StoreResponse {
-    let address = world.machines.borrow()[&store(at)].member.address;
-    world
-        .call(None, address, request, Duration::from_secs(2))
-        .await
-        .expect("an answer")
-}
-
-/// Calls a store as another store of the current view.
-async fn call_as_peer(world: &Rc<World>, at: u64, body: PeerRequest) -> PeerResponse {
-    let epoch = world.view.borrow().epoch;
-    match call_store(world, at, StoreRequest::Peer(PeerCall { epoch, body })).await {
-        StoreResponse::Peer(reply) => reply.body,
-        StoreResponse::Proxy(reply) => panic!("{reply:?}"),
-    }
-}
+use simulation::{milliseconds, run, store, SeededBug, World};
 
 fn program() -> ProgramId {
     ProgramId::from("program")
@@ -70,22 +47,22 @@
         tokio::task::spawn_local(world.clone().run_control_plane());
         tokio::time::sleep(milliseconds(200)).await;
         assert!(matches!(
-            call_as_peer(&world, 0, reserve()).await,
+            world.call_as_peer(&store(0), reserve()).await,
             PeerResponse::Account(_)
         ));
         set_disk_full(&world, 0, true);
         assert_eq!(
-            call_as_peer(&world, 0, committed(7)).await,
+            world.call_as_peer(&store(0), committed(7)).await,
             PeerResponse::Unavailable
         );
         set_disk_full(&world, 0, false);
         assert_eq!(
-            call_as_peer(&world, 0, committed(7)).await,
+            world.call_as_peer(&store(0), committed(7)).await,
             PeerResponse::Done
         );
         world.kill(&store(0));
         world.start(&store(0));
-        let PeerResponse::Account(account) = call_as_peer(&world, 0, reserve()).await else {
+        let PeerResponse::Account(account) = world.call_as_peer(&store(0), reserve()).await else {
             panic!("no account")
         };
         assert_eq!(
@@ -106,19 +83,13 @@
         tokio::time::sleep(milliseconds(200)).await;
         set_disk_full(&world, 0, true);
         for at in 0..3 {
-            let reply = call_store(&world, at, StoreRequest::Proxy(begin(at))).await;
-            assert!(
-                matches!(reply, StoreResponse::Proxy(StoreReply::Begun { .. })),
-                "{at}: {reply:?}"
-            );
+            let reply = world.call_as_proxy(&store(at), begin(at)).await;
+            assert!(matches!(reply, StoreReply::Begun { .. }), "{at}: {reply:?}");
         }
         set_disk_full(&world, 1, true);
         for at in 0..3 {
-            let reply = call_store(&world, at, StoreRequest::Proxy(begin(10 + at))).await;
-            assert!(
-                matches!(reply, StoreResponse::Proxy(StoreReply::Unavailable)),
-                "{at}: {reply:?}"
-            );
+            let reply = world.call_as_proxy(&store(at), begin(10 + at)).await;
+            assert_eq!(reply, StoreReply::Unavailable, "{at}");
         }
         let failed = world
             .machines
--- a/tier/store/tests/late_begin.rs
+++ b/tier/store/tests/late_begin.rs
@@ -6,41 +6,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse};
-use plankhill_conversations::wire::{StoreRequest, StoreResponse};
-use plankhill_protocol::ids::{NodeId, ProgramId, RequestId, StoreEpoch};
+use plankhill_conversations::peer::{PeerRequest, PeerResponse};
+use plankhill_protocol::ids::{ProgramId, RequestId, StoreEpoch};
 use plankhill_protocol::store_calls::{Reservation, StoreCall, StoreReply};
-use simulation::{milliseconds, run, SeededBug, World};
+use simulation::{milliseconds, run, store, SeededBug, World};
 
 const SEEDS: u64 = 20;
 const BUDGET: u64 = 100;
 /// Tokens of one turn: two turns do not fit into the budget.
 const MAX_TOKENS: u64 = 60;
-const TIMEOUT: Duration = Duration::from_secs(2);
 /// Time within which the stores have finished all work in the background.
 const BACKGROUND_WORK: Duration = Duration::from_secs(1);
 
 async fn start_world(seed: u64) -> Rc<World> {
+    println!("seed {seed}");
     let world = World::new(seed, 3, 1, SeededBug::None);
     tokio::task::spawn_local(world.clone().run_control_plane());
     tokio::time::sleep(milliseconds(500)).await;
     world
 }
 
-async fn call(world: &Rc<World>, at: u64, request: StoreRequest) -> StoreResponse {
-    let node = NodeId::from(format!("store-{at}").as_str());
-    let address = world.machines.borrow()[&node].member.address;
-    let response = world.call(None, address, request, TIMEOUT).await;
-    response.expect("a response")
-}
-
-async fn call_as_proxy(world: &Rc<World>, at: u64, body: StoreCall) -> StoreReply {
-    match call(world, at, StoreRequest::Proxy(body)).await {
-        StoreResponse::Proxy(reply) => reply,
-        StoreResponse::Peer(reply) => panic!("{reply:?}"),
-    }
-}
-
 async fn begin(world: &Rc<World>, at: u64, turn: &str, previous: Option<&str>) -> StoreReply {
     let begin = StoreCall::BeginTurn {
         epoch: StoreEpoch(1),
@@ -53,7 +38,7 @@
         previous: previous.map(RequestId::from),
         lifetime: None,
     };
-    call_as_proxy(world, at, begin).await
+    world.call_as_proxy(&store(at), begin).await
 }
 
 async fn end(world: &Rc<World>, at: u64, turn: &str, tokens: u64) {
@@ -64,7 +49,8 @@
         tokens: Some(tokens),
         record: None,
     };
-    assert_eq!(call_as_proxy(world, at, end).await, StoreReply::Ended);
+    let reply = world.call_as_proxy(&store(at), end).await;
+    assert_eq!(reply, StoreReply::Ended);
 }
 
 /// Reserves a turn's tokens at all stores without a decision, as a store does that is about to reject the
@@ -77,17 +63,13 @@
             max_tokens: MAX_TOKENS,
             previous: None,
         };
-        let epoch = world.view.borrow().epoch;
-        let reply = call(world, at, StoreRequest::Peer(PeerCall { epoch, body })).await;
-        let StoreResponse::Peer(reply) = reply else {
-            panic!("{reply:?}")
-        };
-        assert!(matches!(reply.body, PeerResponse::Account(_)), "{reply:?}");
+        let response = world.call_as_peer(&store(at), body).await;
+        assert!(matches!(response, PeerResponse::Account(_)), "{response:?}");
     }
 }
 
-/// Guards against tokens that are spent twice: a store that wakes from a freeze executes the begin of a turn
-/// that another store has granted, rejects it, and releases the tokens of the running turn.
+/// Guards against tokens that are spent twice: a store that was suspended executes the begin of a
+/// turn that another store has granted, rejects it, and releases the tokens of the running turn.
 #[test]
 fn a_late_rejection_does_not_release_the_tokens_of_a_running_turn() {
     for seed in 0..SEEDS {
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -6,10 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use plankhill_conversations::peer::{PeerCall, PeerRequest, PeerResponse};
+use plankhill_conversations::peer::{PeerRequest, PeerResponse};
 use plankhill_conversations::placement::replicas;
 use plankhill_conversations::rows::Table;
-use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, TurnLifetime, TurnLocation, TurnRecord};
 use plankhill_store::storage::Storage;
@@ -106,6 +105,7 @@
 }
 
 async fn start_world(seed: u64, stores: u64) -> Rc<World> {
+    println!("seed {seed}");
     let world = World::new(seed, stores, 1, SeededBug::None);
     tokio::task::spawn_local(world.clone().run_control_plane());
     tokio::time::sleep(START).await;
@@ -115,10 +115,8 @@
 /// Extends the retention of a turn at all stores, as the end of a turn of another program does.
 async fn extend_retention(world: &Rc<World>, turn: &str, retention: Duration) {
     for node in world.nodes() {
-        assert_eq!(
-            call_as_peer(world, &node, extension(turn, retention)).await,
-            PeerResponse::Done
-        );
+        let response = world.call_as_peer(&node, extension(turn, retention)).await;
+        assert_eq!(response, PeerResponse::Done);
     }
 }
 
@@ -129,17 +127,6 @@
     }
 }
 
-/// Calls a store as another store of the current view.
-async fn call_as_peer(world: &Rc<World>, node: &NodeId, body: PeerRequest) -> PeerResponse {
-    let epoch = world.view.borrow().epoch;
-    let address = world.machines.borrow()[node].member.address;
-    let request = StoreRequest::Peer(PeerCall { epoch, body });
-    match world.call(None, address, request, TIMEOUT).await {
-        Ok(StoreResponse::Peer(reply)) => reply.body,
-        other => panic!("{other:?}"),
-    }
-}
-
 /// Kills the stores at once and restarts them on their disks.
 async fn lose_power(world: &Rc<World>) {
     let nodes = world.nodes();
@@ -152,6 +139,40 @@
     }
 }
 
+/// A conversation of three turns, the second of which is long. All stores restart while it runs.
+struct LongTurn {
+    /// The program of the first turn, and that of the two others.
+    programs: [String; 2],
+    duration: Duration,
+}
+
+impl LongTurn {
+    /// A turn that ends after the turn before it would have expired.
+    fn of_programs(first: &str, others: &str) -> Self {
+        LongTurn {
+            programs: [first.to_string(), others.to_string()],
+            duration: RETENTION + RETENTION_SLACK * 3 / 2,
+        }
+    }
+
+    /// Plays the conversation, and checks that its last turn has the complete history.
+    async fn play(&self, world: &Rc<World>, client: &Client) {
+        let [program, continuing] = &self.programs;
+        let first = client.begin(program, "first", None).await;
+        client.end(&first).await;
+        tokio::time::sleep(RETENTION * 3 / 4).await;
+        let second = client.begin(continuing, "second", Some("first")).await;
+        let ends_at = Instant::now() + self.duration;
+        let power_loss_ms = world.random_range(20..self.duration.as_millis() as u64 / 3);
+        tokio::time::sleep(milliseconds(power_loss_ms)).await;
+        lose_power(world).await;
+        tokio::time::sleep_until(ends_at).await;
+        client.end(&second).await;
+        let third = client.begin(continuing, "third", Some("second")).await;
+        assert_eq!(&*third.history, b"first;second;");
+    }
+}
+
 /// Guards against the loss of a conversation whose stores all restart during a long turn: the chain that
 /// the turn continues expired before the turn ended, because its extension was in memory alone.
 #[test]
@@ -159,18 +180,8 @@
     for seed in 0..SEEDS {
         run(async {
             let world = start_world(seed, 3).await;
-            let client = Client::new(&world);
-            let first = client.begin("program", "first", None).await;
-            client.end(&first).await;
-            let ended_at = Instant::now();
-            tokio::time::sleep(RETENTION * 3 / 4).await;
-            let second = client.begin("program", "second", Some("first")).await;
-            tokio::time::sleep(milliseconds(world.random_range(20..3_000))).await;
-            lose_power(&world).await;
-            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
-            client.end(&second).await;
-            let third = client.begin("program", "third", Some("second")).await;
-            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            let turn = LongTurn::of_programs("program", "program");
+            turn.play(&world, &Client::new(&world)).await;
             world.ended.set(true);
         });
     }
@@ -268,16 +279,8 @@
                 reservation: None,
                 ..Client::new(&world)
             };
-            let first = client.begin("program", "first", None).await;
-            client.end(&first).await;
-            let ended_at = Instant::now();
-            tokio::time::sleep(RETENTION * 3 / 4).await;
-            let second = client.begin("program", "second", Some("first")).await;
-            lose_power(&world).await;
-            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
-            client.end(&second).await;
-            let third = client.begin("program", "third", Some("second")).await;
-            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            let turn = LongTurn::of_programs("program", "program");
+            turn.play(&world, &client).await;
             world.ended.set(true);
         });
     }
@@ -290,25 +293,16 @@
     for seed in 0..SEEDS {
         run(async {
             let world = start_world(seed, 6).await;
-            let client = Client::new(&world);
             let (ended, successor) = disjoint_programs(&world);
-            let first = client.begin(&ended, "first", None).await;
-            client.end(&first).await;
-            let ended_at = Instant::now();
-            tokio::time::sleep(RETENTION * 3 / 4).await;
-            let second = client.begin(&successor, "second", Some("first")).await;
-            lose_power(&world).await;
-            tokio::time::sleep_until(ended_at + RETENTION + RETENTION_SLACK * 3 / 2).await;
-            client.end(&second).await;
-            let third = client.begin(&successor, "third", Some("second")).await;
-            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            let turn = LongTurn::of_programs(&ended, &successor);
+            turn.play(&world, &Client::new(&world)).await;
             world.ended.set(true);
         });
     }
 }
 
 /// Guards against the loss of a conversation that a new program continues: its later turns did not extend the
-/// turns of the ended program, which expired while the conversation went on.
+/// turns of the ended program, which expired during the conversation.
 #[test]
 fn the_turns_of_an_ended_program_are_retained_while_its_successor_continues_them() {
     for seed in 0..LONG_SEEDS {
@@ -343,25 +337,18 @@
 /// continues was retained for a fixed time, whatever the timeout of the turn.
 #[test]
 fn a_turn_of_several_minutes_does_not_lose_the_chain() {
-    const TURN_TIMEOUT: Duration = Duration::from_secs(300);
     for seed in 0..LONG_SEEDS {
         run(async {
             let world = start_world(seed, 3).await;
+            let turn = LongTurn {
+                duration: Duration::from_secs(300),
+                ..LongTurn::of_programs("program", "program")
+            };
             let client = Client {
-                lifetime: Some(lifetime(TURN_TIMEOUT, RETENTION)),
+                lifetime: Some(lifetime(turn.duration, RETENTION)),
                 ..Client::new(&world)
             };
-            let first = client.begin("program", "first", None).await;
-            client.end(&first).await;
-            tokio::time::sleep(RETENTION * 3 / 4).await;
-            let second = client.begin("program", "second", Some("first")).await;
-            let began_at = Instant::now();
-            tokio::time::sleep(milliseconds(world.random_range(20..100_000))).await;
-            lose_power(&world).await;
-            tokio::time::sleep_until(began_at + TURN_TIMEOUT).await;
-            client.end(&second).await;
-            let third = client.begin("program", "third", Some("second")).await;
-            assert_eq!(&*third.history, b"first;second;", "seed {seed}");
+            turn.play(&world, &client).await;
             world.ended.set(true);
         });
     }
--- a/tier/store/tests/simulation/machine.rs
+++ b/tier/store/tests/simulation/machine.rs
@@ -20,7 +20,7 @@
 
 use super::memory_storage::MemoryStorage;
 use super::network::SimulatedPeers;
-use super::{milliseconds, SeededBug, World};
+use super::{milliseconds, store, SeededBug, World};
 
 pub type StoreNode = Node<SimulatedPeers, MemoryStorage, SimulatedClock>;
 type LocalTask = Pin<Box<dyn Future<Output = ()>>>;
@@ -84,8 +84,7 @@
 
 impl World {
     pub fn add_machine(self: &Rc<Self>, number: u64) {
-        let name = format!("store-{number}");
-        self.add_machine_named(number, &NodeId::from(name.as_str()));
+        self.add_machine_named(number, &store(number));
     }
 
     /// Adds a machine with an empty disk at an address derived from the number, and starts it.
--- a/tier/store/tests/simulation/mod.rs
+++ b/tier/store/tests/simulation/mod.rs
@@ -100,6 +100,11 @@
     }
 }
 
+/// The id of the store with this number.
+pub fn store(number: u64) -> NodeId {
+    NodeId::from(format!("store-{number}").as_str())
+}
+
 pub fn milliseconds(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
--- a/tier/store/tests/simulation/network.rs
+++ b/tier/store/tests/simulation/network.rs
@@ -11,12 +11,16 @@
 use plankhill_conversations::peer::{PeerCall, PeerReply, PeerRequest, PeerResponse};
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::{NodeId, StoreEpoch};
+use plankhill_protocol::store_calls::{StoreCall, StoreReply};
 use plankhill_protocol::transport::CallError;
 use plankhill_store::peers::Peers;
 use tokio::sync::oneshot;
 
 use super::{milliseconds, SeededBug, World};
 
+/// Timeout of the calls of a test to one store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
 #[derive(Default)]
 pub struct Network {
     /// Machines whose messages reach no machine.
@@ -53,6 +57,30 @@
         }
     }
 
+    /// Calls a store as a proxy does.
+    pub async fn call_as_proxy(self: &Rc<Self>, at: &NodeId, call: StoreCall) -> StoreReply {
+        match self.call_store(at, StoreRequest::Proxy(call)).await {
+            StoreResponse::Proxy(reply) => reply,
+            StoreResponse::Peer(reply) => panic!("{reply:?}"),
+        }
+    }
+
+    /// Calls a store as another store of the current view does.
+    pub async fn call_as_peer(self: &Rc<Self>, at: &NodeId, body: PeerRequest) -> PeerResponse {
+        let epoch = self.view.borrow().epoch;
+        let call = PeerCall { epoch, body };
+        match self.call_store(at, StoreRequest::Peer(call)).await {
+            StoreResponse::Peer(reply) => reply.body,
+            StoreResponse::Proxy(reply) => panic!("{reply:?}"),
+        }
+    }
+
+    async fn call_store(self: &Rc<Self>, at: &NodeId, request: StoreRequest) -> StoreResponse {
+        let address = self.machines.borrow()[at].member.address;
+        let response = self.call(None, address, request, STORE_TIMEOUT).await;
+        response.expect("a response")
+    }
+
     async fn deliver(
         self: Rc<Self>,
         from: Option<NodeId>,
