Stores: a failed listen names the address

`RunError::Listen` was never made: the listener's error was reduced to that of the operating system, so that the store ended with `start: Address already in use` and without the address that `docs/on-call.md` promises. The store also uses the runtime that all processes of the tier share (`run_on_current_thread`).

The test `a_store_that_cannot_listen_names_the_address` failed before (`Start(AddrInUse)`).

--- a/tier/store/src/process.rs
+++ b/tier/store/src/process.rs
@@ -10,10 +10,9 @@
 use plankhill_protocol::ids::{Incarnation, NodeId, ZoneName};
 use plankhill_protocol::tables::StoreMember;
 use plankhill_protocol::transport::{listen, serve_calls, Channel, Hello, ListenError};
-use plankhill_settings::Settings;
+use plankhill_settings::{run_on_current_thread, Settings};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::LocalSet;
 
 use crate::clock::SystemClock;
 use crate::control_plane::follow_control_plane;
@@ -52,17 +51,14 @@
 /// # Errors
 /// [`RunError`] when the store cannot start, or its disk fails.
 pub fn run(settings: Settings) -> Result<(), RunError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    run_on_current_thread(serve(settings))?
 }
 
 async fn serve(settings: Settings) -> Result<(), RunError> {
     let terminated = termination_signal()?;
     let folder = settings.data_path.clone().ok_or(RunError::NoDataPath)?;
     let node = open_node(&settings, folder).await?;
-    let listener = listen(settings.store_address()).map_err(|error| error.source)?;
+    let listener = listen(settings.store_address())?;
     let identity = node.identity().clone();
     tracing::info!(
         node = %identity.node,
