--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -107,12 +107,14 @@
         let mut quorum = WriteQuorum::new(view, &start.program);
         let mut replies = self.broadcast(view, quorum.members(), &request);
         let mut merged = Account::default();
-        while let Some(answer) = replies.recv().await {
-            let Some(reply) = answer.reply else { continue };
+        while let Some(member_reply) = replies.recv().await {
+            let Some(reply) = member_reply.reply else {
+                continue;
+            };
             match reply.body {
                 PeerResponse::Account(account) => {
                     merged.merge_all(&account);
-                    quorum.record_write(&answer.member, reply.incarnation);
+                    quorum.record_write(&member_reply.member, reply.incarnation);
                 }
                 PeerResponse::StaleEpoch(_) => return ReserveOutcome::ViewChanged,
                 _ => {}
--- a/tier/store/src/node/coordinator/mod.rs
+++ b/tier/store/src/node/coordinator/mod.rs
@@ -26,7 +26,7 @@
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Answers a proxy. The proxy's epoch is ignored: the replicas check the epoch of the coordinator's
     /// view.
-    pub(super) async fn answer_proxy(self: Rc<Self>, call: StoreCall) -> StoreReply {
+    pub(super) async fn handle_proxy_call(self: Rc<Self>, call: StoreCall) -> StoreReply {
         if self.views.borrow().serving.is_empty() {
             return StoreReply::Unavailable;
         }
--- a/tier/store/src/node/coordinator/read_chain.rs
+++ b/tier/store/src/node/coordinator/read_chain.rs
@@ -162,16 +162,18 @@
         let request = PeerRequest::LocateTurn { turn: turn.clone() };
         let mut replies = self.broadcast(view, members, &request);
         let mut absent = 0;
-        while let Some(answer) = replies.recv().await {
-            let Some(reply) = answer.reply else { continue };
+        while let Some(member_reply) = replies.recv().await {
+            let Some(reply) = member_reply.reply else {
+                continue;
+            };
             match reply.body {
-                PeerResponse::TurnPresent => return Ok(answer.member),
+                PeerResponse::TurnPresent => return Ok(member_reply.member),
                 PeerResponse::TurnAbsent => {
-                    let answering = StoreMember {
+                    let replying = StoreMember {
                         incarnation: reply.incarnation,
-                        ..answer.member
+                        ..member_reply.member
                     };
-                    if is_serving(view, &answering) {
+                    if is_serving(view, &replying) {
                         absent += 1;
                     }
                 }
--- a/tier/store/src/node/coordinator/replicated_write.rs
+++ b/tier/store/src/node/coordinator/replicated_write.rs
@@ -47,10 +47,12 @@
     ) -> WriteOutcome {
         let mut quorum = WriteQuorum::new(view, program);
         let mut replies = self.broadcast(view, quorum.members(), request);
-        while let Some(answer) = replies.recv().await {
-            let Some(reply) = answer.reply else { continue };
+        while let Some(member_reply) = replies.recv().await {
+            let Some(reply) = member_reply.reply else {
+                continue;
+            };
             match reply.body {
-                PeerResponse::Done => quorum.record_write(&answer.member, reply.incarnation),
+                PeerResponse::Done => quorum.record_write(&member_reply.member, reply.incarnation),
                 PeerResponse::StaleEpoch(_) => return WriteOutcome::ViewChanged,
                 _ => {}
             }
--- a/tier/store/src/node/mod.rs
+++ b/tier/store/src/node/mod.rs
@@ -1,4 +1,4 @@
-//! One store: answers proxies and other stores, delivers updates that other stores missed, and copies the
+//! One store: replies to proxies and other stores, delivers updates that other stores missed, and copies the
 //! programs of which it becomes a replica.
 //!
 //! A proxy may call any store; the called store coordinates the call (`coordinator`): it sends requests
@@ -66,11 +66,11 @@
 }
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
-    /// Answers one call of a proxy or of another store.
-    pub async fn answer(self: Rc<Self>, request: StoreRequest) -> StoreResponse {
+    /// Handles one call of a proxy or of another store.
+    pub async fn handle_call(self: Rc<Self>, request: StoreRequest) -> StoreResponse {
         match request {
-            StoreRequest::Proxy(call) => StoreResponse::Proxy(self.answer_proxy(call).await),
-            StoreRequest::Peer(call) => StoreResponse::Peer(self.answer_peer(call).await),
+            StoreRequest::Proxy(call) => StoreResponse::Proxy(self.handle_proxy_call(call).await),
+            StoreRequest::Peer(call) => StoreResponse::Peer(self.handle_peer_call(call).await),
         }
     }
 
--- a/tier/store/src/node/replica/mod.rs
+++ b/tier/store/src/node/replica/mod.rs
@@ -1,4 +1,4 @@
-//! The replica's side of a call: answers to other stores, and to this store's own coordinator.
+//! The replica's side of a call: replies to other stores, and to this store's own coordinator.
 
 mod local_turns;
 mod programs;
@@ -17,7 +17,7 @@
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Answers a call of another store, or of this store's own coordinator.
-    pub(super) async fn answer_peer(self: Rc<Self>, call: PeerCall) -> PeerReply {
+    pub(super) async fn handle_peer_call(self: Rc<Self>, call: PeerCall) -> PeerReply {
         let incarnation = self.identity.incarnation;
         let body = match self.check_epoch(&call) {
             Ok(()) => self.handle(call.epoch, call.body).await,
--- a/tier/store/src/node/replica/updates.rs
+++ b/tier/store/src/node/replica/updates.rs
@@ -11,7 +11,7 @@
 use crate::storage::{Storage, StorageError};
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
-    /// Adds a reservation to the program's account. Once the reservation is synced, answers with the account
+    /// Adds a reservation to the program's account. Once the reservation is synced, replies with the account
     /// as of that time.
     pub(super) async fn reserve_locally(
         &self,
@@ -35,7 +35,7 @@
         PeerResponse::Account(account.unwrap_or_default())
     }
 
-    /// Merges updates of turns, and answers once all of them are synced.
+    /// Merges updates of turns, and replies once all of them are synced.
     pub(in crate::node) async fn merge_updates(&self, updates: Vec<TurnUpdate>) -> PeerResponse {
         let mut batch = UpdateBatch::default();
         for update in updates {
@@ -68,7 +68,7 @@
         outcome
     }
 
-    /// Retains a turn and its ancestors for at least `retention_ms`, and answers once the extension is
+    /// Retains a turn and its ancestors for at least `retention_ms`, and replies once the extension is
     /// synced.
     pub(super) async fn extend_locally(&self, turn: &RequestId, retention_ms: u64) -> PeerResponse {
         let until_ms = self.now_ms().saturating_add(retention_ms);
--- a/tier/store/src/node/transfer/copy_from.rs
+++ b/tier/store/src/node/transfer/copy_from.rs
@@ -88,7 +88,7 @@
             let PeerResponse::Turns(found) = self.call_source(view, source, request).await? else {
                 return Err(CopyError);
             };
-            for turn in answered_turns(&turns, &found) {
+            for turn in covered_turns(&turns, &found) {
                 missing.remove(turn);
             }
             self.merge_copied(found.into_iter().map(turn_update).collect())
@@ -187,7 +187,7 @@
 
 /// Returns the requested turns up to the last one found; those among them that were not found are absent
 /// at the source. If no turn was found, all of the requested turns are absent there.
-fn answered_turns<'a>(requested: &'a [RequestId], found: &[RetainedTurn]) -> &'a [RequestId] {
+fn covered_turns<'a>(requested: &'a [RequestId], found: &[RetainedTurn]) -> &'a [RequestId] {
     let last = found.last().map(|last| &last.record.turn);
     match requested.iter().position(|turn| Some(turn) == last) {
         Some(position) => &requested[..=position],
--- a/tier/store/src/process.rs
+++ b/tier/store/src/process.rs
@@ -69,11 +69,11 @@
     let controllers = settings.seed_controllers();
     tokio::task::spawn_local(node.clone().run());
     tokio::task::spawn_local(follow_control_plane(node.clone(), controllers));
-    let serving = tokio::task::spawn_local(answer_calls(node.clone(), listener));
+    let serving = tokio::task::spawn_local(serve_node(node.clone(), listener));
     tokio::select! {
         () = terminated => {
             serving.abort();
-            // Calls in progress are still answered.
+            // Calls in progress are still replied to.
             tokio::time::sleep(CALL_TIMEOUT).await;
             tracing::info!("store stopped");
             Ok(())
@@ -101,10 +101,10 @@
     Ok(Node::load(parts)?)
 }
 
-async fn answer_calls(node: Rc<StoreNode>, listener: TcpListener) {
+async fn serve_node(node: Rc<StoreNode>, listener: TcpListener) {
     let hello = Hello::new(Channel::Store, node.identity().node.clone());
     serve_calls(listener, hello, move |_, request| {
-        node.clone().answer(request)
+        node.clone().handle_call(request)
     })
     .await;
 }
--- a/tier/store/tests/simulation/machine.rs
+++ b/tier/store/tests/simulation/machine.rs
@@ -213,7 +213,7 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             // The receiver is dropped if the caller has stopped waiting.
-            let _ = answer.send(node.answer(request).await);
+            let _ = answer.send(node.handle_call(request).await);
         });
     }
 }
--- a/tier/store/tests/stored_format.rs
+++ b/tier/store/tests/stored_format.rs
@@ -163,7 +163,7 @@
         epoch: view().epoch,
         body,
     };
-    match node.clone().answer(StoreRequest::Peer(call)).await {
+    match node.clone().handle_call(StoreRequest::Peer(call)).await {
         StoreResponse::Peer(reply) => {
             assert_eq!(reply.incarnation, STORED);
             reply.body
