Stores: no method that only tests call; shorter paths of attributes

`Expired::is_empty` had no caller but tests, which compare with the empty value now, as strictly. `none_where_missing` is imported where an attribute names it.

--- a/tier/chain/src/message.rs
+++ b/tier/chain/src/message.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use plankhill_protocol::appended_field::none_where_missing;
 use plankhill_protocol::ids::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -40,7 +41,7 @@
     /// Typical duration of a sync of the sender's disk, in ms; `None` before the first sync.
     /// Members of versions without this field do not send it and decode a heartbeat only up to the
     /// previous field.
-    #[serde(deserialize_with = "plankhill_protocol::appended_field::none_where_missing")]
+    #[serde(deserialize_with = "none_where_missing")]
     pub sync_ms: Option<u64>,
 }
 
--- a/tier/conversations/src/turn_index.rs
+++ b/tier/conversations/src/turn_index.rs
@@ -76,13 +76,6 @@
     pub accounts: Vec<ExpiredAccount>,
 }
 
-impl Expired {
-    /// Whether nothing has expired.
-    pub fn is_empty(&self) -> bool {
-        self.turns.is_empty() && self.extensions.is_empty() && self.accounts.is_empty()
-    }
-}
-
 #[derive(Debug, Default)]
 struct Program {
     account: Account,
--- a/tier/conversations/tests/turn_index.rs
+++ b/tier/conversations/tests/turn_index.rs
@@ -5,7 +5,7 @@
 
 use arbtest::arbtest;
 use plankhill_conversations::account::TurnState;
-use plankhill_conversations::turn_index::{TurnEntry, TurnIndex, ACCOUNT_TTL_MS};
+use plankhill_conversations::turn_index::{Expired, TurnEntry, TurnIndex, ACCOUNT_TTL_MS};
 use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::store_calls::{TurnLocation, TurnRecord};
 
@@ -159,9 +159,9 @@
     let mut index = TurnIndex::default();
     assert_eq!(index.extend(&turn(1), 100), 100);
     assert_eq!(index.extend(&turn(1), 50), 100);
-    assert!(index.expire(99).is_empty());
+    assert_eq!(index.expire(99), Expired::default());
     assert_eq!(index.expire(100).extensions, [turn(1)]);
-    assert!(index.expire(1_000).is_empty());
+    assert_eq!(index.expire(1_000), Expired::default());
 }
 
 #[test]
@@ -170,7 +170,7 @@
     index.extend(&turn(1), 100);
     index.retain(&turn(1), TurnEntry::new(&record(1, None), 50));
     assert_eq!(index.extend(&turn(1), 20), 100);
-    assert!(index.expire(99).is_empty());
+    assert_eq!(index.expire(99), Expired::default());
     let expired = index.expire(100);
     assert_eq!((expired.turns, expired.extensions), (vec![turn(1)], vec![]));
 }
--- a/tier/protocol/src/store_calls.rs
+++ b/tier/protocol/src/store_calls.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::appended_field::none_where_missing;
 use crate::ids::{ProgramId, RequestId, StoreEpoch};
 
 /// A reservation of tokens for a turn in the budget of its program.
@@ -71,7 +72,7 @@
         previous: Option<RequestId>,
         /// The turn's lifetime on a route with retention. Proxies of versions without this field do
         /// not send it, and stores of such versions decode a call only up to the previous field.
-        #[serde(deserialize_with = "crate::appended_field::none_where_missing")]
+        #[serde(deserialize_with = "none_where_missing")]
         lifetime: Option<TurnLifetime>,
     },
     /// Commits the tokens that the turn has used, and stores the turn if it was answered completely
