--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 [ -x "$root/target/review-2/standin" ] || { echo "review/build-2.sh has not run" >&2; exit 2; }
-exec "$root/target/review-2/standin" long-history "$root" "$folder/record.txt"
+exec "$root/target/review-2/standin" missed-extension "$root" "$folder/record.txt"
--- a/review/standin-2/long_history.rs
+++ b/review/standin-2/long_history.rs
@@ -167,7 +167,7 @@
     }
 }
 
-fn resident_megabytes(pid: u32) -> Option<u64> {
+pub fn resident_megabytes(pid: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
     let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
     Some(pages * 4096 / 1_000_000)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod http;
 mod long_history;
+mod missed_extension;
 mod record;
 mod resumed_turn;
 mod slow_reader;
@@ -49,6 +50,7 @@
         "slow-reader" => slow_reader::run(&context),
         "pausing-reader" => slow_reader::run_pause(&context),
         "spoilt-stream" => spoilt_stream::run(&context),
+        "missed-extension" => missed_extension::run(&context),
         "resumed-turn" => resumed_turn::run(&context),
         "long-history" => long_history::run(&context),
         _ => Err(format!("no case is called {case}")),
--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -58,7 +58,7 @@
 }
 
 /// Starts a tier of two edges with three targets that answer with [`ANSWER_BYTES`].
-fn start(context: &Context) -> Result<Tier, String> {
+pub fn start(context: &Context) -> Result<Tier, String> {
     let record = &context.record;
     let tier = Tier::start(&context.root, 3, 3, 2).map_err(|error| error.to_string())?;
     tier.configure(0, &configuration(), Duration::from_secs(20))?;
@@ -141,7 +141,7 @@
 
 /// Sends a request and reads its answer as fast as the link allows. Returns whether the answer was whole;
 /// an answer that is not whole by the deadline is no loss.
-fn client(
+pub fn client(
     proxy: SocketAddr,
     index: usize,
     pauses: Option<Duration>,
