Proxy: events in front of an invalid one are forwarded before the stream is resumed

Cause: `take_events` recorded each complete event of a piece as delivered, and its id as the one to resume after, before anything was forwarded.

The regression test failed before, in one process: left: id: 1 data: a, id: 4 data: d right: id: 1 data: a, id: 2 data: b, id: 3 data: c, id: 4 data: d

Fix: the events in front are forwarded, then the attempt ends; what is recorded is what is forwarded. An event for which the memory budget has no room is no longer counted as delivered.

--- a/tier/proxy/src/stream/event_relay.rs
+++ b/tier/proxy/src/stream/event_relay.rs
@@ -47,12 +47,21 @@
     pub(super) memory: Option<&'stream mut MemoryReservation>,
 }
 
+/// The complete events of the data that has arrived.
+struct EventBatch {
+    /// The bytes of the events that precede the first invalid one, joined.
+    bytes: Bytes,
+    /// The outcome of the attempt if an invalid event follows.
+    validity: Result<(), AttemptOutcome>,
+}
+
 impl EventRelay<'_> {
     /// Forwards events as they arrive, until the target's stream ends properly.
     ///
     /// # Errors
-    /// The outcome of the attempt if the stream does not end properly. An incomplete event is not
-    /// forwarded.
+    /// The outcome of the attempt if the stream does not end properly. The complete events before the
+    /// failure are forwarded, because the next attempt resumes after them; an incomplete or invalid
+    /// event is not.
     pub(super) async fn forward(
         &mut self,
         status: StatusCode,
@@ -76,8 +85,9 @@
             self.progress.longest_pause = self.progress.longest_pause.max(pause);
             last_arrival = Instant::now();
             splitter.push(&data);
-            let events = self.take_events(&mut splitter)?;
-            self.send(status, headers, events).await;
+            let batch = self.take_events(&mut splitter);
+            self.send(status, headers, batch.bytes).await;
+            batch.validity?;
         }
         let remainder = splitter.into_remainder();
         self.send(status, headers, remainder).await;
@@ -85,16 +95,37 @@
         Ok(())
     }
 
-    /// Takes the complete events out of the splitter; returns their bytes, joined.
-    fn take_events(&mut self, splitter: &mut EventSplitter) -> Result<Bytes, AttemptOutcome> {
-        let mut joined = BytesMut::new();
-        while let Some(event) = splitter.next_event().map_err(|_| AttemptOutcome::Reset)? {
-            self.record(&event)?;
-            joined.extend_from_slice(&event.bytes);
+    /// Takes the complete events out of the splitter, up to the first invalid one.
+    fn take_events(&mut self, splitter: &mut EventSplitter) -> EventBatch {
+        let mut bytes = BytesMut::new();
+        let validity = loop {
+            match self.take_event(splitter) {
+                Ok(Some(event)) => bytes.extend_from_slice(&event.bytes),
+                Ok(None) => break Ok(()),
+                Err(outcome) => break Err(outcome),
+            }
+        };
+        EventBatch {
+            bytes: bytes.freeze(),
+            validity,
         }
-        Ok(joined.freeze())
     }
 
+    /// Takes the next complete event out of the splitter, and records it as delivered.
+    fn take_event(
+        &mut self,
+        splitter: &mut EventSplitter,
+    ) -> Result<Option<Event>, AttemptOutcome> {
+        let next = splitter.next_event().map_err(|_| AttemptOutcome::Reset)?;
+        let Some(event) = next else {
+            return Ok(None);
+        };
+        self.record(&event)?;
+        Ok(Some(event))
+    }
+
+    /// Records an event that is forwarded. An event that is refused leaves no trace: the next attempt
+    /// resumes after the last event that was recorded.
     fn record(&mut self, event: &Event) -> Result<(), AttemptOutcome> {
         match (event.id, self.progress.last_event_id) {
             (Some(id), Some(last)) if id <= last => {
@@ -104,14 +135,14 @@
             }
             _ => {}
         }
-        self.progress.last_event_id = event.id.or(self.progress.last_event_id);
-        self.delivered.events += 1;
         if let Some(memory) = &mut self.memory {
             memory
                 .grow(event.bytes.len())
                 .map_err(|_| AttemptOutcome::Cancelled)?;
             event.append_data(&mut self.delivered.data);
         }
+        self.progress.last_event_id = event.id.or(self.progress.last_event_id);
+        self.delivered.events += 1;
         Ok(())
     }
 
--- a/tier/proxy/tests/streams.rs
+++ b/tier/proxy/tests/streams.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use plankhill_proxy::stream::events::MAX_EVENT_BYTES;
 use support::fixture::{chunk, event, get, stream_head, target_response, ProxyFixture, LAST_CHUNK};
 use support::on_one_thread;
 use support::peer::{Peer, ScriptedTarget};
@@ -164,6 +165,34 @@
     });
 }
 
+/// Guards against lost events: those that arrived together with an invalid one were not forwarded, but the
+/// stream was resumed after them.
+#[test]
+fn events_that_arrive_with_an_invalid_one_are_relayed_before_the_stream_is_resumed() {
+    let too_long = "x".repeat(MAX_EVENT_BYTES + 1);
+    for invalid in [event(1, "a"), too_long] {
+        on_one_thread(async {
+            let (first, second) = (ScriptedTarget::start().await, ScriptedTarget::start().await);
+            let fixture = ProxyFixture::with_targets(&[&first, &second]).await;
+            let request = get("resume", "r1");
+            let valid = event(2, "b") + &event(3, "c");
+            let serve = async {
+                let (mut peer, _) = first.accept_request().await;
+                let piece = format!("{valid}{invalid}");
+                send_stream(&mut peer, "one", &[&event(1, "a"), &piece]).await;
+                let (mut other, request) = second.accept_request().await;
+                assert_eq!(request.header("last-event-id"), Some("3"));
+                send_stream(&mut other, "two", &[&event(4, "d")]).await;
+                other.send(LAST_CHUNK).await;
+                (peer, other)
+            };
+            let (response, _peers) = join!(fixture.send_request(&request), serve);
+            let response = response.expect("a complete response");
+            assert_eq!(response.text(), event(1, "a") + &valid + &event(4, "d"));
+        });
+    }
+}
+
 #[test]
 fn a_rejection_on_a_streaming_route_is_retried_at_another_target() {
     on_one_thread(async {
