Proxy: a turn that its client resumes is stored with the events of the attempts before

Cause: a proxy stores a turn with the events that it forwarded itself. Those of an earlier attempt were in the memory of the killed proxy alone, and the attempts of a client have different ids.

Fix: on such routes the stores have each event before the client gets it (`stream/checkpoints.rs`). An event is stored as a turn that continues that of the event before, with the calls that stores answer already: nothing changes on the wire or on disks, and stores need no upgrade. A hash of what the attempts have in common names the stream (pinned), and an attempt claims a generation of it by a budget for one turn, which stores grant once. A resumed attempt reads the data up to `Last-Event-Id` as a history. Nothing found, or attempts that disagree: 503, since it is not certain. Other routes make no further call.

The dispatcher of the proxy's tests dropped a request whose attempt the proxy had cancelled; it fails it now, as the real one does, so that the test of an event that can't be stored sees the answer. Its stores keep budgets and turns as the real ones.

--- a/tier/proxy/src/client_request.rs
+++ b/tier/proxy/src/client_request.rs
@@ -36,6 +36,15 @@
 }
 
 impl ClientRequest {
+    /// The id of the last event that the client has, if it resumes a stream.
+    pub fn resumed_after(&self) -> Option<u64> {
+        if self.route.resumable {
+            self.headers.last_event_id
+        } else {
+            None
+        }
+    }
+
     /// Converts the request to the input of the dispatcher.
     pub fn for_dispatch(&self, key: RequestKey) -> NewRequest {
         let route = &self.route;
--- a/tier/proxy/src/stream/attempts.rs
+++ b/tier/proxy/src/stream/attempts.rs
@@ -38,13 +38,8 @@
     let key = proxy.admission.next_key();
     let admitted = proxy.admission.admit(request.for_dispatch(key));
     // If the client resumes a stream, no event that it already has may be sent again.
-    let last_event_id = if request.route.resumable {
-        request.headers.last_event_id
-    } else {
-        None
-    };
     let progress = StreamProgress {
-        last_event_id,
+        last_event_id: request.resumed_after(),
         ..StreamProgress::default()
     };
     let mut stream = StreamAttempts {
@@ -68,7 +63,9 @@
             local_response::empty(StatusCode::PAYMENT_REQUIRED, request_id)
         }
         TurnError::NoSuchTurn => local_response::empty(StatusCode::NOT_FOUND, request_id),
-        TurnError::StoresUnavailable => local_response::rejected(RETRY_AFTER_STORES, request_id),
+        TurnError::StoresUnavailable | TurnError::UnknownOutput => {
+            local_response::rejected(RETRY_AFTER_STORES, request_id)
+        }
     });
 }
 
@@ -211,6 +208,7 @@
             delivered: &mut self.completion.delivered,
             progress: &mut self.progress,
             memory,
+            checkpoints: self.completion.checkpoints.as_mut(),
         };
         relay.forward(status, &headers, &mut body, deadline).await?;
         self.proxy
--- a/tier/proxy/src/stream/event_relay.rs
+++ b/tier/proxy/src/stream/event_relay.rs
@@ -8,6 +8,7 @@
 use plankhill_dispatch::{AttemptOutcome, Ms};
 use tokio::time::{timeout_at, Instant};
 
+use super::checkpoints::StreamCheckpoints;
 use super::client_channel::ClientChannel;
 use super::events::{Event, EventSplitter};
 use crate::clock::milliseconds;
@@ -45,6 +46,8 @@
     pub(super) progress: &'stream mut StreamProgress,
     /// Accounts for the data of the events, if the turn is retained.
     pub(super) memory: Option<&'stream mut MemoryReservation>,
+    /// Stores the events before they are forwarded, if the turn is retained and can be resumed.
+    pub(super) checkpoints: Option<&'stream mut StreamCheckpoints>,
 }
 
 /// The complete events of the data that has arrived.
@@ -86,6 +89,7 @@
             last_arrival = Instant::now();
             splitter.push(&data);
             let batch = self.take_events(&mut splitter);
+            self.save_checkpoints().await?;
             self.send(status, headers, batch.bytes).await;
             batch.validity?;
         }
@@ -141,11 +145,25 @@
                 .map_err(|_| AttemptOutcome::Cancelled)?;
             event.append_data(&mut self.delivered.data);
         }
+        if let Some(checkpoints) = &mut self.checkpoints {
+            checkpoints.push(event);
+        }
         self.progress.last_event_id = event.id.or(self.progress.last_event_id);
         self.delivered.events += 1;
         Ok(())
     }
 
+    async fn save_checkpoints(&mut self) -> Result<(), AttemptOutcome> {
+        let Some(checkpoints) = &mut self.checkpoints else {
+            return Ok(());
+        };
+        let saved = checkpoints.save().await;
+        saved.map_err(|error| {
+            tracing::warn!(%error, "stream ended: its events could not be stored");
+            AttemptOutcome::Cancelled
+        })
+    }
+
     async fn send(&mut self, status: StatusCode, headers: &HeaderMap, events: Bytes) {
         if events.is_empty() {
             return;
--- a/tier/proxy/src/stream/mod.rs
+++ b/tier/proxy/src/stream/mod.rs
@@ -2,12 +2,16 @@
 //!
 //! One task for each stream (`attempts`) sends the request to one target after another if
 //! necessary; `event_relay` forwards the events of one target's response through a
-//! `client_channel`, and [`events`] splits the bytes into events.
+//! `client_channel`, and [`events`] splits the bytes into events. If the turn is retained,
+//! `turn_completion` stores it at the end, and `checkpoints` stores the events of a stream that can be
+//! resumed as they are forwarded.
 
 mod attempts;
+mod checkpoints;
 mod client_channel;
 mod event_relay;
 pub mod events;
+pub mod stream_key;
 mod turn_completion;
 
 use std::rc::Rc;
--- a/tier/proxy/src/stream/turn_completion.rs
+++ b/tier/proxy/src/stream/turn_completion.rs
@@ -1,7 +1,12 @@
 //! Settles and stores a stream's turn, however the stream ends.
 
+use std::sync::Arc;
+
 use plankhill_dispatch::Ms;
+use tokio::time::Instant;
 
+use super::checkpoints::{self, BegunStream, CheckpointError, ClientAttempt, StreamCheckpoints};
+use super::stream_key::{StreamKey, TurnIdentity};
 use crate::client_request::ClientRequest;
 use crate::in_flight::WorkGuard;
 use crate::process::Proxy;
@@ -17,6 +22,8 @@
     /// The turn, if it reserves tokens or is retained.
     turn: Option<Turn>,
     pub(super) delivered: DeliveredOutput,
+    /// Stores the events of a retained turn whose stream can be resumed; set once the turn has begun.
+    pub(super) checkpoints: Option<StreamCheckpoints>,
     /// Whether the stores have acknowledged the end of the turn, or there is nothing to settle.
     is_settled: bool,
 }
@@ -33,12 +40,14 @@
         TurnCompletion {
             turn,
             delivered: DeliveredOutput::default(),
+            checkpoints: None,
             is_settled: false,
         }
     }
 
     /// Reserves tokens, fetches the history that the turn continues, and puts the history before the
-    /// input in the body of the request. A turn that does not begin remains unsettled: its reservation
+    /// input in the body of the request. If the client resumes the stream of a retained turn, also
+    /// fetches the output that the client has. A turn that does not begin remains unsettled: its reservation
     /// may be at the stores whatever they replied.
     ///
     /// # Errors
@@ -55,11 +64,18 @@
         let now = proxy.clock.now();
         let until = now + (request.deadline - now) * BEGIN_SHARE;
         let deadline = proxy.clock.instant(request.deadline);
-        let body = turn.begin(proxy.clock.instant(until), deadline).await?;
+        let until = proxy.clock.instant(until);
+        let attempt = resumable_attempt(turn, request, deadline);
+        let begun = begin_checkpoints(proxy, attempt, until);
+        let (body, stream) = tokio::join!(turn.begin(until, deadline), begun);
+        let (body, stream) = (body?, stream?);
         let history_bytes = body.len() - request.upstream.body.len();
-        if request.memory.grow(history_bytes).is_err() {
+        let held_bytes = history_bytes + stream.earlier_output.len();
+        if request.memory.grow(held_bytes).is_err() {
             return Err(TurnError::StoresUnavailable);
         }
+        self.delivered.data = stream.earlier_output.to_vec();
+        self.checkpoints = stream.checkpoints;
         request.upstream.body = body;
         Ok(())
     }
@@ -97,3 +113,45 @@
         }
     }
 }
+
+/// The attempt of a client at a retained turn whose stream can be resumed; `None` for other requests.
+fn resumable_attempt(
+    turn: &Turn,
+    request: &ClientRequest,
+    deadline: Instant,
+) -> Option<ClientAttempt> {
+    if !turn.is_retained() || !request.route.resumable {
+        return None;
+    }
+    let identity = TurnIdentity {
+        program: request.headers.program.as_ref()?,
+        session: request.headers.session,
+        previous: request.headers.previous.as_ref(),
+        path: request.upstream.uri.path_and_query()?.as_str(),
+        input: &request.upstream.body,
+    };
+    Some(ClientAttempt {
+        key: StreamKey::new(&identity),
+        request_id: request.upstream.request_id.clone(),
+        last_event_id: request.resumed_after(),
+        deadline,
+    })
+}
+
+async fn begin_checkpoints(
+    proxy: &Proxy,
+    attempt: Option<ClientAttempt>,
+    until: Instant,
+) -> Result<BegunStream, TurnError> {
+    let Some(attempt) = attempt else {
+        return Ok(BegunStream {
+            checkpoints: None,
+            earlier_output: Arc::from([]),
+        });
+    };
+    let begun = checkpoints::begin(&proxy.turns, attempt, until).await;
+    begun.map_err(|error| match error {
+        CheckpointError::StoresUnavailable => TurnError::StoresUnavailable,
+        CheckpointError::UnknownOutput => TurnError::UnknownOutput,
+    })
+}
--- a/tier/proxy/src/turn.rs
+++ b/tier/proxy/src/turn.rs
@@ -34,6 +34,9 @@
     /// Too few stores responded.
     #[error("the stores are unavailable")]
     StoresUnavailable,
+    /// The client resumes a stream, but the stores do not have the events that it has.
+    #[error("the events before the resumed stream are not known")]
+    UnknownOutput,
 }
 
 /// The output of a turn that was delivered to its client.
--- a/tier/proxy/tests/support/fixture.rs
+++ b/tier/proxy/tests/support/fixture.rs
@@ -39,11 +39,14 @@
 impl ProxyFixture {
     /// Starts a proxy that has no tables yet.
     pub async fn unready() -> ProxyFixture {
+        ProxyFixture::unready_with_stores(Rc::default()).await
+    }
+
+    async fn unready_with_stores(stores: Rc<Stores>) -> ProxyFixture {
         let clock = Clock::start();
         let pool = Rc::new(TargetPool::default());
         let (health_checks, _) = tokio::sync::mpsc::unbounded_channel();
         let dispatcher = Box::new(RoundRobinDispatcher::default());
-        let stores = Rc::new(Stores::default());
         let proxy = Rc::new(Proxy {
             clock,
             snapshots: SnapshotCell::default(),
@@ -73,7 +76,12 @@
     /// Starts a proxy with these targets, named t0, t1 and so on, and the routes of
     /// [`configuration`].
     pub async fn with_targets(targets: &[&ScriptedTarget]) -> ProxyFixture {
-        let fixture = ProxyFixture::unready().await;
+        ProxyFixture::with_stores(targets, Rc::default()).await
+    }
+
+    /// Starts a proxy with these targets and stores, which other proxies may use too.
+    pub async fn with_stores(targets: &[&ScriptedTarget], stores: Rc<Stores>) -> ProxyFixture {
+        let fixture = ProxyFixture::unready_with_stores(stores).await;
         let addresses: Vec<SocketAddr> = targets.iter().map(|target| target.address()).collect();
         fixture.set_tables(tables(&addresses, &configuration()));
         fixture.proxy.lifecycle.mark_tables_current();
@@ -130,7 +138,7 @@
     (listener, address)
 }
 
-/// Routes `/once/`, `/again/`, `/stream/`, `/resume/` and `/kept/` at `host.example`.
+/// Routes `/once/`, `/again/`, `/stream/`, `/resume/`, `/kept/` and `/kept-resume/` at `host.example`.
 pub fn configuration() -> Value {
     let route = |name: &str, kind: &str, retained: bool, resumable: bool| {
         json!({"name": name, "host": "host.example", "path_prefix": format!("/{name}/"), "type": kind,
@@ -144,6 +152,7 @@
         route("stream", "streaming", false, false),
         route("resume", "streaming", false, true),
         route("kept", "streaming", true, false),
+        route("kept-resume", "streaming", true, true),
     ];
     json!({"version": 1, "routes": routes,
         "services": [{"name": "service", "health_check": "/healthz", "max_connections": 100, "protocol": "h1",
--- a/tier/proxy/tests/support/round_robin.rs
+++ b/tier/proxy/tests/support/round_robin.rs
@@ -78,9 +78,7 @@
             return;
         };
         attempts.record(result.outcome);
-        if result.outcome == AttemptOutcome::Delivered
-            || result.outcome == AttemptOutcome::Cancelled
-        {
+        if result.outcome == AttemptOutcome::Delivered {
             self.requests.remove(&key);
         } else if attempts.allows_another(request.idempotency, request.max_attempts) {
             self.send(key);
--- a/tier/proxy/tests/wire_format.rs
+++ b/tier/proxy/tests/wire_format.rs
@@ -1,12 +1,14 @@
-//! Tests of the formats that this package defines: headers to targets, and the hash of a session,
-//! by which all proxies of a deployment select the same service and rank the targets in the same
-//! order. Everything else that the proxy sends to processes of this system is written by the
+//! Tests of the formats that this package defines: headers to targets, the hash of a session, by which
+//! all proxies of a deployment select the same service and rank the targets in the same order, and the
+//! names under which the events of a stream are stored, by which any proxy finds them. Everything else that the proxy sends to processes of this system is written by the
 //! protocol, draining and store client packages.
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use plankhill_dispatch::PrefixPart;
+use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_proxy::headers;
 use plankhill_proxy::request_headers::RequestHeaders;
+use plankhill_proxy::stream::stream_key::{StreamKey, TurnIdentity};
 
 const HEADERS: [(&str, HeaderName); 9] = [
     ("EXPECTED_INSTANCE", headers::EXPECTED_INSTANCE),
@@ -54,6 +56,34 @@
     assert_eq!(lines, expected);
 }
 
+#[test]
+fn names_of_stored_events_match_the_fixture() {
+    let program = ProgramId::from("p1");
+    let previous = RequestId::from("r0");
+    let first = TurnIdentity {
+        program: &program,
+        session: None,
+        previous: None,
+        path: "/chat/1",
+        input: b"question",
+    };
+    let second = TurnIdentity {
+        session: Some(7),
+        previous: Some(&previous),
+        ..first
+    };
+    let mut lines = Vec::new();
+    for turn in [first, second] {
+        let key = StreamKey::new(&turn);
+        lines.push(key.program(0).to_string());
+        lines.push(key.event(3, 12).to_string());
+    }
+    let expected: Vec<&str> = include_str!("wire_format/stream_keys.txt")
+        .lines()
+        .collect();
+    assert_eq!(lines, expected);
+}
+
 #[test]
 fn all_headers_of_a_request_are_read() {
     let mut headers = HeaderMap::new();
