Stores: a store that missed an extension of a chain's retention gets it

Cause: the begin of a turn extends its chain at a write quorum. A replica that did not get it kept the shorter time: hints were recorded for ends of turns alone, the comparison after a start looked at ids and not at times, and a new disk copied each turn from the first source with that source's time. The longer time was left at one store and went with its disk.

Fix: a replica that misses an extension has a hint like one that misses an end, by either way of extending. This works since a time only ever rises and is repaired by the same means as the turn itself. Writes name their turn as a location, from which the hint is made.

--- a/tier/conversations/src/peer.rs
+++ b/tier/conversations/src/peer.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use plankhill_protocol::appended_field::none_where_missing;
 use plankhill_protocol::ids::{Incarnation, NodeId, ProgramId, RequestId, StoreEpoch};
 use plankhill_protocol::store_calls::{TurnLocation, TurnRecord};
 use plankhill_protocol::tables::{StoreMember, StoreView};
@@ -77,7 +78,7 @@
         /// The last program of the previous page; `None` for the first page.
         after: Option<ProgramId>,
     },
-    /// Return the accounts of programs and the ids of their retained turns.
+    /// Return the accounts of programs, and the ids and retention times of their retained turns.
     OutlinePrograms {
         /// The programs.
         programs: Vec<ProgramId>,
@@ -154,7 +155,15 @@
     /// Programs with their digests; an empty list marks the end of the listing.
     Programs(Vec<ProgramDigest>),
     /// Accounts of programs and the ids of their retained turns.
-    Outlines(Vec<ProgramOutline>),
+    Outlines {
+        /// The programs.
+        programs: Vec<ProgramOutline>,
+        /// For each program the remaining retention times of its turns in milliseconds, in the order of
+        /// `turns`. Stores of versions without this field do not send it, and decode a reply only up to
+        /// the previous field.
+        #[serde(deserialize_with = "none_where_missing")]
+        remaining_ms: Option<Vec<Vec<u64>>>,
+    },
     /// Retained turns.
     Turns(Vec<RetainedTurn>),
     /// The caller's view is older than this store's view, which is included.
--- a/tier/conversations/src/turn_index.rs
+++ b/tier/conversations/src/turn_index.rs
@@ -277,6 +277,23 @@
         })
     }
 
+    /// Whether any turn of the program is retained.
+    pub fn has_turns(&self, program: &ProgramId) -> bool {
+        let known = self.programs.get(program);
+        known.is_some_and(|program| !program.turns.is_empty())
+    }
+
+    /// The remaining retention times of the turns of a program in milliseconds, in the order of the turns in
+    /// its outline; empty for an unknown program.
+    pub fn remaining_ms(&self, program: &ProgramId, now_ms: u64) -> Vec<u64> {
+        let known = self.programs.get(program);
+        let turns = known.into_iter().flat_map(|program| &program.turns);
+        let entries = turns.filter_map(|turn| self.turns.get(turn));
+        entries
+            .map(|entry| entry.expires_ms.saturating_sub(now_ms))
+            .collect()
+    }
+
     /// Size in bytes of all retained turns and accounts, including an estimate of the index's own size.
     pub fn bytes(&self) -> u64 {
         self.bytes
--- a/tier/conversations/tests/wire_format.rs
+++ b/tier/conversations/tests/wire_format.rs
@@ -95,12 +95,8 @@
             program: program(),
             digest: 0xfedc_ba98_7654_3210,
         }])),
-        Some(PeerResponse::Programs(_)) => Some(PeerResponse::Outlines(vec![ProgramOutline {
-            program: program(),
-            account: account(),
-            turns: vec![previous(), turn()],
-        }])),
-        Some(PeerResponse::Outlines(_)) => {
+        Some(PeerResponse::Programs(_)) => Some(outlines(Some(vec![vec![9_000, 70_000]]))),
+        Some(PeerResponse::Outlines { .. }) => {
             Some(PeerResponse::Turns(vec![retained_turn(), retained_turn()]))
         }
         Some(PeerResponse::Turns(_)) => Some(PeerResponse::StaleEpoch(view())),
@@ -110,6 +106,18 @@
     }
 }
 
+fn outlines(remaining_ms: Option<Vec<Vec<u64>>>) -> PeerResponse {
+    let outline = ProgramOutline {
+        program: program(),
+        account: account(),
+        turns: vec![previous(), turn()],
+    };
+    PeerResponse::Outlines {
+        programs: vec![outline],
+        remaining_ms,
+    }
+}
+
 fn peer_response_name(response: &PeerResponse) -> &'static str {
     match response {
         PeerResponse::Account(_) => "Account",
@@ -118,7 +126,7 @@
         PeerResponse::TurnPresent => "Located",
         PeerResponse::TurnAbsent => "NotHere",
         PeerResponse::Programs(_) => "Programs",
-        PeerResponse::Outlines(_) => "Outlines",
+        PeerResponse::Outlines { .. } => "Outlines",
         PeerResponse::Turns(_) => "Turns",
         PeerResponse::StaleEpoch(_) => "OldEpoch",
         PeerResponse::ReceiverStale => "Behind",
@@ -259,6 +267,24 @@
     assert_eq!(decoded, StoreRequest::Proxy(begin_turn(None)));
 }
 
+/// A store of a version without the field `remaining_ms` sends a frame that ends before it, and decodes a frame
+/// with the field up to there.
+#[test]
+fn outlines_without_retention_times_are_decoded() {
+    let text = include_str!("wire_format/outlines_without_retention.txt");
+    let earlier = Pins::parse(text).take("Peer.Outlines");
+    let reply = |remaining_ms| {
+        StoreResponse::Peer(PeerReply {
+            incarnation: member(1).incarnation,
+            body: outlines(remaining_ms),
+        })
+    };
+    let decoded: StoreResponse = postcard::from_bytes(&earlier).expect("an earlier reply");
+    assert_eq!(decoded, reply(None));
+    let sent = postcard::to_stdvec(&reply(Some(Vec::new()))).expect("a reply");
+    assert!(sent.starts_with(&earlier));
+}
+
 #[test]
 fn replies_of_stores_keep_their_bytes() {
     let mut pins = Pins::parse(include_str!("wire_format/answers.txt"));
--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -11,7 +11,7 @@
 use plankhill_conversations::peer::{PeerRequest, PeerResponse};
 use plankhill_conversations::quorum::WriteQuorum;
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::store_calls::{Reservation, StoreReply, TurnLifetime};
+use plankhill_protocol::store_calls::{Reservation, StoreReply, TurnLifetime, TurnLocation};
 use plankhill_protocol::tables::StoreView;
 
 use super::read_chain::{Chain, ChainLookup};
@@ -105,7 +105,13 @@
             previous: start.previous.clone(),
         };
         let mut quorum = WriteQuorum::new(view, &start.program);
-        let mut replies = self.broadcast(view, quorum.members(), &request);
+        // A replica that misses the reservation also misses that the chain is retained for longer. The
+        // reservation itself needs no hint: the next quorum includes it.
+        let extended = start.previous.as_ref().map(|previous| TurnLocation {
+            program: start.program.clone(),
+            turn: previous.clone(),
+        });
+        let mut replies = self.broadcast(view, quorum.members(), &request, extended.as_ref());
         let mut merged = Account::default();
         while let Some(member_reply) = replies.recv().await {
             let Some(reply) = member_reply.reply else {
--- a/tier/store/src/node/coordinator/broadcast.rs
+++ b/tier/store/src/node/coordinator/broadcast.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use plankhill_conversations::peer::{PeerCall, PeerReply, PeerRequest, PeerResponse};
+use plankhill_protocol::store_calls::TurnLocation;
 use plankhill_protocol::tables::{StoreMember, StoreView};
 use plankhill_protocol::transport::CallError;
 use tokio::sync::mpsc;
@@ -27,22 +28,27 @@
     /// the last one; the channel has a slot for each store.
     ///
     /// Every call completes even if the receiver is dropped: the remaining replicas also receive the write,
-    /// or a hint is recorded for those that miss it.
+    /// or a hint is recorded for those that miss it. `written` is the turn that the
+    /// request updates, if it is a write.
     pub(super) fn broadcast(
         self: &Rc<Self>,
         view: &StoreView,
         members: Vec<StoreMember>,
         request: &PeerRequest,
+        written: Option<&TurnLocation>,
     ) -> mpsc::Receiver<MemberReply> {
         let (replies, receiver) = mpsc::channel(members.len().max(1));
         for member in members {
             let node = self.clone();
             let view = view.clone();
             let request = request.clone();
+            let written = written.cloned();
             let replies = replies.clone();
             tokio::task::spawn_local(async move {
                 let reply = node.call(&view, &member, &request, PEER_TIMEOUT).await.ok();
-                node.hint_if_missed(&view, &member, &request, reply.as_ref());
+                if let Some(turn) = written {
+                    node.hint_if_missed(&view, &member, turn, reply.as_ref());
+                }
                 // The receiver is dropped once the caller has enough replies.
                 let _ = replies.send(MemberReply { member, reply }).await;
             });
--- a/tier/store/src/node/coordinator/chain_retention.rs
+++ b/tier/store/src/node/coordinator/chain_retention.rs
@@ -74,10 +74,10 @@
             retention_ms,
         } = extension;
         let request = PeerRequest::ExtendRetention {
-            turn: newest.turn,
+            turn: newest.turn.clone(),
             retention_ms,
         };
-        self.write(&newest.program, &request).await
+        self.write(&newest, &request).await
     }
 }
 
--- a/tier/store/src/node/coordinator/end_turn.rs
+++ b/tier/store/src/node/coordinator/end_turn.rs
@@ -7,7 +7,7 @@
 use plankhill_conversations::account::TurnState;
 use plankhill_conversations::peer::{PeerRequest, RetainedTurn, TurnUpdate};
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::store_calls::{StoreReply, TurnRecord};
+use plankhill_protocol::store_calls::{StoreReply, TurnLocation, TurnRecord};
 
 use super::replicated_write::WriteOutcome;
 use crate::clock::Clock;
@@ -38,14 +38,17 @@
                 return StoreReply::Unavailable;
             }
         }
-        let program = end.program.clone();
+        let location = TurnLocation {
+            program: end.program.clone(),
+            turn: end.turn.clone(),
+        };
         let update = TurnUpdate {
             program: end.program,
             turn: end.turn,
             state,
             retained,
         };
-        match self.write(&program, &PeerRequest::EndTurn(update)).await {
+        match self.write(&location, &PeerRequest::EndTurn(update)).await {
             WriteOutcome::Written => StoreReply::Ended,
             WriteOutcome::TooFewReplicas | WriteOutcome::ViewChanged => StoreReply::Unavailable,
         }
--- a/tier/store/src/node/coordinator/read_chain.rs
+++ b/tier/store/src/node/coordinator/read_chain.rs
@@ -160,7 +160,7 @@
     ) -> Result<StoreMember, SegmentError> {
         let members = unique_addresses(view.serving.iter().chain(view.next.iter().flatten()));
         let request = PeerRequest::LocateTurn { turn: turn.clone() };
-        let mut replies = self.broadcast(view, members, &request);
+        let mut replies = self.broadcast(view, members, &request, None);
         let mut absent = 0;
         while let Some(member_reply) = replies.recv().await {
             let Some(reply) = member_reply.reply else {
--- a/tier/store/src/node/coordinator/replicated_write.rs
+++ b/tier/store/src/node/coordinator/replicated_write.rs
@@ -4,7 +4,7 @@
 
 use plankhill_conversations::peer::{PeerRequest, PeerResponse};
 use plankhill_conversations::quorum::WriteQuorum;
-use plankhill_protocol::ids::ProgramId;
+use plankhill_protocol::store_calls::TurnLocation;
 use plankhill_protocol::tables::StoreView;
 
 use crate::clock::Clock;
@@ -23,15 +23,16 @@
 }
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
-    /// Writes to a program's replicas; retries under the new view if the view changes during an attempt.
+    /// Writes an update of a turn to the replicas of its program; retries under the new view if the view changes
+    /// during an attempt.
     pub(super) async fn write(
         self: &Rc<Self>,
-        program: &ProgramId,
+        turn: &TurnLocation,
         request: &PeerRequest,
     ) -> WriteOutcome {
         loop {
             let view = self.view();
-            match self.write_in_view(&view, program, request).await {
+            match self.write_in_view(&view, turn, request).await {
                 WriteOutcome::ViewChanged | WriteOutcome::TooFewReplicas
                     if self.views.epoch() > view.epoch => {}
                 outcome => return outcome,
@@ -42,11 +43,11 @@
     async fn write_in_view(
         self: &Rc<Self>,
         view: &StoreView,
-        program: &ProgramId,
+        turn: &TurnLocation,
         request: &PeerRequest,
     ) -> WriteOutcome {
-        let mut quorum = WriteQuorum::new(view, program);
-        let mut replies = self.broadcast(view, quorum.members(), request);
+        let mut quorum = WriteQuorum::new(view, &turn.program);
+        let mut replies = self.broadcast(view, quorum.members(), request, Some(turn));
         while let Some(member_reply) = replies.recv().await {
             let Some(reply) = member_reply.reply else {
                 continue;
--- a/tier/store/src/node/repair/hints.rs
+++ b/tier/store/src/node/repair/hints.rs
@@ -1,4 +1,5 @@
-//! Recording of hints: which store has missed which update.
+//! Recording of hints: which store has missed which update. An update is the end of a turn, or the extension of
+//! its retention while a later turn continues it.
 
 use std::rc::Rc;
 
@@ -7,6 +8,7 @@
 use plankhill_conversations::placement::replicas;
 use plankhill_conversations::rows::{RowChange, Table};
 use plankhill_protocol::ids::NodeId;
+use plankhill_protocol::store_calls::TurnLocation;
 use plankhill_protocol::tables::{StoreMember, StoreView};
 
 use crate::clock::Clock;
@@ -30,7 +32,7 @@
         }
     }
 
-    /// Records a hint if a store has missed the end of a turn; called after each call to a store.
+    /// Records a hint if a store has missed an update of a turn; called after each write to a store.
     ///
     /// The hint is stored at another replica of the program: at this store if it is a replica and did not
     /// miss the update itself, and otherwise at the first replica that is not the store in question.
@@ -38,18 +40,15 @@
         self: &Rc<Self>,
         view: &StoreView,
         member: &StoreMember,
-        request: &PeerRequest,
+        turn: TurnLocation,
         reply: Option<&PeerReply>,
     ) {
-        let PeerRequest::EndTurn(update) = request else {
-            return;
-        };
         if is_received(reply) {
             return;
         }
         let missed = MissedUpdate {
-            program: update.program.clone(),
-            turn: update.turn.clone(),
+            program: turn.program,
+            turn: turn.turn,
         };
         let replicas = replicas(&view.serving, &missed.program, view.tolerated_faults);
         let own_address = self.identity.address;
@@ -95,7 +94,10 @@
 /// to all replicas again.
 fn is_received(reply: Option<&PeerReply>) -> bool {
     match reply {
-        Some(reply) => matches!(reply.body, PeerResponse::Done | PeerResponse::StaleEpoch(_)),
+        Some(reply) => matches!(
+            reply.body,
+            PeerResponse::Done | PeerResponse::Account(_) | PeerResponse::StaleEpoch(_)
+        ),
         None => false,
     }
 }
--- a/tier/store/src/node/replica/mod.rs
+++ b/tier/store/src/node/replica/mod.rs
@@ -4,6 +4,8 @@
 mod programs;
 mod updates;
 
+pub(in crate::node) use updates::RetentionExtension;
+
 use std::rc::Rc;
 
 use plankhill_conversations::peer::{PeerCall, PeerReply, PeerRequest, PeerResponse};
@@ -63,7 +65,8 @@
             PeerRequest::ReadChain { turn } => self.local_chain(&turn),
             PeerRequest::LocateTurn { turn } => self.local_presence(&turn),
             PeerRequest::ExtendRetention { turn, retention_ms } => {
-                self.extend_locally(&turn, retention_ms).await
+                let extension = RetentionExtension { turn, retention_ms };
+                self.extend_locally(vec![extension]).await
             }
             PeerRequest::StoreHint {
                 node,
--- a/tier/store/src/node/replica/programs.rs
+++ b/tier/store/src/node/replica/programs.rs
@@ -40,11 +40,23 @@
         PeerResponse::Programs(turns.list_programs(after, MAX_PAGE_ENTRIES, is_listed))
     }
 
-    /// Returns the accounts and the ids of the retained turns of programs; unknown programs are left out.
+    /// Returns the accounts of programs, and the ids and retention times of their retained turns; unknown
+    /// programs are left out.
     pub(super) fn outline_programs(&self, programs: &[ProgramId]) -> PeerResponse {
         let turns = self.turns.borrow();
-        let outlines = programs.iter().filter_map(|program| turns.outline(program));
-        PeerResponse::Outlines(outlines.collect())
+        let now_ms = self.now_ms();
+        let mut outlines = Vec::new();
+        let mut remaining_ms = Vec::new();
+        for program in programs {
+            if let Some(outline) = turns.outline(program) {
+                outlines.push(outline);
+                remaining_ms.push(turns.remaining_ms(program, now_ms));
+            }
+        }
+        PeerResponse::Outlines {
+            programs: outlines,
+            remaining_ms: Some(remaining_ms),
+        }
     }
 
     /// Returns as many of the turns as fit into one message, at least one. Turns that have expired or cannot
--- a/tier/store/src/node/replica/updates.rs
+++ b/tier/store/src/node/replica/updates.rs
@@ -10,6 +10,14 @@
 use crate::peers::Peers;
 use crate::storage::{Storage, StorageError};
 
+/// An extension of the retention of a turn and its ancestors.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::node) struct RetentionExtension {
+    pub(in crate::node) turn: RequestId,
+    /// The retention time from now on, in milliseconds.
+    pub(in crate::node) retention_ms: u64,
+}
+
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Adds a reservation to the program's account. Once the reservation is synced, replies with the account
     /// as of that time.
@@ -68,12 +76,20 @@
         outcome
     }
 
-    /// Retains a turn and its ancestors for at least `retention_ms`, and replies once the extension is
+    /// Retains turns and their ancestors for at least the given times, and replies once the extensions are
     /// synced.
-    pub(super) async fn extend_locally(&self, turn: &RequestId, retention_ms: u64) -> PeerResponse {
-        let until_ms = self.now_ms().saturating_add(retention_ms);
-        let change = self.turns.borrow_mut().extend(turn, until_ms);
-        match self.rows.commit(vec![change]).await {
+    pub(in crate::node) async fn extend_locally(
+        &self,
+        extensions: Vec<RetentionExtension>,
+    ) -> PeerResponse {
+        let now_ms = self.now_ms();
+        let mut changes = Vec::with_capacity(extensions.len());
+        for extension in extensions {
+            let until_ms = now_ms.saturating_add(extension.retention_ms);
+            let mut turns = self.turns.borrow_mut();
+            changes.push(turns.extend(&extension.turn, until_ms));
+        }
+        match self.rows.commit(changes).await {
             Ok(()) => PeerResponse::Done,
             Err(_) => PeerResponse::Unavailable,
         }
--- a/tier/store/src/node/state/turn_table.rs
+++ b/tier/store/src/node/state/turn_table.rs
@@ -236,6 +236,16 @@
         self.index.outline(program)
     }
 
+    /// Returns whether any turn of the program is retained.
+    pub(in crate::node) fn has_turns(&self, program: &ProgramId) -> bool {
+        self.index.has_turns(program)
+    }
+
+    /// The remaining retention times of a program's turns; see [`TurnIndex::remaining_ms`].
+    pub(in crate::node) fn remaining_ms(&self, program: &ProgramId, now_ms: u64) -> Vec<u64> {
+        self.index.remaining_ms(program, now_ms)
+    }
+
     /// Number of retained turns.
     pub(in crate::node) fn len(&self) -> usize {
         self.index.len()
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -28,6 +28,8 @@
 /// Time for which a store is down.
 const DOWNTIME: Duration = Duration::from_millis(700);
 const TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after which a store that has started again, or can be reached again, has what it missed.
+const CATCH_UP: Duration = Duration::from_millis(2_000);
 /// Turns of a program that continues the conversation of another one; they last for two minutes.
 const SUCCESSOR_TURNS: u64 = 80;
 /// Budget of a program in tokens: large enough not to be exhausted.
@@ -326,6 +328,121 @@
     }
 }
 
+/// Kills a store, and starts it again on its disk or on an empty one. Returns after the store has caught up.
+async fn lose(world: &Rc<World>, node: &NodeId, loss: Loss) {
+    match loss {
+        Loss::Process => world.kill(node),
+        Loss::Disk => world.wipe(node),
+    }
+    tokio::time::sleep(DOWNTIME).await;
+    world.start(node);
+    tokio::time::sleep(CATCH_UP).await;
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Process,
+    Disk,
+}
+
+/// The stores in an order that depends on the seed.
+fn shuffled_nodes(world: &Rc<World>) -> [NodeId; 3] {
+    let mut nodes = world.nodes();
+    nodes.rotate_left(world.random_range(0..3) as usize);
+    if world.random_bool(50) {
+        nodes.swap(0, 1);
+    }
+    nodes.try_into().expect("three stores")
+}
+
+/// Guards against the loss of a conversation by three losses of a store one after the other during a long turn:
+/// the first store missed that the chain is retained for longer, the second copied the shorter time from
+/// it, and then the third lost its disk.
+#[test]
+fn three_losses_of_a_store_during_a_long_turn_do_not_lose_the_chain() {
+    for seed in 0..SEEDS {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let client = Client::new(&world);
+            let [first_lost, second_lost, third_lost] = shuffled_nodes(&world);
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            tokio::time::sleep(RETENTION / 2).await;
+            world.kill(&first_lost);
+            let second = client.begin("program", "second", Some("first")).await;
+            let ends_at = Instant::now() + RETENTION + RETENTION_SLACK * 3 / 2;
+            tokio::time::sleep(DOWNTIME).await;
+            world.start(&first_lost);
+            tokio::time::sleep(CATCH_UP).await;
+            lose(&world, &second_lost, Loss::Disk).await;
+            lose(&world, &third_lost, Loss::Disk).await;
+            tokio::time::sleep_until(ends_at).await;
+            client.end(&second).await;
+            let third = client.begin("program", "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;");
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against an extension that a store misses for good while it cannot be reached: only ends of turns had
+/// hints.
+#[test]
+fn an_extension_that_a_store_missed_is_delivered_to_it() {
+    for (seed, has_budget) in (0..SEEDS).zip([true, false].into_iter().cycle()) {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let mut client = Client::new(&world);
+            if !has_budget {
+                client.reservation = None;
+            }
+            let [cut_off, ..] = shuffled_nodes(&world);
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            world
+                .network
+                .borrow_mut()
+                .inbound_blocked
+                .insert(cut_off.clone());
+            client.begin("program", "second", Some("first")).await;
+            tokio::time::sleep(DOWNTIME).await;
+            assert_eq!(extension_rows(&world), 2);
+            world.network.borrow_mut().inbound_blocked.remove(&cut_off);
+            tokio::time::sleep(CATCH_UP).await;
+            assert_eq!(extension_rows(&world), 3);
+            world.ended.set(true);
+        });
+    }
+}
+
+/// Guards against the loss of the longest retention: a store that compares with the others after its start, on its
+/// disk or on an empty one, looked at the ids of turns and not at their times, and copied from the first
+/// source.
+#[test]
+fn a_store_that_starts_takes_the_longest_retention_of_the_others() {
+    for (seed, loss) in (0..SEEDS).zip([Loss::Disk, Loss::Process].into_iter().cycle()) {
+        run(async {
+            let world = start_world(seed, 3).await;
+            let client = Client::new(&world);
+            let [with_extension, starting, _] = shuffled_nodes(&world);
+            let first = client.begin("program", "first", None).await;
+            client.end(&first).await;
+            let second = client.begin("program", "second", Some("first")).await;
+            client.end(&second).await;
+            tokio::time::sleep(DOWNTIME).await;
+            let long = extension("second", RETENTION_SLACK * 20);
+            let response = world.call_as_peer(&with_extension, long).await;
+            assert_eq!(response, PeerResponse::Done);
+            lose(&world, &starting, loss).await;
+            lose(&world, &with_extension, Loss::Disk).await;
+            tokio::time::sleep(RETENTION_SLACK * 10).await;
+            let third = client.begin("program", "third", Some("second")).await;
+            assert_eq!(&*third.history, b"first;second;", "{loss:?}");
+            world.ended.set(true);
+        });
+    }
+}
+
 fn lifetime(timeout: Duration, retention: Duration) -> TurnLifetime {
     TurnLifetime {
         timeout_ms: timeout.as_millis() as u64,
--- a/tier/store/tests/stored_format.rs
+++ b/tier/store/tests/stored_format.rs
@@ -195,8 +195,9 @@
         assert_eq!(node.pending_hints(), 2);
 
         let programs = vec![program(1), program(2), program(3)];
-        let PeerResponse::Outlines(outlines) =
-            call_as_peer(&node, PeerRequest::OutlinePrograms { programs }).await
+        let PeerResponse::Outlines {
+            programs: outlines, ..
+        } = call_as_peer(&node, PeerRequest::OutlinePrograms { programs }).await
         else {
             panic!("no outlines")
         };
