Stores: the memory of chains that are read at the same time is bounded

Cause: each begin read the whole chain, joined it in a vector, copied that into shared bytes and encoded it into a frame, and nothing bounded how many did so at once. Replies that waited for a connection were encoded together, up to 64 of them.

Fix: a chain is read once memory is reserved for it, from a budget for proxies or one for other stores; the index tells its size in advance. A chain that other stores have in part is taken to be short, with a maximum in a last field of `ReadChain` (both forms pinned), and read again with memory for the longest if it is not. Replies carry a guard that is dropped once they are written, batches of frames end at 64 KiB, and the history is joined in place. Waiting replaces growth, so the bound holds for any number of begins. Chains and the comparison of retention times have modules of their own.

--- a/tier/conversations/src/peer.rs
+++ b/tier/conversations/src/peer.rs
@@ -43,6 +43,10 @@
     ReadChain {
         /// The newest turn of the chain.
         turn: RequestId,
+        /// Maximum bytes of the turns in the reply; `None` for the maximum of a chain. Stores of versions
+        /// without this field do not send it, and decode a request only up to the previous field.
+        #[serde(deserialize_with = "none_where_missing")]
+        max_bytes: Option<u64>,
     },
     /// Return whether the receiver has the turn.
     LocateTurn {
@@ -143,7 +147,7 @@
     Done,
     /// Turns of a chain, from newest to oldest.
     Chain {
-        /// The turns.
+        /// The turns; none if already the first one exceeds the maximum of the request.
         turns: Vec<Arc<TurnRecord>>,
         /// The next older turn, if the chain continues beyond the turns that this store has.
         rest: Option<TurnLocation>,
--- a/tier/conversations/tests/wire_format.rs
+++ b/tier/conversations/tests/wire_format.rs
@@ -35,7 +35,7 @@
             previous: Some(previous()),
         }),
         Some(PeerRequest::Reserve { .. }) => Some(PeerRequest::EndTurn(turn_update())),
-        Some(PeerRequest::EndTurn(_)) => Some(PeerRequest::ReadChain { turn: turn() }),
+        Some(PeerRequest::EndTurn(_)) => Some(read_chain(Some(600_000))),
         Some(PeerRequest::ReadChain { .. }) => Some(PeerRequest::LocateTurn { turn: turn() }),
         Some(PeerRequest::LocateTurn { .. }) => Some(PeerRequest::ExtendRetention {
             turn: turn(),
@@ -65,6 +65,13 @@
     }
 }
 
+fn read_chain(max_bytes: Option<u64>) -> PeerRequest {
+    PeerRequest::ReadChain {
+        turn: turn(),
+        max_bytes,
+    }
+}
+
 fn peer_request_name(request: &PeerRequest) -> &'static str {
     match request {
         PeerRequest::Reserve { .. } => "Reserve",
@@ -267,6 +274,24 @@
     assert_eq!(decoded, StoreRequest::Proxy(begin_turn(None)));
 }
 
+/// A store of a version without the field `max_bytes` sends a frame that ends before it, and decodes a frame with
+/// the field up to there.
+#[test]
+fn a_request_to_read_a_chain_without_maximum_is_decoded() {
+    let text = include_str!("wire_format/read_chain_without_maximum.txt");
+    let earlier = Pins::parse(text).take("Peer.Chain");
+    let request = |max_bytes| {
+        StoreRequest::Peer(PeerCall {
+            epoch: StoreEpoch(300),
+            body: read_chain(max_bytes),
+        })
+    };
+    let decoded: StoreRequest = postcard::from_bytes(&earlier).expect("an earlier request");
+    assert_eq!(decoded, request(None));
+    let sent = postcard::to_stdvec(&request(Some(600_000))).expect("a request");
+    assert!(sent.starts_with(&earlier));
+}
+
 /// A store of a version without the field `remaining_ms` sends a frame that ends before it, and decodes a frame
 /// with the field up to there.
 #[test]
--- a/tier/protocol/src/transport.rs
+++ b/tier/protocol/src/transport.rs
@@ -8,6 +8,7 @@
 //! - `caller`, `server`: concurrent request-response calls over one shared connection.
 
 mod abort_on_drop;
+mod call_reply;
 mod caller;
 mod connect;
 mod connection;
@@ -21,6 +22,7 @@
 
 use std::time::Duration;
 
+pub use call_reply::{CallReply, ReplyGuard};
 pub use caller::{CallError, Caller};
 pub use connect::connect;
 pub use connection::{accept, dial, Connection};
--- a/tier/protocol/src/transport/caller.rs
+++ b/tier/protocol/src/transport/caller.rs
@@ -89,6 +89,7 @@
         let envelope = Envelope {
             call: pending.call,
             body: request,
+            guard: None,
         };
         if link.writes.try_send(envelope).is_err() {
             return Err(CallError::NotSent);
--- a/tier/protocol/src/transport/frame.rs
+++ b/tier/protocol/src/transport/frame.rs
@@ -15,6 +15,8 @@
 const LENGTH_BYTES: usize = 4;
 /// Capacity of the read buffer, in bytes. Most frames are small; large ones bypass the buffer.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Size in bytes at which a batch of frames is written; its last frame may exceed the size.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
 /// Maximum capacity, in bytes, of a frame's buffer that is reused for the next frame.
 const MAX_REUSED_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -84,30 +86,64 @@
     /// [`TransportError`] if a message cannot be encoded, is too long, or the connection ends; the
     /// connection cannot be used afterwards.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), TransportError> {
-        let frame = encode(message)?;
-        Ok(self.stream.write_all(&frame).await?)
+        let mut batch = FrameBatch::default();
+        batch.push(message)?;
+        self.write(batch).await
     }
 
-    /// Sends several messages in one write.
+    /// Sends several messages, with as few writes as the size of a batch allows.
     ///
     /// # Errors
     /// [`TransportError`] if a message cannot be encoded, is too long, or the connection ends; the
     /// connection cannot be used afterwards.
     pub async fn send_all<T: Serialize>(&mut self, messages: &[T]) -> Result<(), TransportError> {
-        let mut frames = Vec::new();
+        let mut batch = FrameBatch::default();
         for message in messages {
-            frames.extend(encode(message)?);
+            batch.push(message)?;
+            if batch.is_full() {
+                self.write(std::mem::take(&mut batch)).await?;
+            }
         }
-        Ok(self.stream.write_all(&frames).await?)
+        self.write(batch).await
+    }
+
+    /// Sends the frames of a batch in one write.
+    ///
+    /// # Errors
+    /// [`TransportError`] if the connection ends.
+    pub(super) async fn write(&mut self, batch: FrameBatch) -> Result<(), TransportError> {
+        Ok(self.stream.write_all(&batch.frames).await?)
     }
 }
 
-fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, TransportError> {
-    let mut frame = postcard::to_extend(message, vec![0; LENGTH_BYTES])?;
-    let length = frame.len() - LENGTH_BYTES;
-    if length > MAX_FRAME_BYTES {
-        return Err(TransportError::FrameTooLong(length));
+/// Encoded messages that are sent in one write.
+#[derive(Default)]
+pub(super) struct FrameBatch {
+    frames: Vec<u8>,
+}
+
+impl FrameBatch {
+    /// Appends the frame of a message.
+    ///
+    /// # Errors
+    /// [`TransportError`] if the message cannot be encoded or is too long; the batch cannot be used afterwards.
+    pub(super) fn push<T: Serialize>(&mut self, message: &T) -> Result<(), TransportError> {
+        let start = self.frames.len();
+        let body = start + LENGTH_BYTES;
+        let mut frames = std::mem::take(&mut self.frames);
+        frames.resize(body, 0);
+        frames = postcard::to_extend(message, frames)?;
+        let length = frames.len() - body;
+        if length > MAX_FRAME_BYTES {
+            return Err(TransportError::FrameTooLong(length));
+        }
+        frames[start..body].copy_from_slice(&(length as u32).to_le_bytes());
+        self.frames = frames;
+        Ok(())
+    }
+
+    /// Whether the batch has to be written before another message is added.
+    pub(super) fn is_full(&self) -> bool {
+        self.frames.len() >= MAX_BATCH_BYTES
     }
-    frame[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
-    Ok(frame)
 }
--- a/tier/protocol/src/transport/server.rs
+++ b/tier/protocol/src/transport/server.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 
 use super::abort_on_drop::AbortOnDrop;
+use super::call_reply::CallReply;
 use super::envelope::{write_queue, Envelope};
 use super::{accept, Connection, Hello, TransportError};
 
@@ -24,7 +25,8 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts connections indefinitely and answers each call with the result of `answer`, whose
-/// arguments are the caller's greeting and the request. Must run inside a `LocalSet`.
+/// arguments are the caller's greeting and the request. The reply's guard is held until the reply has been
+/// written. Must run inside a `LocalSet`.
 pub async fn serve_calls<Request, Reply, Answer, AnswerFuture>(
     listener: TcpListener,
     hello: Hello,
@@ -33,7 +35,7 @@
     Request: DeserializeOwned + 'static,
     Reply: Serialize + 'static,
     Answer: Fn(Hello, Request) -> AnswerFuture + Clone + 'static,
-    AnswerFuture: Future<Output = Reply> + 'static,
+    AnswerFuture: Future<Output = CallReply<Reply>> + 'static,
 {
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
@@ -66,7 +68,7 @@
     Request: DeserializeOwned + 'static,
     Reply: Serialize + 'static,
     Answer: Fn(Hello, Request) -> AnswerFuture + Clone + 'static,
-    AnswerFuture: Future<Output = Reply> + 'static,
+    AnswerFuture: Future<Output = CallReply<Reply>> + 'static,
 {
     let Connection {
         peer,
@@ -82,14 +84,14 @@
         let Ok(reply_permit) = replies.clone().reserve_owned().await else {
             return io::Error::from(io::ErrorKind::BrokenPipe).into();
         };
-        let Envelope { call, body } = match reader.next::<Envelope<Request>>().await {
+        let Envelope { call, body, .. } = match reader.next::<Envelope<Request>>().await {
             Ok(envelope) => envelope,
             Err(error) => return error,
         };
         let answer_future = answer(peer.clone(), body);
         spawn_local(async move {
-            let body = answer_future.await;
-            reply_permit.send(Envelope { call, body });
+            let CallReply { body, guard } = answer_future.await;
+            reply_permit.send(Envelope { call, body, guard });
         });
     }
 }
--- a/tier/protocol/tests/calls.rs
+++ b/tier/protocol/tests/calls.rs
@@ -9,7 +9,9 @@
 
 use common::{any_port, run};
 use plankhill_protocol::ids::NodeId;
-use plankhill_protocol::transport::{listen, serve_calls, CallError, Caller, Channel, Hello};
+use plankhill_protocol::transport::{
+    dial, listen, serve_calls, CallError, CallReply, Caller, Channel, Hello, ReplyGuard,
+};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -34,7 +36,7 @@
             if call == DELAYED_CALL {
                 release.notified().await;
             }
-            2 * call
+            CallReply::from(2 * call)
         }
     };
     (
@@ -170,3 +172,50 @@
         assert_eq!(caller.call(2, LONG_TIMEOUT).await, Ok(4));
     });
 }
+
+/// Records that it was dropped.
+struct DropFlag(Rc<Cell<bool>>);
+
+impl Drop for DropFlag {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+/// Guards against replies that take memory without a bound: a sender that limits its replies has to know until
+/// when each of them is held.
+#[test]
+fn the_guard_of_a_reply_is_held_until_the_reply_is_written() {
+    /// More than the sockets of a connection buffer.
+    const REPLY_BYTES: usize = 24 * 1024 * 1024;
+    run(async {
+        let listener = listen(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let is_released: Rc<Cell<bool>> = Rc::default();
+        let replies = Rc::new(Notify::new());
+        let (flag, replying) = (is_released.clone(), replies.clone());
+        let answer = move |_: Hello, _: u64| {
+            let guard = Some(ReplyGuard::new(DropFlag(flag.clone())));
+            replying.notify_one();
+            async move {
+                CallReply {
+                    body: vec![1_u8; REPLY_BYTES],
+                    guard,
+                }
+            }
+        };
+        tokio::task::spawn_local(serve_calls(listener, hello(), answer));
+        let mut connection = dial(address, &hello()).await.unwrap();
+        let (call, request) = (1_u64, 0_u64);
+        connection.writer.send(&(call, request)).await.unwrap();
+        replies.notified().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!is_released.get(), "nobody has read the reply");
+        let next = connection.reader.next::<(u64, Vec<u8>)>().await;
+        let (answered, body) = next.unwrap();
+        assert_eq!((answered, body.len()), (call, REPLY_BYTES));
+        while !is_released.get() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
--- a/tier/protocol/tests/wire_format/frames.rs
+++ b/tier/protocol/tests/wire_format/frames.rs
@@ -4,7 +4,7 @@
 
 use plankhill_protocol::ids::NodeId;
 use plankhill_protocol::transport::{
-    accept, dial, listen, serve_calls, Caller, Channel, FrameReader, FrameWriter, Hello,
+    accept, dial, listen, serve_calls, CallReply, Caller, Channel, FrameReader, FrameWriter, Hello,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -102,7 +102,7 @@
         let address = listener.local_addr().unwrap();
         let answer = |_: Hello, question: String| async move {
             assert_eq!(question, "question");
-            "answer".to_owned()
+            CallReply::from("answer".to_owned())
         };
         tokio::task::spawn_local(serve_calls(listener, hello(), answer));
         let mut raw = TcpStream::connect(address).await.unwrap();
--- a/tier/store/src/limits.rs
+++ b/tier/store/src/limits.rs
@@ -26,6 +26,8 @@
 pub const RUNNING_TURN_TTL_MS: u64 = 60_000;
 /// Maximum bytes of one chain: less than the maximum size of a frame.
 pub const MAX_CHAIN_BYTES: usize = 24 * 1024 * 1024;
+/// Maximum bytes of a chain that is read from other stores before its size is known.
+pub const MAX_UNSIZED_CHAIN_BYTES: usize = 512 * 1024;
 /// Bytes of turns at which one message between stores is complete; its last turn may exceed the limit.
 pub const MAX_MESSAGE_BYTES: usize = 512 * 1024;
 /// Maximum number of programs in one page of a list, and of turns in one request for turns.
@@ -42,6 +44,10 @@
 /// Fraction of the memory that the index of turns and accounts may use, in addition to the database's
 /// caches.
 const MEMORY_FRACTION: f64 = 0.35;
+/// Fraction of the memory that chains may use while a coordinator reads them and replies to proxies.
+const CHAIN_MEMORY_FRACTION: f64 = 0.25;
+/// Fraction of the memory that chains may use while they are read and sent to other stores.
+const PEER_CHAIN_MEMORY_FRACTION: f64 = 0.1;
 /// Minimum time for which turns are retained beyond the requested retention, for turns that continue them
 /// at its very end.
 const MIN_RETENTION_SLACK: Duration = Duration::from_millis(10_000);
@@ -54,6 +60,10 @@
     pub retention_slack_ms: u64,
     /// Maximum bytes of turns and accounts.
     pub max_index_bytes: u64,
+    /// Maximum memory, in bytes, of the chains that are being read for proxies.
+    pub chain_memory_bytes: usize,
+    /// Maximum memory, in bytes, of the chains that are being read for other stores.
+    pub peer_chain_memory_bytes: usize,
 }
 
 impl Limits {
@@ -61,10 +71,13 @@
     pub fn from_settings(settings: &Settings) -> Self {
         let slack = MIN_RETENTION_SLACK.max(2 * settings.bounds.max_skew());
         let disk_bytes = settings.limits.disk_bytes() as f64 * DISK_FRACTION;
-        let memory_bytes = settings.limits.memory_bytes() as f64 * MEMORY_FRACTION;
+        let memory_bytes = settings.limits.memory_bytes() as f64;
+        let index_bytes = memory_bytes * MEMORY_FRACTION;
         Limits {
             retention_slack_ms: slack.as_millis() as u64,
-            max_index_bytes: disk_bytes.min(memory_bytes) as u64,
+            max_index_bytes: disk_bytes.min(index_bytes) as u64,
+            chain_memory_bytes: (memory_bytes * CHAIN_MEMORY_FRACTION) as usize,
+            peer_chain_memory_bytes: (memory_bytes * PEER_CHAIN_MEMORY_FRACTION) as usize,
         }
     }
 }
--- a/tier/store/src/node/coordinator/begin_turn.rs
+++ b/tier/store/src/node/coordinator/begin_turn.rs
@@ -13,8 +13,9 @@
 use plankhill_protocol::ids::{ProgramId, RequestId};
 use plankhill_protocol::store_calls::{Reservation, StoreReply, TurnLifetime, TurnLocation};
 use plankhill_protocol::tables::StoreView;
+use plankhill_protocol::transport::{CallReply, ReplyGuard};
 
-use super::read_chain::{Chain, ChainLookup};
+use super::chain::{Chain, ChainLookup};
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::peers::Peers;
@@ -43,17 +44,20 @@
 }
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
-    pub(super) async fn begin_turn(self: &Rc<Self>, start: TurnStart) -> StoreReply {
+    pub(super) async fn begin_turn(self: &Rc<Self>, start: TurnStart) -> CallReply<StoreReply> {
         let (reserved, chain) = tokio::join!(self.reserve(&start), self.prepare_chain(&start));
         match (reserved, chain) {
-            (ReserveOutcome::BudgetExhausted, _) => StoreReply::BudgetExhausted,
-            (_, ChainLookup::NotFound) => StoreReply::NoSuchTurn,
-            (ReserveOutcome::Granted, ChainLookup::Found(chain)) => StoreReply::Begun {
-                history: chain.history,
-                previous: chain.parts.into_iter().next(),
+            (ReserveOutcome::BudgetExhausted, _) => StoreReply::BudgetExhausted.into(),
+            (_, ChainLookup::NotFound) => StoreReply::NoSuchTurn.into(),
+            (ReserveOutcome::Granted, ChainLookup::Found(chain)) => CallReply {
+                body: StoreReply::Begun {
+                    history: chain.history,
+                    previous: chain.parts.into_iter().next(),
+                },
+                guard: chain.memory.map(ReplyGuard::new),
             },
             (ReserveOutcome::Unavailable | ReserveOutcome::ViewChanged, _)
-            | (_, ChainLookup::Unavailable) => StoreReply::Unavailable,
+            | (_, ChainLookup::Unavailable) => StoreReply::Unavailable.into(),
         }
     }
 
--- a/tier/store/src/node/coordinator/broadcast.rs
+++ b/tier/store/src/node/coordinator/broadcast.rs
@@ -99,7 +99,8 @@
         };
         if member.address == self.identity.address {
             // Boxed because the future is recursive: a store may call itself while it answers a call.
-            return Ok(Box::pin(self.clone().handle_peer_call(call)).await);
+            let reply = Box::pin(self.clone().handle_peer_call(call)).await;
+            return Ok(reply.body);
         }
         let reply = self.peers.call(member.address, call, timeout).await?;
         if let PeerResponse::StaleEpoch(newer) = &reply.body {
--- a/tier/store/src/node/coordinator/chain_retention.rs
+++ b/tier/store/src/node/coordinator/chain_retention.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinSet;
 
 use super::begin_turn::TurnStart;
-use super::read_chain::Chain;
+use super::chain::Chain;
 use super::replicated_write::WriteOutcome;
 use crate::clock::Clock;
 use crate::limits::RUNNING_TURN_TTL_MS;
--- a/tier/store/src/node/coordinator/mod.rs
+++ b/tier/store/src/node/coordinator/mod.rs
@@ -6,6 +6,7 @@
 
 mod begin_turn;
 mod broadcast;
+mod chain;
 mod chain_retention;
 mod end_turn;
 mod read_chain;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 
 use plankhill_protocol::store_calls::{StoreCall, StoreReply};
+use plankhill_protocol::transport::CallReply;
 
 use super::Node;
 use crate::clock::Clock;
@@ -26,17 +28,20 @@
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Answers a proxy. The proxy's epoch is ignored: the replicas check the epoch of the coordinator's
     /// view.
-    pub(super) async fn handle_proxy_call(self: Rc<Self>, call: StoreCall) -> StoreReply {
+    pub(super) async fn handle_proxy_call(
+        self: Rc<Self>,
+        call: StoreCall,
+    ) -> CallReply<StoreReply> {
         if self.views.borrow().serving.is_empty() {
-            return StoreReply::Unavailable;
+            return StoreReply::Unavailable.into();
         }
         match tokio::time::timeout(CALL_TIMEOUT, self.coordinate(call)).await {
             Ok(reply) => reply,
-            Err(_) => StoreReply::Unavailable,
+            Err(_) => StoreReply::Unavailable.into(),
         }
     }
 
-    async fn coordinate(self: &Rc<Self>, call: StoreCall) -> StoreReply {
+    async fn coordinate(self: &Rc<Self>, call: StoreCall) -> CallReply<StoreReply> {
         match call {
             StoreCall::BeginTurn {
                 epoch: _,
@@ -62,13 +67,13 @@
                 tokens,
                 record,
             } => {
-                self.end_turn(TurnEnd {
+                let end = TurnEnd {
                     program,
                     turn,
                     tokens,
                     record,
-                })
-                .await
+                };
+                self.end_turn(end).await.into()
             }
         }
     }
--- a/tier/store/src/node/coordinator/read_chain.rs
+++ b/tier/store/src/node/coordinator/read_chain.rs
@@ -10,112 +10,125 @@
 use plankhill_protocol::store_calls::{TurnLocation, TurnRecord};
 use plankhill_protocol::tables::{StoreMember, StoreView};
 
+use super::chain::{Chain, ChainLookup};
 use crate::clock::Clock;
-use crate::limits::{MAX_CHAIN_BYTES, PEER_TIMEOUT, PREFERRED_REPLICA_TIMEOUT};
-use crate::node::chain_segment::{record_bytes, ChainSegment};
+use crate::limits::{
+    MAX_CHAIN_BYTES, MAX_UNSIZED_CHAIN_BYTES, PEER_TIMEOUT, PREFERRED_REPLICA_TIMEOUT,
+};
+use crate::node::chain_segment::ChainSegment;
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::storage::Storage;
 
-/// A chain that was read completely.
-pub(super) struct Chain {
-    /// Inputs and outputs of all turns, concatenated from oldest to newest.
-    pub(super) history: Arc<[u8]>,
-    /// The newest turn of each part of the chain that belongs to one program, newest first.
-    pub(super) parts: Vec<TurnLocation>,
-    /// Retention time of the newest turn after its end, in milliseconds.
-    pub(super) retention_ms: u64,
-}
-
-impl Chain {
-    /// The chain of a turn that continues no other turn.
-    pub(super) fn empty() -> Self {
-        Chain::from_turns(&[])
-    }
-
-    /// Creates a chain from its turns, the newest first.
-    fn from_turns(turns: &[Arc<TurnRecord>]) -> Self {
-        Chain {
-            history: join_history(turns),
-            parts: newest_of_programs(turns),
-            retention_ms: turns.first().map_or(0, |newest| newest.retention_ms),
-        }
-    }
-}
-
-/// The outcome of reading a chain.
-pub(super) enum ChainLookup {
-    Found(Chain),
-    /// The newest turn does not exist: it is absent from a read quorum of the stores.
-    NotFound,
-    /// Too few stores answered, or the chain is incomplete or too long.
-    Unavailable,
-}
-
-/// Why a segment of a chain could not be read.
-enum SegmentError {
+/// Why a chain could not be read.
+enum ReadError {
     NotFound,
     Unavailable,
+    /// The chain exceeds the bytes for which memory was reserved.
+    TooLong,
 }
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
-    /// Reads the chain that ends with `turn`. `program` is the program of the turn that continues the
-    /// chain, and in most cases also the program of `turn`.
+    /// Reads the chain that ends with `turn`, once there is memory for it. `program` is the program of the turn that
+    /// continues the chain, and in most cases also the program of `turn`.
+    ///
+    /// The size of a chain is known in advance if this store has all of its turns. Otherwise the chain is taken
+    /// to be short; if it is not, everything read is dropped before memory for the longest chain is
+    /// reserved, so that no chain waits while it holds memory.
     pub(super) async fn read_chain(
         self: &Rc<Self>,
         program: &ProgramId,
         turn: &RequestId,
     ) -> ChainLookup {
-        let mut turns: Vec<Arc<TurnRecord>> = Vec::new();
-        let mut bytes = 0;
-        let mut next = Some(TurnLocation {
+        let newest = TurnLocation {
             turn: turn.clone(),
             program: program.clone(),
-        });
+        };
+        let extent = self.turns.borrow().chain_extent(turn);
+        let expected_bytes = if extent.is_complete {
+            extent.bytes
+        } else {
+            extent.bytes.max(MAX_UNSIZED_CHAIN_BYTES)
+        };
+        let mut read = Err(ReadError::TooLong);
+        if expected_bytes < MAX_CHAIN_BYTES {
+            read = self.read_chain_within(&newest, expected_bytes).await;
+        }
+        if let Err(ReadError::TooLong) = read {
+            read = self.read_chain_within(&newest, MAX_CHAIN_BYTES).await;
+        }
+        match read {
+            Ok(chain) => ChainLookup::Found(chain),
+            Err(ReadError::NotFound) => ChainLookup::NotFound,
+            Err(ReadError::Unavailable) => ChainLookup::Unavailable,
+            Err(ReadError::TooLong) => {
+                tracing::warn!(%turn, "conversation chain exceeds the size limit");
+                ChainLookup::Unavailable
+            }
+        }
+    }
+
+    /// Reads a chain of at most `max_bytes`, once there is memory for it.
+    async fn read_chain_within(
+        self: &Rc<Self>,
+        newest: &TurnLocation,
+        max_bytes: usize,
+    ) -> Result<Chain, ReadError> {
+        let memory = self.chain_memory.reserve(max_bytes).await;
+        let mut turns: Vec<Arc<TurnRecord>> = Vec::new();
+        let mut bytes_left = max_bytes;
+        let mut next = Some(newest.clone());
         while let Some(location) = next.take() {
-            let segment = match self.read_segment(&location).await {
+            let segment = match self.read_segment(&location, bytes_left).await {
                 Ok(segment) => segment,
-                Err(SegmentError::NotFound) if turns.is_empty() => return ChainLookup::NotFound,
                 // An ancestor is retained as long as its descendants, so its absence does not show that the
                 // chain has expired: the newest turn was found.
-                Err(SegmentError::NotFound) => {
-                    let ancestor = &location.turn;
+                Err(ReadError::NotFound) if !turns.is_empty() => {
+                    let (turn, ancestor) = (&newest.turn, &location.turn);
                     tracing::warn!(%turn, %ancestor, "conversation chain incomplete");
-                    return ChainLookup::Unavailable;
+                    return Err(ReadError::Unavailable);
                 }
-                Err(SegmentError::Unavailable) => return ChainLookup::Unavailable,
+                Err(error) => return Err(error),
             };
-            bytes += segment.bytes();
-            if bytes > MAX_CHAIN_BYTES {
-                tracing::warn!(%turn, bytes, "conversation chain exceeds the size limit");
-                return ChainLookup::Unavailable;
-            }
+            bytes_left = bytes_left
+                .checked_sub(segment.bytes())
+                .ok_or(ReadError::TooLong)?;
             turns.extend(segment.turns);
             next = segment.rest;
         }
-        ChainLookup::Found(Chain::from_turns(&turns))
+        Ok(Chain::from_turns(&turns, Some(memory)))
     }
 
+    /// Reads at least one turn, if it is not longer than `max_bytes`.
     async fn read_segment(
         self: &Rc<Self>,
         location: &TurnLocation,
-    ) -> Result<ChainSegment, SegmentError> {
-        let segment = self.local_segment(&location.turn);
+        max_bytes: usize,
+    ) -> Result<ChainSegment, ReadError> {
+        if self.turns.borrow().bytes_of(&location.turn) > max_bytes {
+            return Err(ReadError::TooLong);
+        }
+        let segment = self.local_segment(&location.turn, max_bytes);
+        if !segment.turns.is_empty() {
+            return Ok(segment);
+        }
+        let segment = self.read_remote_segment(location, max_bytes).await?;
         if segment.turns.is_empty() {
-            self.read_remote_segment(location).await
-        } else {
-            Ok(segment)
+            return Err(ReadError::TooLong);
         }
+        Ok(segment)
     }
 
-    /// Reads from the most preferred other replica, or failing that from any store that has the turn.
+    /// Reads from the most preferred other replica, or failing that from any store that has the turn. The segment
+    /// has no turn if the first one is longer than `max_bytes`.
     async fn read_remote_segment(
         self: &Rc<Self>,
         location: &TurnLocation,
-    ) -> Result<ChainSegment, SegmentError> {
+        max_bytes: usize,
+    ) -> Result<ChainSegment, ReadError> {
         let view = self.view();
         if let Some(preferred) = self.preferred_replica(&view, &location.program) {
-            let reading = self.read_segment_from(&view, &preferred, &location.turn);
+            let reading = self.read_segment_from(&view, &preferred, &location.turn, max_bytes);
             // Shorter than the timeout of the call itself, so that the connection stays usable for later
             // calls.
             let read = tokio::time::timeout(PREFERRED_REPLICA_TIMEOUT, reading).await;
@@ -124,8 +137,10 @@
             }
         }
         let member = self.locate_turn(&view, &location.turn).await?;
-        let segment = self.read_segment_from(&view, &member, &location.turn).await;
-        segment.ok_or(SegmentError::Unavailable)
+        let segment = self
+            .read_segment_from(&view, &member, &location.turn, max_bytes)
+            .await;
+        segment.ok_or(ReadError::Unavailable)
     }
 
     fn preferred_replica(&self, view: &StoreView, program: &ProgramId) -> Option<StoreMember> {
@@ -140,13 +155,15 @@
         view: &StoreView,
         member: &StoreMember,
         turn: &RequestId,
+        max_bytes: usize,
     ) -> Option<ChainSegment> {
-        let request = PeerRequest::ReadChain { turn: turn.clone() };
+        let request = PeerRequest::ReadChain {
+            turn: turn.clone(),
+            max_bytes: Some(max_bytes as u64),
+        };
         let reply = self.call(view, member, &request, PEER_TIMEOUT).await.ok()?;
         match reply.body {
-            PeerResponse::Chain { turns, rest } if !turns.is_empty() => {
-                Some(ChainSegment { turns, rest })
-            }
+            PeerResponse::Chain { turns, rest } => Some(ChainSegment { turns, rest }),
             _ => None,
         }
     }
@@ -157,7 +174,7 @@
         self: &Rc<Self>,
         view: &StoreView,
         turn: &RequestId,
-    ) -> Result<StoreMember, SegmentError> {
+    ) -> Result<StoreMember, ReadError> {
         let members = unique_addresses(view.serving.iter().chain(view.next.iter().flatten()));
         let request = PeerRequest::LocateTurn { turn: turn.clone() };
         let mut replies = self.broadcast(view, members, &request, None);
@@ -181,35 +198,9 @@
             }
         }
         if absent >= Quorum::new(view.serving.len(), view.tolerated_faults).read {
-            Err(SegmentError::NotFound)
+            Err(ReadError::NotFound)
         } else {
-            Err(SegmentError::Unavailable)
-        }
-    }
-}
-
-/// The newest turn of each run of turns of one program; `turns` has the newest first.
-fn newest_of_programs(turns: &[Arc<TurnRecord>]) -> Vec<TurnLocation> {
-    let mut newest: Vec<TurnLocation> = Vec::new();
-    for record in turns {
-        let part = newest.last();
-        if part.is_none_or(|part| part.program != record.program) {
-            newest.push(TurnLocation {
-                turn: record.turn.clone(),
-                program: record.program.clone(),
-            });
+            Err(ReadError::Unavailable)
         }
     }
-    newest
-}
-
-/// Concatenates inputs and outputs, oldest first; `turns` has the newest first.
-fn join_history(turns: &[Arc<TurnRecord>]) -> Arc<[u8]> {
-    let bytes = turns.iter().map(|turn| record_bytes(turn)).sum();
-    let mut history = Vec::with_capacity(bytes);
-    for turn in turns.iter().rev() {
-        history.extend_from_slice(&turn.input);
-        history.extend_from_slice(&turn.output);
-    }
-    history.into()
 }
--- a/tier/store/src/node/load.rs
+++ b/tier/store/src/node/load.rs
@@ -10,7 +10,7 @@
 use plankhill_protocol::ids::{NodeId, ProgramId, RequestId};
 use plankhill_protocol::tables::StoreView;
 
-use super::state::{HintTable, MissedUpdate, RowWriter, TurnTable, ViewState};
+use super::state::{ChainMemory, HintTable, MissedUpdate, RowWriter, TurnTable, ViewState};
 use super::{Node, NodeParts};
 use crate::clock::Clock;
 use crate::peers::Peers;
@@ -44,6 +44,8 @@
             views: ViewState::new(view),
             turns: RefCell::new(turns),
             hints: RefCell::new(hints),
+            chain_memory: ChainMemory::new(parts.limits.chain_memory_bytes),
+            peer_chain_memory: ChainMemory::new(parts.limits.peer_chain_memory_bytes),
         }))
     }
 
--- a/tier/store/src/node/mod.rs
+++ b/tier/store/src/node/mod.rs
@@ -23,13 +23,14 @@
 use plankhill_conversations::wire::{StoreRequest, StoreResponse};
 use plankhill_protocol::ids::StoreEpoch;
 use plankhill_protocol::tables::{StoreMember, StoreView};
+use plankhill_protocol::transport::CallReply;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::peers::Peers;
 use crate::storage::Storage;
-use state::{HintTable, RowWriter, TurnTable, ViewState};
+use state::{ChainMemory, HintTable, RowWriter, TurnTable, ViewState};
 
 /// The parts from which a node is built.
 pub struct NodeParts<P, S, C> {
@@ -63,14 +64,31 @@
     views: ViewState,
     turns: RefCell<TurnTable>,
     hints: RefCell<HintTable>,
+    /// The memory for chains that this store reads as a coordinator.
+    chain_memory: ChainMemory,
+    /// The memory for chains that this store sends to coordinators. Apart from the other one, so that two
+    /// coordinators never wait for each other.
+    peer_chain_memory: ChainMemory,
 }
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Handles one call of a proxy or of another store.
-    pub async fn handle_call(self: Rc<Self>, request: StoreRequest) -> StoreResponse {
+    pub async fn handle_call(self: Rc<Self>, request: StoreRequest) -> CallReply<StoreResponse> {
         match request {
-            StoreRequest::Proxy(call) => StoreResponse::Proxy(self.handle_proxy_call(call).await),
-            StoreRequest::Peer(call) => StoreResponse::Peer(self.handle_peer_call(call).await),
+            StoreRequest::Proxy(call) => {
+                let reply = self.handle_proxy_call(call).await;
+                CallReply {
+                    body: StoreResponse::Proxy(reply.body),
+                    guard: reply.guard,
+                }
+            }
+            StoreRequest::Peer(call) => {
+                let reply = self.handle_peer_call(call).await;
+                CallReply {
+                    body: StoreResponse::Peer(reply.body),
+                    guard: reply.guard,
+                }
+            }
         }
     }
 
--- a/tier/store/src/node/replica/local_turns.rs
+++ b/tier/store/src/node/replica/local_turns.rs
@@ -7,9 +7,10 @@
 use plankhill_conversations::rows::{decode_row, Table, TurnRow};
 use plankhill_protocol::ids::RequestId;
 use plankhill_protocol::store_calls::TurnRecord;
+use plankhill_protocol::transport::{CallReply, ReplyGuard};
 
 use crate::clock::Clock;
-use crate::limits::MAX_CHAIN_BYTES;
+use crate::limits::{MAX_CHAIN_BYTES, PEER_TIMEOUT};
 use crate::node::chain_segment::{record_bytes, ChainSegment};
 use crate::node::Node;
 use crate::peers::Peers;
@@ -45,35 +46,63 @@
         })
     }
 
-    /// Returns the turn and its ancestors as far as this store has them, up to the size limit of a chain.
-    pub(in crate::node) fn local_segment(&self, turn: &RequestId) -> ChainSegment {
+    /// Returns the turn and its ancestors as far as this store has them, without those that would exceed
+    /// `max_bytes`.
+    pub(in crate::node) fn local_segment(
+        &self,
+        turn: &RequestId,
+        max_bytes: usize,
+    ) -> ChainSegment {
         let mut segment = ChainSegment::default();
         let mut bytes = 0;
         let mut next = Some(turn.clone());
         while let Some(turn) = next.take() {
+            if self.turns.borrow().bytes_of(&turn).saturating_add(bytes) > max_bytes {
+                break;
+            }
             let Some(record) = self.local_turn(&turn) else {
                 break;
             };
             bytes += record_bytes(&record);
             segment.rest = record.previous.clone();
             segment.turns.push(record);
-            if bytes > MAX_CHAIN_BYTES {
-                break;
-            }
             next = segment.rest.as_ref().map(|location| location.turn.clone());
         }
         segment
     }
 
-    /// Answers a store that reads a chain.
-    pub(super) fn local_chain(&self, turn: &RequestId) -> PeerResponse {
-        let segment = self.local_segment(turn);
-        if segment.turns.is_empty() {
-            return self.local_presence(turn);
+    /// Answers a store that reads a chain, once there is memory for the reply. If not even the first turn fits into
+    /// `max_bytes`, the reply has no turn and continues with the first one.
+    pub(super) async fn local_chain(
+        &self,
+        turn: &RequestId,
+        max_bytes: Option<u64>,
+    ) -> CallReply<PeerResponse> {
+        let limit = max_bytes.map_or(usize::MAX, |bytes| bytes as usize);
+        let limit = limit.min(MAX_CHAIN_BYTES);
+        let extent = self.turns.borrow().chain_extent(turn);
+        let reserving = self.peer_chain_memory.reserve(extent.bytes.min(limit));
+        // Nobody waits for a later reply.
+        let Ok(memory) = tokio::time::timeout(PEER_TIMEOUT, reserving).await else {
+            return PeerResponse::Unavailable.into();
+        };
+        let segment = self.local_segment(turn, limit);
+        if !segment.turns.is_empty() {
+            return CallReply {
+                body: PeerResponse::Chain {
+                    turns: segment.turns,
+                    rest: segment.rest,
+                },
+                guard: Some(ReplyGuard::new(memory)),
+            };
         }
-        PeerResponse::Chain {
-            turns: segment.turns,
-            rest: segment.rest,
+        match self.local_presence(turn) {
+            PeerResponse::TurnPresent => PeerResponse::Chain {
+                turns: Vec::new(),
+                rest: self.turns.borrow().location(turn),
+            }
+            .into(),
+            response => response.into(),
         }
     }
 
--- a/tier/store/src/node/replica/mod.rs
+++ b/tier/store/src/node/replica/mod.rs
@@ -10,6 +10,7 @@
 
 use plankhill_conversations::peer::{PeerCall, PeerReply, PeerRequest, PeerResponse};
 use plankhill_protocol::ids::StoreEpoch;
+use plankhill_protocol::transport::CallReply;
 
 use super::state::MissedUpdate;
 use super::Node;
@@ -19,13 +20,19 @@
 
 impl<P: Peers, S: Storage, C: Clock> Node<P, S, C> {
     /// Answers a call of another store, or of this store's own coordinator.
-    pub(super) async fn handle_peer_call(self: Rc<Self>, call: PeerCall) -> PeerReply {
+    pub(super) async fn handle_peer_call(self: Rc<Self>, call: PeerCall) -> CallReply<PeerReply> {
         let incarnation = self.identity.incarnation;
-        let body = match self.check_epoch(&call) {
+        let response = match self.check_epoch(&call) {
             Ok(()) => self.handle(call.epoch, call.body).await,
-            Err(refusal) => refusal,
+            Err(refusal) => refusal.into(),
         };
-        PeerReply { incarnation, body }
+        CallReply {
+            body: PeerReply {
+                incarnation,
+                body: response.body,
+            },
+            guard: response.guard,
+        }
     }
 
     /// Checks the call's epoch, which is a fencing token: calls of other views are refused, so that no write
@@ -49,8 +56,12 @@
         }
     }
 
-    async fn handle(self: Rc<Self>, epoch: StoreEpoch, request: PeerRequest) -> PeerResponse {
-        match request {
+    async fn handle(
+        self: Rc<Self>,
+        epoch: StoreEpoch,
+        request: PeerRequest,
+    ) -> CallReply<PeerResponse> {
+        let response = match request {
             PeerRequest::Reserve {
                 program,
                 turn,
@@ -62,7 +73,9 @@
             }
             PeerRequest::EndTurn(update) => self.merge_updates(vec![update]).await,
             PeerRequest::Repair(missed) => self.merge_updates(missed).await,
-            PeerRequest::ReadChain { turn } => self.local_chain(&turn),
+            PeerRequest::ReadChain { turn, max_bytes } => {
+                return self.local_chain(&turn, max_bytes).await;
+            }
             PeerRequest::LocateTurn { turn } => self.local_presence(&turn),
             PeerRequest::ExtendRetention { turn, retention_ms } => {
                 let extension = RetentionExtension { turn, retention_ms };
@@ -85,6 +98,7 @@
                 self.install_view(&view);
                 PeerResponse::Done
             }
-        }
+        };
+        response.into()
     }
 }
--- a/tier/store/src/node/state/turn_table.rs
+++ b/tier/store/src/node/state/turn_table.rs
@@ -9,7 +9,7 @@
 use plankhill_conversations::rows::{AccountRow, RowChange, Table, TurnRow};
 use plankhill_conversations::turn_index::{Expired, TurnEntry, TurnIndex};
 use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::store_calls::TurnRecord;
+use plankhill_protocol::store_calls::{TurnLocation, TurnRecord};
 
 use super::unwritten_states::{StateWrite, UnwrittenStates};
 use crate::limits::RUNNING_TURN_TTL_MS;
@@ -34,6 +34,15 @@
     }
 }
 
+/// The part of a chain that is retained at a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::node) struct ChainExtent {
+    /// Bytes of the inputs and outputs of its turns.
+    pub(in crate::node) bytes: usize,
+    /// Whether the chain has no further turns.
+    pub(in crate::node) is_complete: bool,
+}
+
 /// Owns the index of turns and accounts, and the parts of it that may not be on disk yet.
 pub(in crate::node) struct TurnTable {
     index: TurnIndex,
@@ -192,6 +201,42 @@
         self.index.turn(turn).is_some()
     }
 
+    /// Bytes of a turn's input and output; 0 for a turn that is not retained.
+    pub(in crate::node) fn bytes_of(&self, turn: &RequestId) -> usize {
+        self.index
+            .turn(turn)
+            .map_or(0, |entry| entry.bytes as usize)
+    }
+
+    /// The location of a retained turn.
+    pub(in crate::node) fn location(&self, turn: &RequestId) -> Option<TurnLocation> {
+        let entry = self.index.turn(turn)?;
+        Some(TurnLocation {
+            turn: turn.clone(),
+            program: entry.program.clone(),
+        })
+    }
+
+    /// Measures the part of a turn's chain that is retained at this store.
+    pub(in crate::node) fn chain_extent(&self, turn: &RequestId) -> ChainExtent {
+        let mut bytes = 0_usize;
+        let mut next = Some(turn);
+        while let Some(turn) = next {
+            let Some(entry) = self.index.turn(turn) else {
+                return ChainExtent {
+                    bytes,
+                    is_complete: false,
+                };
+            };
+            bytes = bytes.saturating_add(entry.bytes as usize);
+            next = entry.previous.as_ref().map(|previous| &previous.turn);
+        }
+        ChainExtent {
+            bytes,
+            is_complete: true,
+        }
+    }
+
     /// The time at which a retained turn expires.
     pub(in crate::node) fn expires_ms(&self, turn: &RequestId) -> Option<u64> {
         Some(self.index.turn(turn)?.expires_ms)
--- a/tier/store/src/node/transfer/mod.rs
+++ b/tier/store/src/node/transfer/mod.rs
@@ -5,6 +5,7 @@
 //! need a quorum of both sets, so that writes made during the transfer are not missed.
 
 mod copy_from;
+mod retention;
 
 use std::rc::Rc;
 
--- a/tier/store/tests/running_turn.rs
+++ b/tier/store/tests/running_turn.rs
@@ -28,7 +28,7 @@
 /// Time for which a store is down.
 const DOWNTIME: Duration = Duration::from_millis(700);
 const TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time after which a store that has started again, or can be reached again, has what it missed.
+/// Time for hints and comparisons to repair a store that was not running or was partitioned.
 const CATCH_UP: Duration = Duration::from_millis(2_000);
 /// Turns of a program that continues the conversation of another one; they last for two minutes.
 const SUCCESSOR_TURNS: u64 = 80;
@@ -385,8 +385,7 @@
     }
 }
 
-/// Guards against an extension that a store misses for good while it cannot be reached: only ends of turns had
-/// hints.
+/// Guards against an extension that a store never receives after a partition: only ends of turns had hints.
 #[test]
 fn an_extension_that_a_store_missed_is_delivered_to_it() {
     for (seed, has_budget) in (0..SEEDS).zip([true, false].into_iter().cycle()) {
--- a/tier/store/tests/simulation/machine.rs
+++ b/tier/store/tests/simulation/machine.rs
@@ -22,6 +22,9 @@
 use super::network::SimulatedPeers;
 use super::{milliseconds, store, SeededBug, World};
 
+/// Memory of each store for chains that it reads for proxies, and for those that it reads for other stores.
+pub const CHAIN_MEMORY_BYTES: usize = 4_000_000;
+
 pub type StoreNode = Node<SimulatedPeers, MemoryStorage, SimulatedClock>;
 type LocalTask = Pin<Box<dyn Future<Output = ()>>>;
 type Calls = mpsc::UnboundedSender<(StoreRequest, oneshot::Sender<StoreResponse>)>;
@@ -135,6 +138,8 @@
             limits: Limits {
                 retention_slack_ms: 10_000,
                 max_index_bytes: 50_000_000,
+                chain_memory_bytes: CHAIN_MEMORY_BYTES,
+                peer_chain_memory_bytes: CHAIN_MEMORY_BYTES,
             },
             peers: SimulatedPeers {
                 world: Rc::downgrade(self),
@@ -213,7 +218,7 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             // The receiver is dropped if the caller has stopped waiting.
-            let _ = answer.send(node.handle_call(request).await);
+            let _ = answer.send(node.handle_call(request).await.body);
         });
     }
 }
--- a/tier/store/tests/stored_format.rs
+++ b/tier/store/tests/stored_format.rs
@@ -149,6 +149,8 @@
         limits: Limits {
             retention_slack_ms: 10_000,
             max_index_bytes: 50_000_000,
+            chain_memory_bytes: 10_000_000,
+            peer_chain_memory_bytes: 10_000_000,
         },
         peers: NoPeers,
         storage: opened.storage,
@@ -163,7 +165,12 @@
         epoch: view().epoch,
         body,
     };
-    match node.clone().handle_call(StoreRequest::Peer(call)).await {
+    match node
+        .clone()
+        .handle_call(StoreRequest::Peer(call))
+        .await
+        .body
+    {
         StoreResponse::Peer(reply) => {
             assert_eq!(reply.incarnation, STORED);
             reply.body
@@ -246,7 +253,14 @@
             rest: None,
         };
         assert_eq!(
-            call_as_peer(&node, PeerRequest::ReadChain { turn: turn(2) }).await,
+            call_as_peer(
+                &node,
+                PeerRequest::ReadChain {
+                    turn: turn(2),
+                    max_bytes: None
+                }
+            )
+            .await,
             expected
         );
     });
