Stores, proxy: no hints for longer times after a start; claims survive other attempts

- A store that starts recorded a hint for each turn that it retains for longer than another store.
After a step of its clock these are all turns, and a hint brings the turn with it.
A store that compares takes longer times over and sends none: the other store has the hint of the write that it missed, or compares when it starts.
- A stream of more than 30 s repeats its claim of a generation.
Another attempt that had tried to claim the same one made the repeat fail, and the stream would have ended.
The claim was granted first; the repeat only keeps it at the stores.
No test: the streams of the proxy's tests are shorter than 20 s.

--- a/tier/proxy/src/stream/checkpoints.rs
+++ b/tier/proxy/src/stream/checkpoints.rs
@@ -182,26 +182,23 @@
         Ok(())
     }
 
+    /// Repeats the claim, so that the stores keep it. Attempts that have tried to claim the generation since then
+    /// do not matter: it was granted to this one first.
     async fn repeat_claim(&mut self) -> Result<(), CheckpointError> {
         if self.claimed_at.elapsed() < CLAIM_INTERVAL {
             return Ok(());
         }
         let now = Instant::now();
         let deadline = self.attempt.deadline;
-        match claim(
+        claim(
             self.store.as_ref(),
             &self.attempt,
             self.generation,
             deadline,
         )
-        .await?
-        {
-            Claim::Granted => {
-                self.claimed_at = now;
-                Ok(())
-            }
-            Claim::Taken => Err(CheckpointError::StoresUnavailable),
-        }
+        .await?;
+        self.claimed_at = now;
+        Ok(())
     }
 }
 
--- a/tier/store/src/node/repair/catch_up.rs
+++ b/tier/store/src/node/repair/catch_up.rs
@@ -1,5 +1,5 @@
 //! Anti-entropy after a start: merges the updates and extensions that this store missed while it was not
-//! running, and records hints for those that other stores lack.
+//! running, and records hints for updates that other stores lack.
 //!
 //! Hints do the same for a store that was unreachable and returns with its state intact, but a restart may
 //! lose some of them.
--- a/tier/store/src/node/transfer/copy_from.rs
+++ b/tier/store/src/node/transfer/copy_from.rs
@@ -75,7 +75,6 @@
         };
         self.hint_missing_at_source(view, source, &outlines);
         let listed = listed_turns(&outlines, remaining_ms.as_deref());
-        self.hint_shorter_retention_at_source(view, source, &listed);
         self.merge_longer_retention(&listed).await?;
         let missing = self.missing_turns(&outlines);
         self.merge_copied(outlines.into_iter().flat_map(account_updates).collect())
--- a/tier/store/src/node/transfer/retention.rs
+++ b/tier/store/src/node/transfer/retention.rs
@@ -1,17 +1,12 @@
-//! Comparison of the retention times of turns with those at another store: either store may have missed an
-//! extension.
-
-use std::cmp::Ordering;
+//! Comparison of the retention times of turns with those at another store: this store may have missed an
+//! extension. The other store compares when it starts, and has a hint otherwise.
 
 use plankhill_conversations::peer::{PeerResponse, ProgramOutline};
-use plankhill_conversations::placement::is_replica;
-use plankhill_protocol::ids::{ProgramId, RequestId};
-use plankhill_protocol::tables::{StoreMember, StoreView};
+use plankhill_protocol::ids::RequestId;
 
 use super::copy_from::CopyError;
 use crate::clock::Clock;
 use crate::node::replica::RetentionExtension;
-use crate::node::state::MissedUpdate;
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::storage::Storage;
@@ -22,7 +17,6 @@
 
 /// A turn that the source has listed.
 pub(super) struct ListedTurn<'outline> {
-    program: &'outline ProgramId,
     turn: &'outline RequestId,
     /// The remaining retention time at the source, in milliseconds.
     remaining_ms: u64,
@@ -38,7 +32,6 @@
     for (outline, times) in outlines.iter().zip(remaining_ms.unwrap_or_default()) {
         for (turn, remaining_ms) in outline.turns.iter().zip(times) {
             listed.push(ListedTurn {
-                program: &outline.program,
                 turn,
                 remaining_ms: *remaining_ms,
             });
@@ -55,7 +48,7 @@
     ) -> Result<(), CopyError> {
         let mut extensions = Vec::new();
         for turn in listed {
-            if self.compare_retention(turn) == Some(Ordering::Less) {
+            if self.is_longer_at_source(turn) {
                 extensions.push(RetentionExtension {
                     turn: turn.turn.clone(),
                     retention_ms: turn.remaining_ms,
@@ -71,38 +64,13 @@
         }
     }
 
-    /// Records hints for turns that this store retains for longer: the source may have missed an extension.
-    pub(super) fn hint_shorter_retention_at_source(
-        &self,
-        view: &StoreView,
-        source: &StoreMember,
-        listed: &[ListedTurn<'_>],
-    ) {
-        for turn in listed {
-            let program = turn.program;
-            let is_replica = is_replica(&view.serving, program, view.tolerated_faults, source);
-            if is_replica && self.compare_retention(turn) == Some(Ordering::Greater) {
-                self.add_hint(
-                    &source.node,
-                    MissedUpdate {
-                        program: program.clone(),
-                        turn: turn.turn.clone(),
-                    },
-                );
-            }
-        }
-    }
-
-    /// Compares the remaining retention of a turn at this store with that at the source; None if the turn is
-    /// absent here. Each store counts from the arrival of an update, so that small differences are no missed
-    /// extension.
-    fn compare_retention(&self, listed: &ListedTurn<'_>) -> Option<Ordering> {
-        let ours_ms = self.local_remaining_ms(listed.turn)?;
-        let theirs_ms = listed.remaining_ms;
-        if ours_ms.abs_diff(theirs_ms) <= MAX_RETENTION_DIFFERENCE_MS {
-            return Some(Ordering::Equal);
-        }
-        Some(ours_ms.cmp(&theirs_ms))
+    /// Whether the source retains a turn for longer than this store, by more than the time that the clocks of both
+    /// stores and the arrival of an update explain; false for a turn that is absent here.
+    fn is_longer_at_source(&self, listed: &ListedTurn<'_>) -> bool {
+        let ours_ms = self.local_remaining_ms(listed.turn);
+        ours_ms.is_some_and(|ours_ms| {
+            listed.remaining_ms > ours_ms.saturating_add(MAX_RETENTION_DIFFERENCE_MS)
+        })
     }
 
     fn local_remaining_ms(&self, turn: &RequestId) -> Option<u64> {
